--- /dev/null
+++ b/include/applehatch/core/expiring-map.h
@@ -0,0 +1,95 @@
+/// A bounded map from hashes to values that expire.
+#pragma once
+
+#include "applehatch/core/identity.h"
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace applehatch::core {
+
+/// Holds at most `capacity` values; the one put longest ago gives way to a new one.
+template <typename Value>
+class ExpiringMap
+{
+public:
+    explicit ExpiringMap(std::size_t capacity)
+        : capacity_(capacity)
+    { }
+
+    /// Sets the value of `key` and makes it the newest.
+    auto put(std::uint64_t key, Value value, Instant until) -> void
+    {
+        erase(key);
+        entries_.push_back({key, std::move(value), until});
+        index_[key] = std::prev(entries_.end());
+        if (entries_.size() > capacity_)
+            evictOldest();
+    }
+
+    /// The value of `key` when it has not expired; valid until the next change.
+    [[nodiscard]] auto find(std::uint64_t key, Instant now) const -> const Value *
+    {
+        const auto found = index_.find(key);
+        if (found == index_.end() || found->second->until <= now)
+            return nullptr;
+        return &found->second->value;
+    }
+
+    auto erase(std::uint64_t key) -> bool
+    {
+        const auto found = index_.find(key);
+        if (found == index_.end())
+            return false;
+        entries_.erase(found->second);
+        index_.erase(found);
+        return true;
+    }
+
+    /// Drops expired values.
+    auto expire(Instant now) -> void
+    {
+        std::erase_if(index_, [now](const auto &item) { return item.second->until <= now; });
+        entries_.remove_if([now](const Entry &entry) { return entry.until <= now; });
+    }
+
+    /// Up to `count` keys, newest first.
+    [[nodiscard]] auto newest(std::size_t count) const -> std::vector<std::uint64_t>
+    {
+        std::vector<std::uint64_t> keys;
+        for (auto entry = entries_.rbegin(); entry != entries_.rend() && keys.size() < count;
+             ++entry)
+            keys.push_back(entry->key);
+        return keys;
+    }
+
+    [[nodiscard]] auto size() const -> std::size_t { return entries_.size(); }
+
+    /// Until when a missing key may be one that gave way to another before it expired.
+    [[nodiscard]] auto forgottenUntil() const -> Instant { return forgottenUntil_; }
+
+private:
+    struct Entry
+    {
+        std::uint64_t key;
+        Value value;
+        Instant until;
+    };
+
+    auto evictOldest() -> void
+    {
+        forgottenUntil_ = std::max(forgottenUntil_, entries_.front().until);
+        index_.erase(entries_.front().key);
+        entries_.pop_front();
+    }
+
+    std::size_t capacity_;
+    std::list<Entry> entries_; // Oldest first.
+    std::unordered_map<std::uint64_t, typename std::list<Entry>::iterator> index_;
+    Instant forgottenUntil_;
+};
+
+} // namespace applehatch::core
--- a/include/applehatch/core/message.h
+++ b/include/applehatch/core/message.h
@@ -59,10 +59,14 @@
 };
 
 /// Router to sidecar: do not run this attempt, or stop it.
+///
+/// Without `target` a sidecar that restarted lately cannot tell whether its earlier life ran the
+/// attempt, and answers `Run::Unknown` for one that it does not know.
 struct Revoke
 {
     RequestId request;
     std::uint32_t attempt = 0;
+    Incarnation target = 0; ///< The life that the attempt was addressed to; 0 when unknown.
 };
 
 /// Router to sidecar: send the answer again from `offset`, or say what became of the request.
@@ -112,7 +116,7 @@
 {
     RequestId request;
     std::uint64_t length = 0;
-    std::uint64_t hash = 0; ///< `stableHash` of the whole body.
+    std::uint64_t hash = 0; ///< `stableHash` of the whole body; 0 when not all of it passed here.
     std::vector<DigestEntry> loads;
 };
 
--- a/include/applehatch/core/router-node.h
+++ b/include/applehatch/core/router-node.h
@@ -165,7 +165,7 @@
 /// Ask a random sidecar for its digest over UDP.
 struct SendDigest
 {
-    UpstreamId upstream = 0;
+    UpstreamId upstream = 0; ///< 0 replies to the sender of the digest being handled.
     Digest digest;
 };
 
--- a/include/applehatch/core/sidecar-node.h
+++ b/include/applehatch/core/sidecar-node.h
@@ -197,6 +197,9 @@
     std::size_t digestBytes = 1000; ///< Largest digest datagram.
     Duration heartbeatPeriod = std::chrono::seconds(1);
     Duration silence = std::chrono::seconds(4); ///< A link without a heartbeat this long is dead.
+    Duration linkGrace = std::chrono::seconds(15); ///< A run without any link is kept this long.
+    std::size_t recordBytes = 32U << 20U;          ///< Recorded answers of idempotency keys.
+    std::size_t crashNotices = 1000;
 };
 
 /// Counts that the host exports as metrics.
--- /dev/null
+++ b/src/core/admission.cc
@@ -0,0 +1,48 @@
+#include "applehatch/core/admission.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace applehatch::core {
+
+namespace {
+
+constexpr double newestShare = 0.2;
+constexpr Duration guessedServiceTime = std::chrono::seconds(1);
+constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration longestRetryAfter = std::chrono::seconds(30);
+
+} // namespace
+
+auto admissionBound(const Pool &pool, const PoolLoad &heard, std::uint32_t slots) -> std::uint32_t
+{
+    if (pool.members.size() <= 1)
+        return slots + pool.queueLimit;
+    if (heard.members <= 1)
+        return std::max(1U, slots);
+    return loadBound(heard, slots, pool.loadMultiple);
+}
+
+auto ServiceTime::record(Duration run) -> void
+{
+    if (!mean_) {
+        mean_ = run;
+        return;
+    }
+    const auto difference = static_cast<double>((run - *mean_).count());
+    *mean_ += Duration(static_cast<Duration::rep>(newestShare * difference));
+}
+
+auto expectedWait(const Backlog &backlog, Duration serviceTime) -> Duration
+{
+    const auto turns = (backlog.ahead + 1) / std::max(1U, backlog.slots);
+    return Duration(static_cast<Duration::rep>(turns * static_cast<double>(serviceTime.count())));
+}
+
+auto retryAfterFor(const Backlog &backlog, std::optional<Duration> serviceTime) -> Duration
+{
+    const auto wait = expectedWait(backlog, serviceTime.value_or(guessedServiceTime));
+    return std::clamp(wait, shortestRetryAfter, longestRetryAfter);
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/answer-store.cc
@@ -0,0 +1,174 @@
+#include "applehatch/core/answer-store.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace applehatch::core {
+
+struct Answer::Hasher
+{
+    struct Free
+    {
+        auto operator()(XXH3_state_t *unused) const -> void { XXH3_freeState(unused); }
+    };
+
+    std::unique_ptr<XXH3_state_t, Free> state{XXH3_createState()};
+
+    Hasher() { XXH3_64bits_reset(state.get()); }
+};
+
+Answer::Answer(std::uint64_t base)
+    : base_(base)
+    , hasher_(base == 0 ? std::make_unique<Hasher>() : nullptr)
+{ }
+
+Answer::~Answer() = default;
+Answer::Answer(Answer &&other) noexcept = default;
+auto Answer::operator=(Answer &&other) noexcept -> Answer & = default;
+
+auto Answer::append(std::string_view data) -> void
+{
+    bytes_ += data;
+    if (hasher_)
+        XXH3_64bits_update(hasher_->state.get(), data.data(), data.size());
+}
+
+auto Answer::trim(std::uint64_t offset) -> void
+{
+    if (offset <= base_)
+        return;
+    const auto count = std::min<std::uint64_t>(offset - base_, bytes_.size());
+    bytes_.erase(0, count);
+    bytes_.shrink_to_fit();
+    base_ += count;
+}
+
+auto Answer::from(std::uint64_t offset) const -> std::string_view
+{
+    const auto skip = std::min<std::uint64_t>(offset - base_, bytes_.size());
+    return std::string_view(bytes_).substr(skip);
+}
+
+auto Answer::hash() const -> std::uint64_t
+{
+    return hasher_ ? XXH3_64bits_digest(hasher_->state.get()) : 0;
+}
+
+AnswerStore::AnswerStore(AnswerLimits limits)
+    : limits_(limits)
+{ }
+
+auto AnswerStore::begin(std::uint64_t run, std::uint64_t base) -> void
+{
+    held_.insert_or_assign(run, Held{Answer(base), base, false});
+}
+
+auto AnswerStore::append(std::uint64_t run, std::string_view data) -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> dropped;
+    const auto found = held_.find(run);
+    if (found == held_.end())
+        return dropped;
+    found->second.answer.append(data);
+    bytes_ += data.size();
+    if (pending(found->second) > limits_.unacknowledged) {
+        drop(run);
+        dropped.push_back(run);
+    }
+    makeRoom(dropped);
+    return dropped;
+}
+
+auto AnswerStore::acknowledge(std::uint64_t run, std::uint64_t offset) -> void
+{
+    const auto found = held_.find(run);
+    if (found == held_.end())
+        return;
+    auto &held = found->second;
+    held.acknowledged = std::clamp(offset, held.acknowledged, held.answer.length());
+}
+
+auto AnswerStore::finish(std::uint64_t run, Instant now) -> void
+{
+    const auto found = held_.find(run);
+    if (found == held_.end() || found->second.finished)
+        return;
+    found->second.finished = true;
+    finished_.push_back({run, now});
+}
+
+auto AnswerStore::drop(std::uint64_t run) -> void
+{
+    const auto found = held_.find(run);
+    if (found == held_.end())
+        return;
+    bytes_ -= found->second.answer.kept();
+    if (found->second.finished)
+        finished_.remove_if([run](const Finished &entry) { return entry.run == run; });
+    held_.erase(found);
+}
+
+auto AnswerStore::find(std::uint64_t run) const -> const Answer *
+{
+    const auto found = held_.find(run);
+    return found == held_.end() ? nullptr : &found->second.answer;
+}
+
+auto AnswerStore::expire(Instant now) -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> dropped;
+    while (!finished_.empty() && now - finished_.front().at >= limits_.lifetime) {
+        dropped.push_back(finished_.front().run);
+        drop(finished_.front().run);
+    }
+    return dropped;
+}
+
+auto AnswerStore::unfinished(std::uint64_t run) const -> bool
+{
+    const auto found = held_.find(run);
+    return found != held_.end() && !found->second.finished;
+}
+
+auto AnswerStore::pending(const Held &held) -> std::uint64_t
+{
+    return held.answer.length() - std::max(held.acknowledged, held.answer.base());
+}
+
+auto AnswerStore::makeRoom(std::vector<std::uint64_t> &dropped) -> void
+{
+    while (bytes_ > limits_.total && !finished_.empty()) {
+        dropped.push_back(finished_.front().run);
+        drop(finished_.front().run);
+    }
+    if (bytes_ > limits_.total)
+        trimAcknowledged();
+    while (bytes_ > limits_.total) {
+        const auto run = largestPending();
+        drop(run);
+        dropped.push_back(run);
+    }
+}
+
+auto AnswerStore::trimAcknowledged() -> void
+{
+    for (auto &[run, held] : held_) {
+        const auto before = held.answer.kept();
+        held.answer.trim(held.acknowledged);
+        bytes_ -= before - held.answer.kept();
+    }
+}
+
+auto AnswerStore::largestPending() const -> std::uint64_t
+{
+    const auto largest =
+        std::max_element(held_.begin(), held_.end(), [](const auto &a, const auto &b) {
+            const auto first = pending(a.second);
+            const auto second = pending(b.second);
+            return first != second ? first < second : a.first < b.first;
+        });
+    return largest->first;
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/chat-pointers.cc
@@ -0,0 +1,69 @@
+#include "applehatch/core/chat-pointers.h"
+
+#include <chrono>
+
+namespace applehatch::core {
+
+namespace {
+
+constexpr Duration pointerLifetime = std::chrono::hours(6);
+constexpr Duration warmLifetime = std::chrono::hours(6);
+
+} // namespace
+
+ChatPointers::ChatPointers(std::size_t capacity)
+    : moved_(capacity)
+    , warm_(capacity)
+{ }
+
+auto ChatPointers::moved(ChatKey chat, UpstreamId holder, Instant now) -> void
+{
+    if (chat != 0 && holder != 0)
+        moved_.put(chat, holder, now + pointerLifetime);
+}
+
+auto ChatPointers::ran(ChatKey chat, Instant now) -> void
+{
+    moved_.erase(chat);
+    stored(chat, now);
+}
+
+auto ChatPointers::stored(ChatKey chat, Instant now) -> void
+{
+    if (chat != 0)
+        warm_.put(chat, {}, now + warmLifetime);
+}
+
+auto ChatPointers::evicted(ChatKey chat) -> void
+{
+    warm_.erase(chat);
+}
+
+auto ChatPointers::evictedAll() -> void
+{
+    warm_.expire(Instant::max());
+}
+
+auto ChatPointers::isWarm(ChatKey chat, Instant now) const -> bool
+{
+    return warm_.find(chat, now) != nullptr;
+}
+
+auto ChatPointers::holder(ChatKey chat, Instant now) const -> UpstreamId
+{
+    const auto *holder = moved_.find(chat, now);
+    return holder == nullptr ? 0 : *holder;
+}
+
+auto ChatPointers::hottest(std::size_t count) const -> std::vector<ChatKey>
+{
+    return warm_.newest(count);
+}
+
+auto ChatPointers::expire(Instant now) -> void
+{
+    moved_.expire(now);
+    warm_.expire(now);
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/crash-book.cc
@@ -0,0 +1,95 @@
+#include "applehatch/core/crash-book.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace applehatch::core {
+
+namespace {
+
+constexpr std::size_t crashesToSuspect = 2;
+
+// A withdrawal is remembered this long so that late gossip cannot bring the notice back.
+constexpr Duration withdrawalLifetime = std::chrono::minutes(10);
+
+} // namespace
+
+CrashBook::CrashBook(std::size_t capacity)
+    : capacity_(capacity)
+{ }
+
+auto CrashBook::apply(const CrashNotice &notice, Instant now) -> bool
+{
+    const Key key{notice.fingerprint, notice.life.upstream, notice.life.incarnation,
+                  notice.sequence};
+    const auto withdrawn = notice.remaining <= Duration::zero();
+    const auto found = held_.find(key);
+    if (found != held_.end() && (found->second.withdrawn || !withdrawn))
+        return false;
+    const auto until = now + (withdrawn ? withdrawalLifetime : notice.remaining);
+    held_[key] = {until, withdrawn, ++changes_};
+    if (held_.size() > capacity_)
+        dropOldest();
+    return true;
+}
+
+auto CrashBook::clear(Fingerprint fingerprint, Instant now) -> void
+{
+    for (auto item = held_.lower_bound({fingerprint, 0, 0, 0});
+         item != held_.end() && item->first.fingerprint == fingerprint; ++item) {
+        if (!item->second.withdrawn)
+            item->second = {now + withdrawalLifetime, true, ++changes_};
+    }
+}
+
+auto CrashBook::crashes(Fingerprint fingerprint, Instant now) const -> std::size_t
+{
+    std::size_t count = 0;
+    for (auto item = held_.lower_bound({fingerprint, 0, 0, 0});
+         item != held_.end() && item->first.fingerprint == fingerprint; ++item) {
+        if (!item->second.withdrawn && item->second.until > now)
+            ++count;
+    }
+    return count;
+}
+
+auto CrashBook::isSuspect(Fingerprint fingerprint, Instant now) const -> bool
+{
+    return crashes(fingerprint, now) >= crashesToSuspect;
+}
+
+auto CrashBook::notices(std::size_t count, Instant now) const -> std::vector<CrashNotice>
+{
+    std::vector<std::pair<std::uint64_t, CrashNotice>> ordered;
+    for (const auto &[key, held] : held_) {
+        if (held.until <= now)
+            continue;
+        const auto remaining = held.withdrawn ? Duration::zero() : Duration(held.until - now);
+        ordered.emplace_back(
+            held.order,
+            CrashNotice{key.fingerprint, {key.upstream, key.incarnation}, key.sequence, remaining});
+    }
+    std::sort(ordered.begin(), ordered.end(),
+              [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<CrashNotice> notices;
+    for (const auto &[order, notice] : ordered) {
+        if (notices.size() == count)
+            break;
+        notices.push_back(notice);
+    }
+    return notices;
+}
+
+auto CrashBook::expire(Instant now) -> void
+{
+    std::erase_if(held_, [now](const auto &item) { return item.second.until <= now; });
+}
+
+auto CrashBook::dropOldest() -> void
+{
+    held_.erase(std::min_element(held_.begin(), held_.end(), [](const auto &a, const auto &b) {
+        return a.second.order < b.second.order;
+    }));
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/sidecar-crashes.cc
@@ -0,0 +1,149 @@
+#include "sidecar-state.h"
+
+#include <chrono>
+
+namespace applehatch::core {
+
+namespace {
+
+constexpr Duration noticeLifetime = std::chrono::minutes(10);
+
+// A report of the same epoch counts only when it cannot have been on its way before the break.
+constexpr Duration reportDelay = std::chrono::milliseconds(300);
+
+// Reports come every second; without one for longer the break counts as a mere failure.
+constexpr Duration longestDoubt = std::chrono::milliseconds(1500);
+
+// Breaks this long after a crash was seen belong to it.
+constexpr Duration sameCrash = std::chrono::seconds(2);
+
+constexpr std::size_t severalLost = 2;
+
+} // namespace
+
+auto SidecarNode::State::on(const UpstreamReport &event) -> void
+{
+    ++reportsSincePause;
+    report = event;
+    if (!event.reachable) {
+        if (!inPhase(JobPhase::Lost).empty())
+            declareCrash("unreachable");
+        watchJobs();
+        return;
+    }
+    const auto restarted = !epoch.empty() && epoch != event.epoch;
+    epoch = event.epoch;
+    if (restarted) {
+        chats.evictedAll();
+        if (running != 0 || !inPhase(JobPhase::Lost).empty()) {
+            declareCrash("restarted");
+            stopAll();
+        }
+    }
+    settleLost(reportDelay, false);
+    if (!fencing.observe(event.fence) && !ordersStopped) {
+        ordersStopped = true;
+        log(LogLine("orders-stopped").add("fence", static_cast<std::int64_t>(event.fence)));
+    }
+    dispatch();
+    considerOrder();
+}
+
+auto SidecarNode::State::inPhase(JobPhase phase) const -> std::vector<RunId>
+{
+    std::vector<RunId> found;
+    for (const auto run : active) {
+        if (jobs.at(run).phase == phase)
+            found.push_back(run);
+    }
+    return found;
+}
+
+// One broken run may be a mere failure of the upstream; it is decided by the next report. Its
+// router is told only then: told at once, it could run a crashing request at a third upstream
+// before the notices of the first two have spread.
+auto SidecarNode::State::lostOne(Job &job) -> void
+{
+    const auto isLate = crashAt && now - *crashAt < sameCrash && crashRuns.contains(job.run);
+    if (isLate) {
+        noteCrash(job);
+        tellAll();
+        settleLost(Duration::zero(), true);
+        return;
+    }
+    std::size_t lost = 0;
+    for (const auto run : inPhase(JobPhase::Lost)) {
+        if (jobs.at(run).brokenHow == RunBreak::Lost)
+            ++lost;
+    }
+    if (lost >= severalLost || (report && !report->reachable))
+        declareCrash("lost");
+}
+
+auto SidecarNode::State::declareCrash(std::string_view cause) -> void
+{
+    ++crashSequence;
+    ++counted.crashes;
+    crashAt = now;
+    const auto stillRunning = inPhase(JobPhase::Running);
+    crashRuns = {stillRunning.begin(), stillRunning.end()};
+    log(LogLine("crash")
+            .add("cause", cause)
+            .add("sequence", crashSequence)
+            .add("running", static_cast<std::int64_t>(stillRunning.size())));
+    for (const auto run : inPhase(JobPhase::Lost))
+        noteCrash(jobs.at(run));
+    tellAll();
+    settleLost(Duration::zero(), true);
+}
+
+auto SidecarNode::State::noteCrash(const Job &job) -> void
+{
+    if (job.terms.fingerprint == 0)
+        return;
+    crashes.apply(
+        {job.terms.fingerprint, {self, identity.incarnation}, crashSequence, noticeLifetime}, now);
+}
+
+// The upstream process is another one: nothing that ran in the old one will ever answer.
+auto SidecarNode::State::stopAll() -> void
+{
+    const auto stopped = inPhase(JobPhase::Running);
+    for (const auto run : stopped)
+        noteCrash(jobs.at(run));
+    if (!stopped.empty())
+        tellAll();
+    for (const auto run : stopped) {
+        auto &job = jobs.at(run);
+        cancel(job, failureOfLost(job, true), "crash");
+    }
+}
+
+auto SidecarNode::State::settleLost(Duration brokenFor, bool crashed) -> void
+{
+    for (const auto run : inPhase(JobPhase::Lost)) {
+        auto &job = jobs.at(run);
+        if (now - job.brokenAt >= brokenFor)
+            fail(job, failureOfLost(job, crashed), crashed ? "crash" : "broken");
+    }
+}
+
+auto SidecarNode::State::failureOfLost(const Job &job, bool crashed) const -> Failure
+{
+    if (job.continued)
+        return refusalOf(ErrorKind::AnswerLost, Run::Unknown, "no such answer");
+    if (job.isRunOnce())
+        return refusalOf(ErrorKind::OutcomeUnknown, Run::Unknown, "broke off; it may have run");
+    if (crashed && crashes.isSuspect(job.terms.fingerprint, now))
+        return refusalOf(ErrorKind::CrashSuspect, Run::Ran, "crashed two upstreams");
+    if (crashed)
+        return refusalOf(ErrorKind::UpstreamCrashed, Run::Ran, "the upstream crashed");
+    return refusalOf(ErrorKind::UpstreamFailed, Run::Ran, "the upstream broke off");
+}
+
+auto SidecarNode::State::watchLost() -> void
+{
+    settleLost(longestDoubt, false);
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/sidecar-keys.cc
@@ -0,0 +1,146 @@
+#include "applehatch/core/run-once.h"
+#include "sidecar-state.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace applehatch::core {
+
+namespace {
+
+// A ticket is remembered until it expires, so its lifetime must be bounded too.
+constexpr Duration longestTicket = std::chrono::hours(1);
+
+} // namespace
+
+// A key that is known here is answered from the table, whatever else would be checked.
+auto SidecarNode::State::submitKey(LinkId link, const Submit &message) -> bool
+{
+    if (message.terms.idempotencyKey.empty())
+        return false;
+    const auto *entry = keys.find(RunOnceTable::nameOf(message.terms));
+    if (entry == nullptr)
+        return false;
+    if (entry->fingerprint != message.terms.fingerprint) {
+        reject(link, message,
+               {refusalOf(ErrorKind::KeyReused, Run::NotRun, "key of another request"), 0,
+                "key-reused"});
+        return true;
+    }
+    if (entry->state == RunOnceEntry::State::Unknown) {
+        reject(link, message,
+               {refusalOf(ErrorKind::OutcomeUnknown, Run::Unknown, "the key may have run"), 0,
+                "key-unknown"});
+        return true;
+    }
+    const auto found = jobs.find(entry->run);
+    if (found == jobs.end()) {
+        replay(link, message, *entry);
+        return true;
+    }
+    auto &job = found->second;
+    job.names.push_back(message.request);
+    job.attempts.emplace_back(message.request, message.attempt);
+    byRequest[message.request] = job.run;
+    if (!job.isActive())
+        ++counted.replays;
+    logJob("attach", message.request, message.terms, "key");
+    Reader reader{link, message.request, message.attempt};
+    reader.replayed = !job.isActive();
+    read(job, std::move(reader));
+    return true;
+}
+
+auto SidecarNode::State::checkKeyOwner(const Submit &message) const -> std::optional<Rejection>
+{
+    const auto &terms = message.terms;
+    if (terms.idempotencyKey.empty())
+        return std::nullopt;
+    if (const auto expires = ticketKeyExpiry(terms.idempotencyKey)) {
+        if (message.target == 0 || *expires > now + longestTicket)
+            return Rejection{refusalOf(ErrorKind::BadRequest, Run::NotRun, "not a ticket of ours"),
+                             0, "ticket"};
+        if (*expires > now)
+            return std::nullopt;
+        // Its entry may have been dropped when it expired.
+        const auto run = terms.firstSend ? Run::NotRun : Run::Unknown;
+        return Rejection{refusalOf(ErrorKind::TicketExpired, run, "ticket has expired"), 0,
+                         "ticket-expired"};
+    }
+    const auto hash = runOnceHash(terms);
+    const auto owner = rendezvousOwner(hash, pool.members);
+    if (owner != self)
+        return Rejection{refusalOf(ErrorKind::NoUpstream, Run::NotRun, "key of another upstream"),
+                         owner, "key-owner"};
+    if (terms.firstSend)
+        return std::nullopt;
+    // Within the window the key may have run at an earlier owner or in an earlier life, which
+    // nobody here can ask.
+    auto openAt = begunAt + pool.resendWindow;
+    for (const auto &past : pastMembers) {
+        if (rendezvousOwner(hash, past.members) != self)
+            openAt = std::max(openAt, past.until);
+    }
+    if (openAt <= now)
+        return std::nullopt;
+    auto failure = refusalOf(ErrorKind::ResendWindow, Run::Unknown, "key may have run before");
+    failure.retryAfter = openAt - now;
+    return Rejection{std::move(failure), 0, "resend-window"};
+}
+
+auto SidecarNode::State::keyLifetime(const Job &job) const -> Instant
+{
+    const auto expires = ticketKeyExpiry(job.terms.idempotencyKey).value_or(Instant{});
+    return std::max(now + pool.resendWindow, expires);
+}
+
+auto SidecarNode::State::replay(LinkId link, const Submit &message, const RunOnceEntry &entry)
+    -> void
+{
+    if (!entry.answer) {
+        reject(link, message,
+               {refusalOf(ErrorKind::AnswerLost, Run::Ran, "its recorded answer is gone"), 0,
+                "record-gone"});
+        return;
+    }
+    ++counted.replays;
+    const auto answer = entry.answer;
+    const auto run = ++lastRun;
+    auto &job = jobs[run];
+    job.run = run;
+    job.phase = JobPhase::Whole;
+    job.terms = message.terms;
+    job.names = {message.request};
+    job.attempts = {{message.request, message.attempt}};
+    job.headKnown = true;
+    job.replayed = true;
+    job.status = answer->status;
+    job.headers = answer->headers;
+    byRequest[message.request] = run;
+    answers.begin(run);
+    const auto dropped = answers.append(run, answer->body);
+    answers.finish(run, now);
+    logJob("replay", message.request, message.terms, "key");
+    read(job, {link, message.request, message.attempt});
+    answersGivenUp(dropped);
+}
+
+auto SidecarNode::State::closeKey(const Job &job, Run run) -> void
+{
+    if (!job.isKeyed())
+        return;
+    if (run == Run::NotRun) {
+        keys.forget(job.keyName);
+        return;
+    }
+    const auto *answer = answers.find(job.run);
+    const auto isWhole = job.phase == JobPhase::Whole && answer != nullptr && answer->base() == 0;
+    if (!isWhole) {
+        keys.markUnknown(job.keyName, keyLifetime(job));
+        return;
+    }
+    keys.record(job.keyName, {job.status, job.headers, std::string(answer->from(0))},
+                keyLifetime(job));
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/sidecar-leaving.cc
@@ -0,0 +1,119 @@
+#include "sidecar-state.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace applehatch::core {
+
+namespace {
+
+constexpr std::size_t chatsHandedOff = 256;
+constexpr std::uint32_t handoffsAtOnce = 4;
+
+// After this long the process no longer waits for contexts to be copied.
+constexpr Duration longestHandoff = std::chrono::seconds(20);
+
+} // namespace
+
+auto SidecarNode::State::on(const HostListRead &event) -> void
+{
+    // An empty list is unknown, never "no hosts".
+    if (event.list.hosts.empty())
+        return;
+    const auto before = isLeaving();
+    hostList = event.list;
+    for (const auto &member : pool.members) {
+        if (member.id != self)
+            continue;
+        for (const auto &host : event.list.hosts) {
+            if (host.ip == member.sidecar.ip)
+                hostLeaving = host.state == HostState::Leaving;
+        }
+    }
+    leavingChanged(before);
+}
+
+auto SidecarNode::State::on(const DrainRequested & /*event*/) -> void
+{
+    const auto before = isLeaving();
+    drainRequested = true;
+    leavingChanged(before);
+    checkDrained();
+}
+
+auto SidecarNode::State::on(const CacheEvents &event) -> void
+{
+    for (const auto chat : event.stored)
+        chats.stored(chat, now);
+    for (const auto chat : event.evicted)
+        chats.evicted(chat);
+    if (event.gap)
+        log(LogLine("cache-gap"));
+}
+
+auto SidecarNode::State::leavingChanged(bool before) -> void
+{
+    if (isLeaving() == before)
+        return;
+    log(LogLine("state").add("state", stateName(upstreamState())));
+    tellSome();
+    if (!isLeaving()) {
+        leavingSince.reset();
+        handoffs.clear();
+        return;
+    }
+    leavingSince = now;
+    if (pool.kind == settings::PoolKind::Model) {
+        const auto hottest = chats.hottest(chatsHandedOff);
+        handoffs.assign(hottest.begin(), hottest.end());
+    }
+    handOffNext();
+}
+
+auto SidecarNode::State::handOffNext() -> void
+{
+    while (!handoffs.empty() && handoffsOutstanding < handoffsAtOnce) {
+        const auto chat = handoffs.front();
+        handoffs.pop_front();
+        const auto order = rendezvousOrder(chat, pool.members);
+        const auto next = std::find_if(order.begin(), order.end(), [this](UpstreamId id) {
+            const auto entry = loads.find(id, now);
+            return id != self && entry && entry->state == UpstreamState::Serving;
+        });
+        if (next == order.end())
+            continue;
+        ++handoffsOutstanding;
+        out.emplace_back(HandOff{chat, *next});
+        log(LogLine("handoff").add("chat", static_cast<std::int64_t>(chat)));
+    }
+}
+
+auto SidecarNode::State::on(const HandoffDone &event) -> void
+{
+    if (handoffsOutstanding != 0)
+        --handoffsOutstanding;
+    if (event.done)
+        chats.moved(event.chat, event.to, now);
+    handOffNext();
+    checkDrained();
+}
+
+auto SidecarNode::State::checkDrained() -> void
+{
+    if (!drainRequested || drainedTold || !active.empty())
+        return;
+    const auto handsOff = !handoffs.empty() || handoffsOutstanding != 0;
+    if (handsOff && leavingSince && now - *leavingSince < longestHandoff)
+        return;
+    // An answer that no router has whole yet must outlive its link; its lifetime bounds the wait.
+    const auto isAwaited = [](const auto &item) {
+        return item.second.phase == JobPhase::Whole && !item.second.replayed;
+    };
+    if (std::any_of(jobs.begin(), jobs.end(), isAwaited))
+        return;
+    drainedTold = true;
+    log(LogLine("drained"));
+    out.emplace_back(Drained{});
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/sidecar-links.cc
@@ -0,0 +1,61 @@
+#include "sidecar-state.h"
+
+#include <set>
+
+namespace applehatch::core {
+
+auto SidecarNode::State::on(const PeerLinkUp &event) -> void
+{
+    links[event.link] = {now, now};
+    heartbeat(event.link);
+}
+
+auto SidecarNode::State::on(const PeerLinkDown &event) -> void
+{
+    links.erase(event.link);
+    dropReaders(event.link);
+}
+
+auto SidecarNode::State::heartbeat(LinkId link) -> void
+{
+    links[link].heartbeatAt = now;
+    send(link, Heartbeat{identity.incarnation, now});
+}
+
+// A link can go silent for good while new ones work, because something between the two ends lost
+// track of it. Its router then waits for bytes that never come. Neither end sees an error; only
+// the missing heartbeat shows it, and closing lets the router resume on a new link.
+auto SidecarNode::State::watchLinks() -> void
+{
+    std::set<LinkId> outstanding;
+    for (const auto run : active) {
+        for (const auto &reader : jobs.at(run).readers)
+            outstanding.insert(reader.link);
+    }
+    for (const auto id : outstanding) {
+        const auto found = links.find(id);
+        if (found == links.end())
+            continue;
+        if (now - found->second.heardAt >= limits.silence) {
+            log(LogLine("link-silent").add("link", static_cast<std::int64_t>(id)));
+            links.erase(found);
+            dropReaders(id);
+            out.emplace_back(ClosePeer{id});
+        } else if (now - found->second.heartbeatAt >= limits.heartbeatPeriod) {
+            heartbeat(id);
+        }
+    }
+}
+
+auto SidecarNode::State::dropReaders(LinkId link) -> void
+{
+    for (const auto run : active) {
+        auto &job = jobs.at(run);
+        const auto dropped = std::erase_if(
+            job.readers, [link](const Reader &reader) { return reader.link == link; });
+        if (dropped != 0 && job.readers.empty())
+            job.unreadSince = now;
+    }
+}
+
+} // namespace applehatch::core
--- a/src/core/sidecar-node.cc
+++ b/src/core/sidecar-node.cc
@@ -1,162 +1,207 @@
 #include "applehatch/core/sidecar-node.h"
 
-#include <map>
-#include <unordered_map>
+#include "sidecar-state.h"
 
-namespace applehatch::core {
+#include <algorithm>
+#include <chrono>
 
-struct SidecarNode::State
-{
-    struct Running
-    {
-        RequestId request;
-        std::uint32_t attempt = 0;
-        LinkId link = 0;
-        std::string body;
-    };
-
-    SidecarIdentity identity;
-    SidecarLimits limits;
-    LoadTable loads;
-    SettingsPtr settings;
-    UpstreamState upstream = UpstreamState::Joining;
-    RunId lastRun = 0;
-    std::map<RunId, Running> runs;
-    std::map<LinkId, Instant> links; // To the time of the last heartbeat sent.
-    std::vector<SidecarAction> out;
-    Instant now;
-
-    auto send(LinkId link, Message message) -> void
-    {
-        out.emplace_back(SendToPeer{link, std::move(message)});
-    }
+namespace applehatch::core {
 
-    auto heartbeat(LinkId link) -> void
-    {
-        links[link] = now;
-        send(link, Heartbeat{identity.incarnation, now});
+namespace {
+
+// Without an event for this long the process slept: the host ticks every 50 ms.
+constexpr Duration sleepGap = std::chrono::seconds(3);
+constexpr Duration expiryPeriod = std::chrono::seconds(1);
+
+} // namespace
+
+SidecarNode::State::State(SidecarIdentity sidecar, SidecarLimits keep)
+    : identity(std::move(sidecar))
+    , limits(keep)
+    , self(settings::upstreamId(identity.team, identity.pool, identity.member))
+    , random(identity.seed)
+    , answers({keep.answerBytes, keep.answerBytesEach, keep.answerLifetime})
+    , keys(keep.keys, keep.recordBytes)
+    , endedAttempts(keep.tombstones)
+    , startedBefore(keep.tombstones)
+    , redirected(keep.pointers)
+    , crashes(keep.crashNotices)
+    , chats(keep.pointers)
+    , fencing(identity.incarnation)
+{ }
+
+auto SidecarNode::State::advance(Instant to) -> void
+{
+    if (!begun) {
+        begun = true;
+        begunAt = to;
+    } else if (to - now > sleepGap) {
+        // It woke from a sleep. What it knew of the others' load is old, and admitting by an old
+        // mean could bury the upstream; links were not silent, it was deaf.
+        loads = LoadTable();
+        sums = PoolSums();
+        ownMadeAt.reset();
+        reportsSincePause = 0;
+        for (auto &[id, link] : links)
+            link.heardAt = to;
+        log(LogLine("woke").add("slept_us", Duration(to - now).count()));
     }
+    now = to;
+}
 
-    auto on(const PeerLinkUp &event) -> void { heartbeat(event.link); }
-    auto on(const PeerLinkDown &event) -> void { links.erase(event.link); }
+auto SidecarNode::State::on(FromPeer &event) -> void
+{
+    auto &link = links[event.link];
+    link.heardAt = now;
+    auto &message = event.message;
+    if (auto *toSubmit = std::get_if<Submit>(&message))
+        submit(event.link, std::move(*toSubmit));
+    else if (const auto *toRevoke = std::get_if<Revoke>(&message))
+        revoke(event.link, *toRevoke);
+    else if (const auto *toResume = std::get_if<Resume>(&message))
+        resume(event.link, *toResume);
+    else if (const auto *acknowledged = std::get_if<Acknowledge>(&message))
+        acknowledge(*acknowledged);
+    else if (const auto *moved = std::get_if<Moved>(&message))
+        chats.moved(moved->chat, moved->holder, now);
+}
 
-    auto on(FromPeer &event) -> void
-    {
-        if (auto *submit = std::get_if<Submit>(&event.message))
-            start(event.link, *submit);
+auto SidecarNode::State::on(const Tick & /*event*/) -> void
+{
+    watchLinks();
+    watchLost();
+    watchJobs();
+    dispatch();
+    considerOrder();
+    exchangeDigest();
+    if (now - expiredAt >= expiryPeriod) {
+        expiredAt = now;
+        answersGivenUp(answers.expire(now));
+        keys.expire(now);
+        endedAttempts.expire(now);
+        startedBefore.expire(now);
+        redirected.expire(now);
+        loads.expire(now);
+        sums.expire(now);
+        crashes.expire(now);
+        chats.expire(now);
     }
+    checkDrained();
+}
 
-    auto start(LinkId link, Submit &submit) -> void
-    {
-        const auto run = ++lastRun;
-        runs[run] = {submit.request, submit.attempt, link, {}};
-        StartRun action;
-        action.run = run;
-        action.request = submit.request;
-        action.call = std::move(submit.call);
-        action.priority = submit.terms.priority;
-        action.chat = submit.terms.chat;
-        action.remaining = submit.notAfter - now;
-        out.emplace_back(std::move(action));
-    }
+auto SidecarNode::State::upstreamState() const -> UpstreamState
+{
+    if (isLeaving())
+        return UpstreamState::Leaving;
+    if (!report)
+        return UpstreamState::Joining;
+    if (!report->reachable)
+        return UpstreamState::Down;
+    return outForChange || !holdsAnyModel() ? UpstreamState::Joining : UpstreamState::Serving;
+}
 
-    auto on(RunHead &event) -> void
-    {
-        const auto found = runs.find(event.run);
-        if (found == runs.end())
-            return;
-        const auto &run = found->second;
-        send(run.link,
-             Head{run.request, run.attempt, event.status, event.headers, false, event.warm});
-    }
+auto SidecarNode::State::load() const -> std::uint32_t
+{
+    return running + static_cast<std::uint32_t>(queue.size());
+}
 
-    auto on(RunChunk &event) -> void
-    {
-        const auto found = runs.find(event.run);
-        if (found == runs.end())
-            return;
-        auto &run = found->second;
-        const auto offset = run.body.size();
-        run.body += event.data;
-        send(run.link, Chunk{run.request, offset, std::move(event.data)});
-    }
+auto SidecarNode::State::view() const -> GossipView
+{
+    return {pool, self, identity.dataCenter, settings ? settings->index : 0, limits.digestBytes};
+}
 
-    auto on(const RunEnd &event) -> void
-    {
-        const auto found = runs.find(event.run);
-        if (found == runs.end())
-            return;
-        const auto &run = found->second;
-        send(run.link, End{run.request, run.body.size(), stableHash(run.body), {}});
-        runs.erase(found);
-    }
+auto SidecarNode::State::backlog() const -> Backlog
+{
+    return {static_cast<double>(queue.size()), slots};
+}
 
-    auto on(const RunBroken &event) -> void
-    {
-        const auto found = runs.find(event.run);
-        if (found == runs.end())
-            return;
-        const auto &run = found->second;
-        const auto ran = event.how == RunBreak::NeverSent ? Run::NotRun : Run::Ran;
-        send(run.link,
-             Refusal{run.request,
-                     run.attempt,
-                     {ErrorKind::UpstreamFailed, ran, "run broke", std::nullopt},
-                     0,
-                     {}});
-        runs.erase(found);
-    }
+auto SidecarNode::State::send(LinkId link, Message message) -> void
+{
+    if (links.contains(link))
+        out.emplace_back(SendToPeer{link, std::move(message)});
+}
 
-    auto on(const UpstreamReport &event) -> void
-    {
-        upstream = event.reachable ? UpstreamState::Serving : UpstreamState::Down;
-    }
+auto SidecarNode::State::log(const LogLine &line) -> void
+{
+    out.emplace_back(WriteLog{line});
+}
 
-    auto on(const DigestReceived &event) -> void { loads.apply(event.digest.entries, now); }
-    auto on(const SettingsInForce &event) -> void { settings = event.settings; }
+auto SidecarNode::State::logJob(std::string_view event, const RequestId &request,
+                                const Terms &terms, std::string_view cause) -> void
+{
+    constexpr double thousand = 1000;
+    const auto mean = wholePoolLoad(view(), loads, sums, now).mean();
+    log(LogLine(event)
+            .add("request", request)
+            .add("chat", static_cast<std::int64_t>(terms.chat))
+            .add("customer", terms.customer)
+            .add("load", load())
+            .add("bound", bound())
+            .add("mean_milli", static_cast<std::int64_t>(mean * thousand))
+            .add("cause", cause));
+}
 
-    auto on(const Tick & /*event*/) -> void
-    {
-        for (const auto &[link, sentAt] : links) {
-            if (now - sentAt >= limits.heartbeatPeriod)
-                heartbeat(link);
-        }
-    }
+auto attemptHash(const RequestId &request, std::uint32_t attempt) -> std::uint64_t
+{
+    return stableHash(request, attempt + 1);
+}
 
-    auto on(const DrainRequested & /*event*/) -> void { upstream = UpstreamState::Leaving; }
+auto stateName(UpstreamState state) -> std::string_view
+{
+    switch (state) {
+    case UpstreamState::Joining:
+        return "joining";
+    case UpstreamState::Serving:
+        return "serving";
+    case UpstreamState::Leaving:
+        return "leaving";
+    case UpstreamState::Down:
+        break;
+    }
+    return "down";
+}
 
-    template <typename Other>
-    auto on(const Other & /*event*/) -> void
-    { }
-};
+auto fullCustomer(const Terms &terms) -> std::string
+{
+    return terms.team + '/' + terms.customer;
+}
 
-SidecarNode::SidecarNode(SidecarIdentity identity, SidecarLimits limits)
-    : state_(std::make_unique<State>())
+auto engineRequest(const RequestId &request, const std::string &customer) -> RequestId
 {
-    state_->identity = std::move(identity);
-    state_->limits = limits;
+    return request + '.' + std::to_string(stableHash(customer + '\0' + request));
 }
 
+SidecarNode::SidecarNode(SidecarIdentity identity, SidecarLimits limits)
+    : state_(std::make_unique<State>(std::move(identity), limits))
+{ }
+
 SidecarNode::~SidecarNode() = default;
 
 auto SidecarNode::handle(SidecarEvent event, Instant now) -> std::vector<SidecarAction>
 {
-    state_->now = now;
     state_->out.clear();
+    state_->advance(now);
+    state_->refreshOwn();
     std::visit([this](auto &alternative) { state_->on(alternative); }, event);
+    state_->refreshOwn();
     return std::move(state_->out);
 }
 
 auto SidecarNode::counts() const -> SidecarCounts
 {
-    SidecarCounts counts;
-    counts.running = state_->runs.size();
+    auto counts = state_->counted;
+    counts.running = state_->running;
+    counts.waiting = state_->queue.size();
+    counts.bound = state_->bound();
+    counts.answerBytes = state_->answers.bytes();
+    counts.keys = state_->keys.size();
+    counts.pointers = state_->chats.size();
     return counts;
 }
 
 auto SidecarNode::state() const -> UpstreamState
 {
-    return state_->upstream;
+    return state_->upstreamState();
 }
 
 auto SidecarNode::loads() const -> const LoadTable &
--- /dev/null
+++ b/src/core/sidecar-orders.cc
@@ -0,0 +1,126 @@
+#include "sidecar-state.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace applehatch::core {
+
+namespace {
+
+// A report lags by up to a second; one that shows the order's effect comes after this.
+constexpr Duration reportLag = std::chrono::milliseconds(1500);
+constexpr Duration longestOrder = std::chrono::minutes(5);
+constexpr Duration firstBackoff = std::chrono::seconds(1);
+constexpr std::uint32_t mostDoublings = 6;
+
+// The first report after a pause may have been read before it.
+constexpr std::uint32_t reportsToTrust = 2;
+
+} // namespace
+
+auto SidecarNode::State::on(const OrderAnswered &event) -> void
+{
+    if (outstandingOrder != event.fence)
+        return;
+    outstandingOrder.reset();
+    log(LogLine("order-answered")
+            .add("fence", static_cast<std::int64_t>(event.fence))
+            .add("done", event.done ? 1 : 0)
+            .add("detail", event.detail));
+    if (event.done) {
+        orderFailures = 0;
+        orderNotBefore = now + reportLag;
+        return;
+    }
+    // The weight store limits its rate; all engines of a rollout asking again at once would keep
+    // each other out, so the wait doubles and is spread.
+    const auto wait = firstBackoff * (1U << std::min(orderFailures, mostDoublings));
+    orderNotBefore = now + wait + Duration(static_cast<Duration::rep>(random() % wait.count()));
+    ++orderFailures;
+}
+
+auto SidecarNode::State::mayOrder() const -> bool
+{
+    if (pool.kind != settings::PoolKind::Model || !report || !report->reachable || isLeaving())
+        return false;
+    // An engine that ignores fencing numbers obeys a sidecar that slept as well as any other.
+    const auto hasReread =
+        pool.fencing == settings::Fencing::Honored || reportsSincePause >= reportsToTrust;
+    return hasReread && now >= orderNotBefore;
+}
+
+auto SidecarNode::State::considerOrder() -> void
+{
+    if (outstandingOrder && now - orderGivenAt >= longestOrder)
+        outstandingOrder.reset();
+    if (outstandingOrder || !mayOrder())
+        return;
+    const auto change = nextChange(pool.models, report->models);
+    if (!change) {
+        outForChange = false;
+        quietSince.reset();
+        return;
+    }
+    if (!outForChange && holdsAnyModel()) {
+        if (!hasTurn())
+            return;
+        outForChange = true;
+        tellSome();
+    }
+    // Unloading a model under a running request would cut its answer off.
+    const auto isIdle = running == 0 && queue.size() == 0;
+    if (change->change == ModelChange::Load || isIdle)
+        giveOrder(*change);
+}
+
+auto SidecarNode::State::hasTurn() -> bool
+{
+    RolloutView rollout;
+    rollout.width = std::max(1U, pool.rolloutWidth);
+    std::uint32_t doublings = 0;
+    for (auto reach = pool.members.size(); reach > 1; reach /= 2)
+        ++doublings;
+    rollout.step = limits.digestPeriod * (1 + doublings);
+    for (const auto &member : pool.members) {
+        if (member.id == self)
+            continue;
+        rollout.rank += member.id < self ? 1 : 0;
+        const auto entry = loads.find(member.id, now);
+        rollout.out += !entry || entry->state != UpstreamState::Serving ? 1 : 0;
+    }
+    if (rollout.out >= rollout.width) {
+        quietSince.reset();
+        return false;
+    }
+    quietSince = quietSince.value_or(now);
+    rollout.quiet = now - *quietSince;
+    return mayBeginRollout(rollout);
+}
+
+auto SidecarNode::State::giveOrder(const PlannedChange &change) -> void
+{
+    const auto fence = fencing.next(teamIndex);
+    if (!fence)
+        return;
+    const auto isLoad = change.change == ModelChange::Load;
+    outstandingOrder = *fence;
+    orderGivenAt = now;
+    out.emplace_back(
+        GiveOrder{*fence, isLoad ? OrderKind::LoadModel : OrderKind::UnloadModel, change.model});
+    log(LogLine("order")
+            .add("kind", isLoad ? "load-model" : "unload-model")
+            .add("model", change.model)
+            .add("fence", static_cast<std::int64_t>(*fence)));
+}
+
+auto SidecarNode::State::holdsAnyModel() const -> bool
+{
+    if (pool.kind != settings::PoolKind::Model || pool.models.empty() || !report)
+        return true;
+    return std::any_of(pool.models.begin(), pool.models.end(), [this](const std::string &model) {
+        return std::find(report->models.begin(), report->models.end(), model)
+            != report->models.end();
+    });
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/sidecar-plane.cc
@@ -0,0 +1,137 @@
+#include "sidecar-state.h"
+
+#include <algorithm>
+
+namespace applehatch::core {
+
+namespace {
+
+// Members told at once that this upstream is leaving; the others hear it from them.
+constexpr std::size_t toldAtOnce = 3;
+
+auto sameMembers(const std::vector<settings::Member> &a, const std::vector<settings::Member> &b)
+    -> bool
+{
+    const auto isSame = [](const settings::Member &x, const settings::Member &y) {
+        return x.id == y.id && x.slots == y.slots;
+    };
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), isSame);
+}
+
+} // namespace
+
+// Nobody knows this upstream's load better than this node. An entry about it from elsewhere is
+// older, or of a later life that has taken over; neither may count as its own load.
+auto SidecarNode::State::applyEntries(std::vector<DigestEntry> entries) -> void
+{
+    std::erase_if(entries, [this](const DigestEntry &entry) { return entry.upstream == self; });
+    loads.apply(entries, now);
+}
+
+auto SidecarNode::State::on(const DigestReceived &event) -> void
+{
+    const auto &digest = event.digest;
+    applyEntries(digest.entries);
+    sums.apply(digest.sums, now);
+    for (const auto &notice : digest.crashes)
+        crashes.apply(notice, now);
+    if (!digest.wantsReply)
+        return;
+    const auto isFromAfar = digest.entries.empty() && !digest.sums.empty();
+    auto reply = digestFor(!isFromAfar);
+    reply.wantsReply = false;
+    out.emplace_back(SendDigest{0, std::move(reply)});
+}
+
+auto SidecarNode::State::on(const SettingsInForce &event) -> void
+{
+    if (!event.settings)
+        return;
+    settings = event.settings;
+    const auto team = settings->teams.find(identity.team);
+    const auto isKnown =
+        team != settings->teams.end() && team->second->pools.contains(identity.pool);
+    const auto leavingBefore = isLeaving();
+    removed = true;
+    if (isKnown) {
+        const auto &next = team->second->pools.at(identity.pool);
+        teamIndex = team->second->index;
+        if (!pool.members.empty() && !sameMembers(pool.members, next.members))
+            pastMembers.push_back({pool.members, now + next.resendWindow});
+        pool = next;
+        for (const auto &member : pool.members) {
+            if (member.id != self)
+                continue;
+            removed = false;
+            slots = std::max(1U, member.slots);
+        }
+    }
+    std::erase_if(pastMembers, [this](const PastMembers &past) { return past.until <= now; });
+    if (hostList)
+        on(HostListRead{*hostList});
+    leavingChanged(leavingBefore);
+    dispatch();
+}
+
+auto SidecarNode::State::refreshOwn() -> void
+{
+    auto entry = own;
+    entry.upstream = self;
+    entry.incarnation = identity.incarnation;
+    entry.running = running;
+    entry.waiting = static_cast<std::uint32_t>(queue.size());
+    entry.slots = slots;
+    entry.state = upstreamState();
+    if (entry == own && ownMadeAt && now - *ownMadeAt < limits.digestPeriod)
+        return;
+    ++entry.version;
+    own = entry;
+    ownMadeAt = now;
+    loads.apply({own}, now);
+}
+
+auto SidecarNode::State::exchangeDigest() -> void
+{
+    if (now - digestAt < limits.digestPeriod || pool.members.size() <= 1)
+        return;
+    digestAt = now;
+    const auto &peer = pool.members[random() % pool.members.size()];
+    if (peer.id == self)
+        return;
+    auto digest = digestFor(peer.dataCenter == identity.dataCenter);
+    digest.wantsReply = true;
+    out.emplace_back(SendDigest{peer.id, std::move(digest)});
+}
+
+auto SidecarNode::State::digestFor(bool entries) const -> Digest
+{
+    return composeDigest(view(), loads, sums, crashes, entries, now);
+}
+
+auto SidecarNode::State::tellAll() -> void
+{
+    refreshOwn();
+    auto digest = digestFor(false);
+    digest.sums.clear();
+    digest.entries = freshestFrom(self, loads, 1, now);
+    for (const auto &member : pool.members) {
+        if (member.id != self)
+            out.emplace_back(SendDigest{member.id, digest});
+    }
+}
+
+auto SidecarNode::State::tellSome() -> void
+{
+    refreshOwn();
+    std::vector<UpstreamId> others;
+    for (const auto &member : pool.members) {
+        if (member.id != self)
+            others.push_back(member.id);
+    }
+    std::shuffle(others.begin(), others.end(), random);
+    others.resize(std::min(others.size(), toldAtOnce));
+    for (const auto id : others)
+        out.emplace_back(SendDigest{id, digestFor(true)});
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/sidecar-runs.cc
@@ -0,0 +1,198 @@
+#include "sidecar-state.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace applehatch::core {
+
+auto SidecarNode::State::dispatch() -> void
+{
+    // While it is open whether the upstream crashed, the queue waits rather than be lost with it.
+    const auto mayStart = report && report->reachable && inPhase(JobPhase::Lost).empty();
+    while (mayStart && running < slots) {
+        const auto next = queue.pop();
+        if (!next)
+            return;
+        auto &job = jobs.at(*next);
+        if (job.notAfter <= now)
+            fail(job, refusalOf(ErrorKind::DeadlineExceeded, Run::NotRun, "waited too long"),
+                 "deadline");
+        else if (crashes.isSuspect(job.terms.fingerprint, now))
+            fail(job, refusalOf(ErrorKind::CrashSuspect, Run::NotRun, "crashed two upstreams"),
+                 "crash-suspect");
+        else
+            startRun(job);
+    }
+}
+
+auto SidecarNode::State::startRun(Job &job) -> void
+{
+    job.phase = JobPhase::Running;
+    job.startedAt = now;
+    ++running;
+    ++counted.runs;
+    for (const auto &name : job.names)
+        startedBefore.put(stableHash(name), true, attemptMemory());
+    answers.begin(job.run, job.continuedFrom);
+    StartRun action;
+    action.run = job.run;
+    action.request = engineRequest(job.names.front(), fullCustomer(job.terms));
+    action.call = std::move(job.call);
+    action.priority = job.terms.priority;
+    action.chat = job.terms.chat;
+    action.remaining = job.notAfter - now;
+    action.resumeFrom = job.continuedFrom;
+    out.emplace_back(std::move(action));
+    if (job.movedFrom != 0 && job.movedFrom != self && job.terms.chat != 0)
+        out.emplace_back(SendToUpstreamPeer{job.movedFrom, Moved{job.terms.chat, self}});
+}
+
+auto SidecarNode::State::findRunning(RunId run) -> Job *
+{
+    const auto found = jobs.find(run);
+    const auto isRunning = found != jobs.end() && found->second.phase == JobPhase::Running;
+    return isRunning ? &found->second : nullptr;
+}
+
+auto SidecarNode::State::on(RunHead &event) -> void
+{
+    auto *job = findRunning(event.run);
+    if (job == nullptr)
+        return;
+    constexpr int found = 200;
+    if (job->continued && event.status != found) {
+        cancel(*job, refusalOf(ErrorKind::AnswerLost, Run::Unknown, "no such answer"), "not-held");
+        return;
+    }
+    job->headKnown = true;
+    job->status = event.status;
+    job->headers = std::move(event.headers);
+    job->warm = event.warm;
+    chats.ran(job->terms.chat, now);
+    serve(*job);
+}
+
+auto SidecarNode::State::on(RunChunk &event) -> void
+{
+    auto *job = findRunning(event.run);
+    if (job == nullptr)
+        return;
+    job->headKnown = true;
+    answersGivenUp(answers.append(event.run, event.data));
+    if (job->phase == JobPhase::Running)
+        serve(*job);
+}
+
+auto SidecarNode::State::on(const RunEnd &event) -> void
+{
+    auto *job = findRunning(event.run);
+    if (job == nullptr)
+        return;
+    job->headKnown = true;
+    job->phase = JobPhase::Whole;
+    leaveUpstream(*job);
+    active.erase(job->run);
+    answers.finish(job->run, now);
+    if (!job->continued)
+        serviceTime.record(now - job->startedAt);
+    crashes.clear(job->terms.fingerprint, now);
+    closeKey(*job, Run::Ran);
+    serve(*job);
+    dispatch();
+}
+
+auto SidecarNode::State::on(const RunBroken &event) -> void
+{
+    auto *job = findRunning(event.run);
+    if (job == nullptr)
+        return;
+    leaveUpstream(*job);
+    job->brokenAt = now;
+    job->brokenHow = event.how;
+    if (event.how == RunBreak::NeverSent) {
+        for (const auto &name : job->names)
+            startedBefore.erase(stableHash(name));
+        fail(*job, refusalOf(ErrorKind::UpstreamFailed, Run::NotRun, "upstream takes no calls"),
+             "never-sent");
+    } else if (event.how == RunBreak::Silent) {
+        fail(*job, failureOfLost(*job, false), "silent");
+    } else {
+        job->phase = JobPhase::Lost;
+        lostOne(*job);
+    }
+    dispatch();
+}
+
+auto SidecarNode::State::fail(Job &job, Failure failure, std::string_view cause) -> void
+{
+    queue.erase(job.run);
+    job.phase = JobPhase::Failed;
+    job.failure = std::move(failure);
+    active.erase(job.run);
+    closeKey(job, job.failure.run);
+    countRefusal(job.failure.kind);
+    for (const auto &[request, attempt] : job.attempts)
+        endedAttempts.put(attemptHash(request, attempt), job.failure.run, attemptMemory());
+    logJob("fail", job.names.front(), job.terms, cause);
+    serve(job);
+    // An empty finished answer keeps the job for its lifetime, so that a resume hears of it.
+    answers.drop(job.run);
+    answers.begin(job.run);
+    answers.finish(job.run, now);
+}
+
+auto SidecarNode::State::cancel(Job &job, Failure failure, std::string_view cause) -> void
+{
+    out.emplace_back(CancelRun{job.run});
+    leaveUpstream(job);
+    fail(job, std::move(failure), cause);
+}
+
+auto SidecarNode::State::leaveUpstream(Job &job) -> void
+{
+    --running;
+    crashRuns.erase(job.run);
+}
+
+auto SidecarNode::State::watchJobs() -> void
+{
+    const std::vector<RunId> watched(active.begin(), active.end());
+    for (const auto run : watched) {
+        auto &job = jobs.at(run);
+        if (job.phase == JobPhase::Waiting)
+            watchWaiting(job);
+        else if (job.phase == JobPhase::Running)
+            watchRunning(job);
+    }
+}
+
+auto SidecarNode::State::watchWaiting(Job &job) -> void
+{
+    const auto mean = serviceTime.mean();
+    const auto refuses = pool.queueOrder == settings::QueueOrder::DeadlineWithRefusal;
+    const auto isUnread = job.unreadSince && now - *job.unreadSince >= limits.linkGrace;
+    if (job.notAfter <= now)
+        fail(job, refusalOf(ErrorKind::DeadlineExceeded, Run::NotRun, "waited too long"),
+             "deadline");
+    else if (now - job.acceptedAt >= pool.queueWait)
+        fail(job, refusalOf(ErrorKind::Overloaded, Run::NotRun, "waited too long"), "queue-wait");
+    else if (refuses && mean && now + *mean > job.notAfter)
+        fail(job, refusalOf(ErrorKind::DeadlineUnmeetable, Run::NotRun, "no time left to run"),
+             "unmeetable");
+    else if (report && !report->reachable)
+        fail(job, refusalOf(ErrorKind::NoUpstream, Run::NotRun, "the upstream is down"), "down");
+    else if (isUnread)
+        fail(job, refusalOf(ErrorKind::Revoked, Run::NotRun, "no router asked for it"), "unread");
+}
+
+auto SidecarNode::State::watchRunning(Job &job) -> void
+{
+    const auto isUnread = job.unreadSince && now - *job.unreadSince >= limits.linkGrace;
+    if (job.notAfter <= now)
+        cancel(job, refusalOf(ErrorKind::DeadlineExceeded, Run::Ran, "deadline passed"),
+               "deadline");
+    else if (isUnread && !job.isRunOnce())
+        cancel(job, refusalOf(ErrorKind::Revoked, Run::Ran, "no router asked for it"), "unread");
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/sidecar-state.h
@@ -0,0 +1,313 @@
+// The sidecar node's tables and the steps that share them; one source file for each subject.
+#pragma once
+
+#include "applehatch/core/admission.h"
+#include "applehatch/core/answer-store.h"
+#include "applehatch/core/chat-pointers.h"
+#include "applehatch/core/crash-book.h"
+#include "applehatch/core/expiring-map.h"
+#include "applehatch/core/gossip.h"
+#include "applehatch/core/order-plan.h"
+#include "applehatch/core/rendezvous.h"
+#include "applehatch/core/run-once-table.h"
+#include "applehatch/core/sidecar-node.h"
+#include "applehatch/core/wait-queue.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace applehatch::core {
+
+/// Longest run of bytes in one `Chunk`.
+inline constexpr std::size_t chunkBytes = 256U << 10U;
+
+/// Entries that an `End` or `Refusal` carries.
+inline constexpr std::size_t carriedEntries = 6;
+
+/// A router's link that is served with an answer under its own name for the request.
+struct Reader
+{
+    LinkId link = 0;
+    RequestId request;
+    std::uint32_t attempt = 0;
+    std::uint64_t next = 0; ///< Offset of the next byte to send.
+    bool headSent = false;
+    bool replayed = false; ///< It came after the answer was whole.
+};
+
+enum class JobPhase {
+    Waiting,
+    Running,
+    Lost,  ///< Its connection broke; whether the upstream crashed is not known yet.
+    Whole, ///< The upstream ended its answer.
+    Failed,
+};
+
+/// One request accepted here, from admission until its answer is given up.
+struct Job
+{
+    RunId run = 0;
+    JobPhase phase = JobPhase::Waiting;
+    Terms terms;
+    Call call;
+    Instant notAfter;
+    UpstreamId movedFrom = 0;
+    std::vector<RequestId> names; ///< Several when other requests carry the same key.
+    std::vector<std::pair<RequestId, std::uint32_t>> attempts;
+    std::vector<Reader> readers;
+    Instant acceptedAt;
+    Instant startedAt;
+    Instant brokenAt;
+    std::optional<Instant> unreadSince; ///< Since when no link reads it.
+    RunBreak brokenHow = RunBreak::Lost;
+    std::string keyName;    ///< Its name in the run-once table; empty without a key.
+    bool continued = false; ///< Goes on with a stream of an earlier life.
+    std::uint64_t continuedFrom = 0;
+    bool headKnown = false;
+    bool replayed = false;
+    int status = 200;
+    Headers headers;
+    bool warm = false;
+    Failure failure;
+
+    [[nodiscard]] auto isActive() const -> bool
+    {
+        return phase == JobPhase::Waiting || phase == JobPhase::Running || phase == JobPhase::Lost;
+    }
+    [[nodiscard]] auto isKeyed() const -> bool { return !keyName.empty(); }
+    [[nodiscard]] auto isRunOnce() const -> bool { return terms.runOnce || isKeyed(); }
+};
+
+/// Why a submit is not accepted.
+struct Rejection
+{
+    Failure failure;
+    UpstreamId redirect = 0;
+    std::string cause; ///< For the log line.
+};
+
+struct Link
+{
+    Instant heardAt;
+    Instant heartbeatAt;
+};
+
+/// The member list of a moment in the past.
+struct PastMembers
+{
+    std::vector<settings::Member> members;
+    Instant until;
+};
+
+struct SidecarNode::State
+{
+    State(SidecarIdentity sidecar, SidecarLimits keep);
+
+    SidecarIdentity identity;
+    SidecarLimits limits;
+    UpstreamId self = 0;
+    Random random;
+    Instant now;
+    bool begun = false;
+    Instant begunAt;
+    std::vector<SidecarAction> out;
+
+    // Settings, and what follows from them.
+    SettingsPtr settings;
+    Pool pool; ///< As last known: kept when the settings drop the pool.
+    SettingsIndex teamIndex = 0;
+    std::uint32_t slots = 1;
+    std::deque<PastMembers> pastMembers;
+
+    // The upstream as its reports tell.
+    std::optional<UpstreamReport> report;
+    std::string epoch; ///< The last one reported; kept while unreachable.
+    bool drainRequested = false;
+    bool hostLeaving = false;
+    bool removed = false;
+    bool drainedTold = false;
+    std::optional<HostList> hostList;
+
+    // Requests.
+    std::unordered_map<RunId, Job> jobs;
+    std::unordered_map<RequestId, RunId> byRequest;
+    std::set<RunId> active;
+    WaitQueue queue;
+    std::uint32_t running = 0;
+    RunId lastRun = 0;
+    AnswerStore answers;
+    RunOnceTable keys;
+    ExpiringMap<Run> endedAttempts;  ///< Revoked or refused, by (request, attempt).
+    ExpiringMap<bool> startedBefore; ///< By request.
+    ExpiringMap<bool> redirected;    ///< By request.
+    ServiceTime serviceTime;
+
+    // Peers and the load plane.
+    std::map<LinkId, Link> links;
+    LoadTable loads;
+    PoolSums sums;
+    CrashBook crashes;
+    ChatPointers chats;
+    DigestEntry own;
+    std::optional<Instant> ownMadeAt; ///< None forces a new version.
+    Instant digestAt;
+    Instant expiredAt;
+
+    // Crashes.
+    std::uint32_t crashSequence = 0;
+    std::optional<Instant> crashAt;
+    std::set<RunId> crashRuns; ///< Running at the last crash, not broken yet.
+
+    // Orders.
+    FencingNumbers fencing;
+    std::optional<std::uint64_t> outstandingOrder;
+    Instant orderGivenAt;
+    Instant orderNotBefore;
+    std::uint32_t orderFailures = 0;
+    std::uint32_t reportsSincePause = 0;
+    bool ordersStopped = false;
+    bool outForChange = false;
+    std::optional<Instant> quietSince;
+
+    // Handing chats off on the way out.
+    std::optional<Instant> leavingSince;
+    std::deque<ChatKey> handoffs;
+    std::uint32_t handoffsOutstanding = 0;
+
+    SidecarCounts counted;
+
+    // sidecar-node.cc
+    auto advance(Instant to) -> void;
+    auto on(FromPeer &event) -> void;
+    auto on(const Tick &event) -> void;
+    [[nodiscard]] auto upstreamState() const -> UpstreamState;
+    [[nodiscard]] auto isLeaving() const -> bool
+    {
+        return drainRequested || hostLeaving || removed;
+    }
+    [[nodiscard]] auto load() const -> std::uint32_t;
+    [[nodiscard]] auto view() const -> GossipView;
+    [[nodiscard]] auto backlog() const -> Backlog;
+    auto send(LinkId link, Message message) -> void;
+    auto log(const LogLine &line) -> void;
+    auto logJob(std::string_view event, const RequestId &request, const Terms &terms,
+                std::string_view cause) -> void;
+
+    // sidecar-submit.cc
+    auto submit(LinkId link, Submit &&message) -> void;
+    [[nodiscard]] auto checkAddress(const Submit &message) const -> std::optional<Rejection>;
+    [[nodiscard]] auto checkHistory(const Submit &message) const -> std::optional<Rejection>;
+    [[nodiscard]] auto checkPlace(const Submit &message) const -> std::optional<Rejection>;
+    [[nodiscard]] auto checkLoad(const Submit &message) const -> std::optional<Rejection>;
+    [[nodiscard]] auto bound() const -> std::uint32_t;
+    [[nodiscard]] auto customerOf(const Terms &terms) const -> const settings::Customer *;
+    [[nodiscard]] auto inFlightOf(const Terms &terms) const -> std::uint32_t;
+    [[nodiscard]] auto attemptMemory() const -> Instant;
+    auto applyEntries(std::vector<DigestEntry> entries) -> void;
+    [[nodiscard]] auto asWaiting(const Terms &terms, Instant notAfter) const -> Waiting;
+    [[nodiscard]] auto attachKnown(LinkId link, const Submit &message) -> bool;
+    auto accept(LinkId link, Submit &&message) -> void;
+    auto reject(LinkId link, const Submit &message, const Rejection &rejection) -> void;
+    auto countRefusal(ErrorKind kind) -> void;
+    [[nodiscard]] auto refusalOf(ErrorKind kind, Run run, std::string detail) const -> Failure;
+
+    // sidecar-keys.cc
+    [[nodiscard]] auto submitKey(LinkId link, const Submit &message) -> bool;
+    [[nodiscard]] auto checkKeyOwner(const Submit &message) const -> std::optional<Rejection>;
+    [[nodiscard]] auto keyLifetime(const Job &job) const -> Instant;
+    auto replay(LinkId link, const Submit &message, const RunOnceEntry &entry) -> void;
+    auto closeKey(const Job &job, Run run) -> void;
+
+    // sidecar-runs.cc
+    auto dispatch() -> void;
+    auto startRun(Job &job) -> void;
+    auto on(RunHead &event) -> void;
+    auto on(RunChunk &event) -> void;
+    auto on(const RunEnd &event) -> void;
+    auto on(const RunBroken &event) -> void;
+    [[nodiscard]] auto findRunning(RunId run) -> Job *;
+    auto fail(Job &job, Failure failure, std::string_view cause) -> void;
+    auto cancel(Job &job, Failure failure, std::string_view cause) -> void;
+    auto leaveUpstream(Job &job) -> void;
+    auto watchJobs() -> void;
+    auto watchWaiting(Job &job) -> void;
+    auto watchRunning(Job &job) -> void;
+
+    // sidecar-answers.cc
+    auto read(Job &job, Reader reader) -> void;
+    auto serve(Job &job) -> void;
+    auto serveReader(Job &job, Reader &reader) -> bool;
+    auto sendBytes(const Answer &answer, Reader &reader) -> void;
+    auto resume(LinkId link, const Resume &message) -> void;
+    auto continueStream(LinkId link, const Resume &message) -> void;
+    auto acknowledge(const Acknowledge &message) -> void;
+    auto revoke(LinkId link, const Revoke &message) -> void;
+    [[nodiscard]] auto revokeJob(Job &job, const Revoke &message) -> Run;
+    [[nodiscard]] auto revokeUnknown(const Revoke &message) -> Run;
+    auto answersGivenUp(const std::vector<RunId> &runs) -> void;
+    auto forgetJob(RunId run) -> void;
+    [[nodiscard]] auto findJob(const RequestId &request) -> Job *;
+
+    // sidecar-links.cc
+    auto on(const PeerLinkUp &event) -> void;
+    auto on(const PeerLinkDown &event) -> void;
+    auto heartbeat(LinkId link) -> void;
+    auto watchLinks() -> void;
+    auto dropReaders(LinkId link) -> void;
+
+    // sidecar-plane.cc
+    auto on(const DigestReceived &event) -> void;
+    auto on(const SettingsInForce &event) -> void;
+    auto refreshOwn() -> void;
+    auto exchangeDigest() -> void;
+    [[nodiscard]] auto digestFor(bool entries) const -> Digest;
+    auto tellAll() -> void;
+    auto tellSome() -> void;
+
+    // sidecar-crashes.cc
+    auto on(const UpstreamReport &event) -> void;
+    auto declareCrash(std::string_view cause) -> void;
+    auto lostOne(Job &job) -> void;
+    auto noteCrash(const Job &job) -> void;
+    auto settleLost(Duration brokenFor, bool crashed) -> void;
+    [[nodiscard]] auto failureOfLost(const Job &job, bool crashed) const -> Failure;
+    [[nodiscard]] auto inPhase(JobPhase phase) const -> std::vector<RunId>;
+    auto stopAll() -> void;
+    auto watchLost() -> void;
+
+    // sidecar-leaving.cc
+    auto on(const HostListRead &event) -> void;
+    auto on(const DrainRequested &event) -> void;
+    auto on(const CacheEvents &event) -> void;
+    auto on(const HandoffDone &event) -> void;
+    auto leavingChanged(bool before) -> void;
+    auto handOffNext() -> void;
+    auto checkDrained() -> void;
+
+    // sidecar-orders.cc
+    auto on(const OrderAnswered &event) -> void;
+    auto considerOrder() -> void;
+    auto giveOrder(const PlannedChange &change) -> void;
+    [[nodiscard]] auto hasTurn() -> bool;
+    [[nodiscard]] auto mayOrder() const -> bool;
+    [[nodiscard]] auto holdsAnyModel() const -> bool;
+};
+
+[[nodiscard]] auto attemptHash(const RequestId &request, std::uint32_t attempt) -> std::uint64_t;
+
+[[nodiscard]] auto stateName(UpstreamState state) -> std::string_view;
+
+/// `team/customer`, as a `Resume` names it.
+[[nodiscard]] auto fullCustomer(const Terms &terms) -> std::string;
+
+/// The id a request has at the engine. It ends in a hash of the customer, so that nobody who
+/// learns a request id can resume another customer's stream after a restart of the sidecar.
+[[nodiscard]] auto engineRequest(const RequestId &request, const std::string &customer)
+    -> RequestId;
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/sidecar-submit.cc
@@ -0,0 +1,268 @@
+#include "applehatch/core/run-once.h"
+#include "sidecar-state.h"
+
+#include <algorithm>
+
+namespace applehatch::core {
+
+namespace {
+
+auto holds(const std::vector<std::string> &models, const std::string &model) -> bool
+{
+    return std::find(models.begin(), models.end(), model) != models.end();
+}
+
+} // namespace
+
+auto SidecarNode::State::submit(LinkId link, Submit &&message) -> void
+{
+    ++counted.submitted;
+    applyEntries(std::move(message.loads));
+    if (attachKnown(link, message) || submitKey(link, message))
+        return;
+    auto rejection = checkAddress(message);
+    if (!rejection)
+        rejection = checkHistory(message);
+    if (!rejection)
+        rejection = checkKeyOwner(message);
+    if (!rejection)
+        rejection = checkPlace(message);
+    if (!rejection)
+        rejection = checkLoad(message);
+    if (rejection)
+        reject(link, message, *rejection);
+    else
+        accept(link, std::move(message));
+}
+
+// A duplicate of a request that is known here joins it; it must never run a second time.
+auto SidecarNode::State::attachKnown(LinkId link, const Submit &message) -> bool
+{
+    if (const auto *ended =
+            endedAttempts.find(attemptHash(message.request, message.attempt), now)) {
+        reject(link, message,
+               {refusalOf(ErrorKind::Revoked, *ended, "attempt is over"), 0, "over"});
+        return true;
+    }
+    auto *job = findJob(message.request);
+    if (job == nullptr)
+        return false;
+    if (fullCustomer(job->terms) != fullCustomer(message.terms)) {
+        reject(link, message,
+               {refusalOf(ErrorKind::AnswerLost, Run::Unknown, "no such answer"), 0, "customer"});
+        return true;
+    }
+    const auto isOlder = [&](const auto &seen) { return seen.second < message.attempt; };
+    const auto isRetry = std::all_of(job->attempts.begin(), job->attempts.end(), isOlder);
+    const auto mayRerun = !job->isRunOnce() || job->failure.run == Run::NotRun;
+    if (job->phase == JobPhase::Failed && isRetry && mayRerun) {
+        forgetJob(job->run);
+        startedBefore.erase(stableHash(message.request));
+        return false;
+    }
+    job->attempts.emplace_back(message.request, message.attempt);
+    logJob("attach", message.request, message.terms, "duplicate");
+    read(*job, {link, message.request, message.attempt});
+    return true;
+}
+
+auto SidecarNode::State::checkAddress(const Submit &message) const -> std::optional<Rejection>
+{
+    if (message.target != 0 && message.target != identity.incarnation) {
+        // A ticket may have run in the life that it names, unless its caller never sent it.
+        const auto mayHaveRun =
+            ticketKeyExpiry(message.terms.idempotencyKey) && !message.terms.firstSend;
+        if (mayHaveRun)
+            return Rejection{
+                refusalOf(ErrorKind::OutcomeUnknown, Run::Unknown, "the ticket's life is over"), 0,
+                "ticket-life"};
+        return Rejection{
+            refusalOf(ErrorKind::StaleIncarnation, Run::NotRun, "addressed to an earlier life"), 0,
+            "incarnation"};
+    }
+    if (message.notAfter <= now)
+        return Rejection{refusalOf(ErrorKind::DeadlineExceeded, Run::NotRun, "arrived too late"), 0,
+                         "deadline"};
+    if (!settings)
+        return Rejection{refusalOf(ErrorKind::NotReady, Run::NotRun, "no settings yet"), 0,
+                         "settings"};
+    if (message.terms.team != identity.team || message.terms.pool != identity.pool)
+        return Rejection{refusalOf(ErrorKind::NoUpstream, Run::NotRun, "another pool's upstream"),
+                         0, "pool"};
+    return std::nullopt;
+}
+
+auto SidecarNode::State::checkHistory(const Submit &message) const -> std::optional<Rejection>
+{
+    if (startedBefore.find(stableHash(message.request), now) != nullptr)
+        return Rejection{
+            refusalOf(ErrorKind::AnswerLost, Run::Ran, "ran before, its answer is gone"), 0,
+            "ran-before"};
+    if (crashes.isSuspect(message.terms.fingerprint, now))
+        return Rejection{refusalOf(ErrorKind::CrashSuspect, Run::NotRun, "crashed two upstreams"),
+                         0, "crash-suspect"};
+    return std::nullopt;
+}
+
+auto SidecarNode::State::checkPlace(const Submit &message) const -> std::optional<Rejection>
+{
+    const auto &terms = message.terms;
+    const auto holder = chats.holder(terms.chat, now);
+    if (isLeaving())
+        return Rejection{refusalOf(ErrorKind::UpstreamLeaving, Run::NotRun, "leaving"), holder,
+                         "leaving"};
+    const auto state = upstreamState();
+    if (state != UpstreamState::Serving)
+        return Rejection{refusalOf(ErrorKind::NoUpstream, Run::NotRun,
+                                   "the upstream is " + std::string(stateName(state))),
+                         holder, std::string(stateName(state))};
+    if (!terms.model.empty() && !report->models.empty() && !holds(report->models, terms.model))
+        return Rejection{refusalOf(ErrorKind::NoUpstream, Run::NotRun, "model is not loaded"), 0,
+                         "model"};
+    if (holder == 0 || chats.isWarm(terms.chat, now) || message.movedFrom != 0
+        || redirected.find(stableHash(message.request), now) != nullptr)
+        return std::nullopt;
+    const auto entry = loads.find(holder, now);
+    if (!entry || entry->state != UpstreamState::Serving)
+        return std::nullopt;
+    return Rejection{refusalOf(ErrorKind::Overloaded, Run::NotRun, "its context moved"), holder,
+                     "moved"};
+}
+
+auto SidecarNode::State::checkLoad(const Submit &message) const -> std::optional<Rejection>
+{
+    const auto &terms = message.terms;
+    const auto holder = chats.holder(terms.chat, now);
+    const auto *customer = customerOf(terms);
+    const auto limit = customer == nullptr ? 0 : customer->inFlightLimit;
+    if (limit != 0 && inFlightOf(terms) >= limit)
+        return Rejection{refusalOf(ErrorKind::CustomerLimit, Run::NotRun, "customer's limit here"),
+                         holder, "customer-limit"};
+    if (load() + 1 > bound())
+        return Rejection{refusalOf(ErrorKind::Overloaded, Run::NotRun, "at its bound"), holder,
+                         "bound"};
+    if (running < slots && queue.size() == 0)
+        return std::nullopt;
+    if (queue.size() >= pool.queueLimit)
+        return Rejection{refusalOf(ErrorKind::Overloaded, Run::NotRun, "queue is full"), holder,
+                         "queue-full"};
+    const auto mean = serviceTime.mean();
+    if (pool.queueOrder != settings::QueueOrder::DeadlineWithRefusal || !mean)
+        return std::nullopt;
+    const auto ahead = queue.ahead(asWaiting(terms, message.notAfter));
+    if (now + expectedWait({ahead, slots}, *mean) + *mean <= message.notAfter)
+        return std::nullopt;
+    return Rejection{
+        refusalOf(ErrorKind::DeadlineUnmeetable, Run::NotRun, "the queue outlasts the deadline"),
+        holder, "unmeetable"};
+}
+
+auto SidecarNode::State::bound() const -> std::uint32_t
+{
+    return admissionBound(pool, wholePoolLoad(view(), loads, sums, now), slots);
+}
+
+auto SidecarNode::State::customerOf(const Terms &terms) const -> const settings::Customer *
+{
+    const auto team =
+        settings ? settings->teams.find(terms.team) : decltype(settings->teams.end()){};
+    if (!settings || team == settings->teams.end())
+        return nullptr;
+    const auto customer = team->second->customers.find(terms.customer);
+    return customer == team->second->customers.end() ? nullptr : &customer->second;
+}
+
+auto SidecarNode::State::inFlightOf(const Terms &terms) const -> std::uint32_t
+{
+    std::uint32_t count = 0;
+    for (const auto run : active) {
+        if (jobs.at(run).terms.customer == terms.customer)
+            ++count;
+    }
+    return count;
+}
+
+auto SidecarNode::State::asWaiting(const Terms &terms, Instant notAfter) const -> Waiting
+{
+    const auto *customer = customerOf(terms);
+    const auto weight = customer == nullptr ? 1.0 : customer->weight;
+    return {0, terms.customer, weight, terms.priority, notAfter, now};
+}
+
+auto SidecarNode::State::accept(LinkId link, Submit &&message) -> void
+{
+    const auto run = ++lastRun;
+    const auto keyName =
+        message.terms.idempotencyKey.empty() ? std::string() : RunOnceTable::nameOf(message.terms);
+    if (!keyName.empty() && !keys.begin(keyName, message.terms.fingerprint, run, now)) {
+        // Forgetting a live key for this one would let that key run twice.
+        reject(link, message,
+               {refusalOf(ErrorKind::Overloaded, Run::NotRun, "table of keys is full"), 0,
+                "keys-full"});
+        return;
+    }
+    auto &job = jobs[run];
+    job.run = run;
+    job.keyName = keyName;
+    job.names = {message.request};
+    job.attempts = {{message.request, message.attempt}};
+    job.notAfter = message.notAfter;
+    job.movedFrom = message.movedFrom;
+    job.acceptedAt = now;
+    job.terms = std::move(message.terms);
+    job.call = std::move(message.call);
+    byRequest[message.request] = run;
+    active.insert(run);
+    auto waiting = asWaiting(job.terms, job.notAfter);
+    waiting.id = run;
+    const auto mustWait = running >= slots || queue.size() != 0;
+    queue.push(waiting, pool.queueOrder);
+    logJob(mustWait ? "queue" : "admit", message.request, job.terms,
+           job.movedFrom != 0 ? "moved-here" : "submit");
+    read(job, {link, message.request, message.attempt});
+    dispatch();
+}
+
+auto SidecarNode::State::reject(LinkId link, const Submit &message, const Rejection &rejection)
+    -> void
+{
+    // The caller may be told "not run" from here on, so a late duplicate must not run either.
+    if (findJob(message.request) == nullptr)
+        endedAttempts.put(attemptHash(message.request, message.attempt), rejection.failure.run,
+                          attemptMemory());
+    countRefusal(rejection.failure.kind);
+    if (rejection.redirect != 0) {
+        ++counted.redirects;
+        redirected.put(stableHash(message.request), true, attemptMemory());
+    }
+    logJob(rejection.redirect != 0 ? "redirect" : "refuse", message.request, message.terms,
+           rejection.cause);
+    send(link,
+         Refusal{message.request, message.attempt, rejection.failure, rejection.redirect,
+                 betterCandidates(view(), loads, carriedEntries, now)});
+}
+
+auto SidecarNode::State::countRefusal(ErrorKind kind) -> void
+{
+    if (kind == ErrorKind::Overloaded || kind == ErrorKind::CustomerLimit)
+        ++counted.refusedBound;
+    else if (kind == ErrorKind::DeadlineUnmeetable || kind == ErrorKind::DeadlineExceeded)
+        ++counted.refusedDeadline;
+    else if (kind == ErrorKind::CrashSuspect)
+        ++counted.refusedCrash;
+    else if (kind == ErrorKind::UpstreamLeaving)
+        ++counted.refusedLeaving;
+}
+
+auto SidecarNode::State::refusalOf(ErrorKind kind, Run run, std::string detail) const -> Failure
+{
+    return {kind, run, std::move(detail), retryAfterFor(backlog(), serviceTime.mean())};
+}
+
+// How long an attempt is remembered: longer than any message about it can be on its way.
+auto SidecarNode::State::attemptMemory() const -> Instant
+{
+    return now + 2 * pool.maxDeadline;
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/wait-queue.cc
@@ -0,0 +1,109 @@
+#include "applehatch/core/wait-queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace applehatch::core {
+
+namespace {
+
+constexpr double smallestWeight = 0.001;
+
+} // namespace
+
+auto WaitQueue::push(const Waiting &waiting, settings::QueueOrder order) -> void
+{
+    auto &held = classes_[waiting.priority];
+    auto &flow = held.flows[waiting.customer];
+    flow.weight = std::max(smallestWeight, waiting.weight);
+    if (flow.requests.empty())
+        flow.start = std::max(held.virtualTime, flow.finish);
+    const auto byArrival = order == settings::QueueOrder::FirstCome;
+    const Rank rank{byArrival ? Instant{} : waiting.deadline, ++arrivals_};
+    flow.requests.emplace(rank, waiting);
+    places_[waiting.id] = {waiting.priority, waiting.customer, rank};
+}
+
+auto WaitQueue::pop() -> std::optional<std::uint64_t>
+{
+    for (auto &[priority, held] : classes_) {
+        Flow *next = nullptr;
+        for (auto &[customer, flow] : held.flows) {
+            if (!flow.requests.empty() && (next == nullptr || flow.start < next->start))
+                next = &flow;
+        }
+        if (next == nullptr)
+            continue;
+        const auto id = next->requests.begin()->second.id;
+        held.virtualTime = next->start;
+        next->finish = next->start + 1.0 / next->weight;
+        next->start = next->finish;
+        next->requests.erase(next->requests.begin());
+        places_.erase(id);
+        forgetIdle(held);
+        return id;
+    }
+    return std::nullopt;
+}
+
+auto WaitQueue::forgetIdle(Class &held) -> void
+{
+    std::erase_if(held.flows, [&](const auto &item) {
+        return item.second.requests.empty() && item.second.finish <= held.virtualTime;
+    });
+}
+
+auto WaitQueue::erase(std::uint64_t id) -> bool
+{
+    const auto found = places_.find(id);
+    if (found == places_.end())
+        return false;
+    const auto &place = found->second;
+    auto &held = classes_[place.priority];
+    held.flows[place.customer].requests.erase(place.rank);
+    places_.erase(found);
+    forgetIdle(held);
+    return true;
+}
+
+auto WaitQueue::ahead(const Waiting &waiting) const -> double
+{
+    double before = 0;
+    for (const auto &[priority, held] : classes_) {
+        if (priority < waiting.priority)
+            break;
+        const auto own = held.flows.find(waiting.customer);
+        double ownBefore = 0;
+        if (own != held.flows.end() && priority == waiting.priority) {
+            const auto &requests = own->second.requests;
+            const auto later = requests.upper_bound({waiting.deadline, arrivals_ + 1});
+            ownBefore = static_cast<double>(std::distance(requests.begin(), later));
+        }
+        for (const auto &[customer, flow] : held.flows) {
+            const auto all = static_cast<double>(flow.requests.size());
+            const auto share =
+                std::ceil((ownBefore + 1) * flow.weight / std::max(smallestWeight, waiting.weight));
+            if (priority > waiting.priority)
+                before += all;
+            else if (customer != waiting.customer)
+                before += std::min(all, share);
+        }
+        before += ownBefore;
+    }
+    return before;
+}
+
+auto WaitQueue::all() const -> std::vector<Waiting>
+{
+    std::vector<Waiting> waiting;
+    waiting.reserve(places_.size());
+    for (const auto &[priority, held] : classes_) {
+        for (const auto &[customer, flow] : held.flows) {
+            for (const auto &[rank, request] : flow.requests)
+                waiting.push_back(request);
+        }
+    }
+    return waiting;
+}
+
+} // namespace applehatch::core
