Carry a request from its caller to a sidecar and back

Retries, run-once binding, tickets, resumes, silent links and digests are in place but only the plain path has a test yet.

--- a/include/applehatch/core/router-node.h
+++ b/include/applehatch/core/router-node.h
@@ -200,10 +200,12 @@
     const Pool &pool;
     const LoadTable &loads;
     ChatKey chat;
-    UpstreamId tokenHome;           ///< 0 without a context token.
-    std::vector<UpstreamId> usable; ///< Members not known to be leaving, down or already tried.
+    UpstreamId tokenHome; ///< 0 without a context token.
+    /// Members not known to be leaving, down or already tried, in the order of `pool.members`.
+    std::vector<UpstreamId> usable;
     std::string_view ownDataCenter;
     Instant now;
+    PoolLoad poolLoad; ///< Of `pool`, at most a few ticks old; empty when nothing was heard.
 };
 
 /// Orders the usable members, best first.
--- /dev/null
+++ b/src/core/placement.cc
@@ -0,0 +1,234 @@
+#include "applehatch/core/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace applehatch::core {
+
+namespace {
+
+using namespace std::chrono_literals;
+using settings::Member;
+
+constexpr std::uint32_t ringPoints = 16; ///< Of each member, for the consistent-hashing baseline.
+constexpr Duration loadFreshness = 3s;   ///< Older loads say nothing about being clearly over.
+constexpr std::uint32_t overMargin = 2;  ///< Least excess over the bound that counts as clear.
+
+struct Ranked
+{
+    bool foreign = false; ///< In another data centre, where the pool prefers the own one.
+    double score = 0;     ///< Smaller is better.
+    UpstreamId id = 0;
+
+    auto operator<(const Ranked &other) const -> bool
+    {
+        if (foreign != other.foreign)
+            return !foreign;
+        return score != other.score ? score < other.score : id < other.id;
+    }
+};
+
+// The finalizer of splitmix64; ids and keys are hashes already and need only be mixed.
+auto mix(std::uint64_t id, std::uint64_t key) -> std::uint64_t
+{
+    auto x = id ^ (key * 0x9e3779b97f4a7c15U);
+    x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9U;
+    x = (x ^ (x >> 27U)) * 0x94d049bb133111ebU;
+    return x ^ (x >> 31U);
+}
+
+auto unitInterval(std::uint64_t hash) -> double
+{
+    constexpr double scale = 1.0 / 9007199254740992.0; // 2^-53
+    return (static_cast<double>(hash >> 11U) + 0.5) * scale;
+}
+
+// An exponential race: the member with slots s wins with probability s over the sum of slots, and
+// a member that joins or leaves moves only its own share of keys.
+auto weightedScore(const Member &member, std::uint64_t key) -> double
+{
+    return -std::log(unitInterval(mix(member.id, key))) / std::max(1U, member.slots);
+}
+
+template <typename Visit>
+auto forEachUsable(const PlacementView &view, const Visit &visit) -> void
+{
+    auto next = view.usable.begin();
+    for (const auto &member : view.pool.members) {
+        if (next == view.usable.end())
+            return;
+        if (*next != member.id)
+            continue;
+        visit(member);
+        ++next;
+    }
+}
+
+auto firstIds(std::vector<Ranked> &ranked, std::size_t count) -> std::vector<UpstreamId>
+{
+    const auto kept = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept),
+                      ranked.end());
+    std::vector<UpstreamId> ids;
+    ids.reserve(kept);
+    for (std::size_t i = 0; i < kept; ++i)
+        ids.push_back(ranked[i].id);
+    return ids;
+}
+
+auto loadOf(const DigestEntry &entry) -> std::uint32_t
+{
+    return entry.running + entry.waiting;
+}
+
+auto boundOf(const PlacementView &view, const DigestEntry &entry) -> std::uint32_t
+{
+    return loadBound(view.poolLoad, entry.slots, view.pool.loadMultiple);
+}
+
+auto isAtBound(const PlacementView &view, UpstreamId id) -> bool
+{
+    const auto entry = view.loads.find(id, view.now);
+    return entry && view.poolLoad.slots != 0 && loadOf(*entry) >= boundOf(view, *entry);
+}
+
+// A chat leaves its context only for a member that would refuse it even if the load heard of is
+// somewhat old: a needless move costs a cold start, a needless try costs one refusal.
+auto isClearlyOver(const PlacementView &view, UpstreamId id) -> bool
+{
+    const auto entry = view.loads.find(id, view.now);
+    if (!entry || entry->age > loadFreshness || view.poolLoad.slots == 0)
+        return false;
+    const auto bound = boundOf(view, *entry);
+    return loadOf(*entry) >= bound + std::max(overMargin, bound / 4);
+}
+
+auto relativeLoad(const PlacementView &view, UpstreamId id) -> double
+{
+    const auto entry = view.loads.find(id, view.now);
+    if (!entry)
+        return view.poolLoad.mean();
+    return static_cast<double>(loadOf(*entry)) / std::max(1U, entry->slots);
+}
+
+auto shuffleFirst(std::vector<UpstreamId> &ids, std::size_t count, Random &random) -> void
+{
+    for (std::size_t i = 0; i < std::min(count, ids.size()); ++i)
+        std::swap(ids[i], ids[i + random() % (ids.size() - i)]);
+}
+
+auto putLesserLoadedFirst(const PlacementView &view, std::vector<UpstreamId> &ids) -> void
+{
+    if (ids.size() > 1 && relativeLoad(view, ids[1]) < relativeLoad(view, ids[0]))
+        std::swap(ids[0], ids[1]);
+}
+
+auto placeWithoutChat(const PlacementView &view, Random &random) -> std::vector<UpstreamId>
+{
+    std::vector<UpstreamId> near;
+    std::vector<UpstreamId> far;
+    near.reserve(view.usable.size());
+    forEachUsable(view, [&](const Member &member) {
+        const auto foreign =
+            view.pool.preferOwnDataCenter && member.dataCenter != view.ownDataCenter;
+        (foreign ? far : near).push_back(member.id);
+    });
+    shuffleFirst(near, placementDepth, random);
+    shuffleFirst(far, placementDepth, random);
+    putLesserLoadedFirst(view, near);
+    putLesserLoadedFirst(view, far);
+    auto ids = std::move(near);
+    ids.insert(ids.end(), far.begin(), far.end());
+    ids.resize(std::min(ids.size(), placementDepth));
+    std::stable_partition(ids.begin(), ids.end(),
+                          [&](UpstreamId id) { return !isAtBound(view, id); });
+    return ids;
+}
+
+// A context token without a chat still names where the context is.
+auto putHomeFirst(const PlacementView &view, std::vector<UpstreamId> ids) -> std::vector<UpstreamId>
+{
+    const auto &usable = view.usable;
+    const auto home = view.tokenHome;
+    if (std::find(usable.begin(), usable.end(), home) == usable.end() || isClearlyOver(view, home))
+        return ids;
+    std::erase(ids, home);
+    ids.insert(ids.begin(), home);
+    return ids;
+}
+
+} // namespace
+
+auto placeByContext(const PlacementView &view, Random &random) -> std::vector<UpstreamId>
+{
+    if (view.chat == 0)
+        return putHomeFirst(view, placeWithoutChat(view, random));
+    std::vector<Ranked> ranked;
+    ranked.reserve(view.usable.size());
+    forEachUsable(view, [&](const Member &member) {
+        const auto isHome = member.id == view.tokenHome;
+        const auto foreign =
+            !isHome && view.pool.preferOwnDataCenter && member.dataCenter != view.ownDataCenter;
+        ranked.push_back({foreign, isHome ? -1.0 : weightedScore(member, view.chat), member.id});
+    });
+    auto ids = firstIds(ranked, placementDepth);
+    std::stable_partition(ids.begin(), ids.end(),
+                          [&](UpstreamId id) { return !isClearlyOver(view, id); });
+    return ids;
+}
+
+auto placeRandom(const PlacementView &view, Random &random) -> std::vector<UpstreamId>
+{
+    auto ids = view.usable;
+    shuffleFirst(ids, ids.size(), random);
+    return ids;
+}
+
+auto placeLeastOfTwo(const PlacementView &view, Random &random) -> std::vector<UpstreamId>
+{
+    auto ids = placeRandom(view, random);
+    putLesserLoadedFirst(view, ids);
+    return ids;
+}
+
+auto placeRendezvousLive(const PlacementView &view, Random & /*random*/) -> std::vector<UpstreamId>
+{
+    std::vector<Ranked> ranked;
+    ranked.reserve(view.usable.size());
+    for (const auto id : view.usable)
+        ranked.push_back({false, unitInterval(mix(id, view.chat)), id});
+    return firstIds(ranked, ranked.size());
+}
+
+auto placeConsistentBounded(const PlacementView &view, Random & /*random*/)
+    -> std::vector<UpstreamId>
+{
+    const auto start = mix(view.chat, 1);
+    std::vector<Ranked> ranked;
+    ranked.reserve(view.usable.size());
+    for (const auto id : view.usable) {
+        // The clockwise distance to a member's nearest point gives the order of a walk round the
+        // ring without the ring being built.
+        auto nearest = std::numeric_limits<std::uint64_t>::max();
+        for (std::uint32_t point = 0; point < ringPoints; ++point)
+            nearest = std::min(nearest, mix(id, point + 2) - start);
+        ranked.push_back({false, unitInterval(nearest), id});
+    }
+    auto ids = firstIds(ranked, ranked.size());
+    std::stable_partition(ids.begin(), ids.end(),
+                          [&](UpstreamId id) { return !isAtBound(view, id); });
+    return ids;
+}
+
+auto rendezvousOrder(const Pool &pool, std::uint64_t key, std::size_t count)
+    -> std::vector<UpstreamId>
+{
+    std::vector<Ranked> ranked;
+    ranked.reserve(pool.members.size());
+    for (const auto &member : pool.members)
+        ranked.push_back({false, weightedScore(member, key), member.id});
+    return firstIds(ranked, count);
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/router-attempts.cc
@@ -0,0 +1,211 @@
+// The attempts of one request: where it goes, what is sent, and when it is given up.
+#include "router-state.h"
+
+#include <algorithm>
+
+namespace applehatch::core {
+
+auto RouterNode::State::advance(Exchange &exchange) -> void
+{
+    if (exchange.attempt >= limits::attempts || exchange.hops >= limits::hops) {
+        giveUp(exchange, ErrorKind::Overloaded, "no upstream took it");
+        return;
+    }
+    // The settings may have changed since the last attempt.
+    if (settings_ && exchange.kind == ExchangeKind::Request) {
+        auto found = findPool(*settings_, exchange.terms, exchange.call.path);
+        if (auto *pool = std::get_if<PoolRef>(&found))
+            exchange.pool = std::move(*pool);
+    }
+    auto choice = choose(exchange);
+    if (!choice) {
+        giveUp(exchange, ErrorKind::NoUpstream, "no upstream is left to try");
+        return;
+    }
+    ++exchange.hops;
+    exchange.upstream = choice->upstream;
+    exchange.cause = std::move(choice->cause);
+    exchange.phase = ExchangePhase::Waiting;
+    exchange.lostAt.reset();
+    writeDecision(exchange);
+    auto &link = links_[exchange.upstream];
+    if (!isOutstanding(link))
+        link.quietSince = now_;
+    link.exchanges.insert(exchange.request);
+    if (link.phase == LinkPhase::Open)
+        serve(exchange);
+    else
+        openLink(exchange.upstream);
+}
+
+auto RouterNode::State::retry(Exchange &exchange, bool spendsBudget) -> void
+{
+    ++counts_.retries;
+    auto &budget = budgets_[exchange.terms.team + '/' + exchange.terms.pool];
+    if (spendsBudget && !budget.spend(now_)) {
+        --counts_.retries;
+        ++counts_.retriesDenied;
+        giveUp(exchange, ErrorKind::Overloaded, "the retry budget is spent");
+        return;
+    }
+    advance(exchange);
+}
+
+auto RouterNode::State::giveUp(Exchange &exchange, ErrorKind kind, std::string detail) -> void
+{
+    Failure failure{kind, exchange.run, std::move(detail), std::nullopt};
+    failure.retryAfter = exchange.retryAfter.value_or(limits::retryEstimate);
+    if (exchange.lastKind) {
+        failure.kind = *exchange.lastKind;
+        if (!answerFor(failure.kind).mayRepeat)
+            failure.retryAfter.reset();
+    }
+    fail(exchange, std::move(failure));
+}
+
+auto RouterNode::State::serve(Exchange &exchange) -> void
+{
+    auto &link = links_[exchange.upstream];
+    if (exchange.kind == ExchangeKind::Ticket) {
+        giveTicket(exchange, link);
+        return;
+    }
+    if (exchange.kind == ExchangeKind::Resume) {
+        exchange.phase = ExchangePhase::Submitted;
+        resume(exchange);
+        return;
+    }
+    if (exchange.phase == ExchangePhase::Waiting) {
+        submit(exchange, link);
+        return;
+    }
+    if (exchange.submittedTo != link.incarnation) {
+        lose(exchange, "its sidecar restarted");
+        return;
+    }
+    exchange.lostAt.reset();
+    resume(exchange);
+}
+
+auto RouterNode::State::submit(Exchange &exchange, Link &link) -> void
+{
+    auto notAfter = link.onSidecarClock(exchange.deadline);
+    if (exchange.boundLife != 0 && exchange.boundLife != link.incarnation) {
+        fail(exchange,
+             {ErrorKind::OutcomeUnknown, Run::Unknown, "the ticket's sidecar restarted",
+              std::nullopt});
+        return;
+    }
+    if (exchange.expires) {
+        if (link.onSidecarClock(now_) >= *exchange.expires) {
+            fail(exchange, {ErrorKind::TicketExpired, Run::Unknown, "", std::nullopt});
+            return;
+        }
+        notAfter = std::min(notAfter, *exchange.expires);
+    }
+    if (exchange.deadline <= now_) {
+        passDeadline(exchange);
+        return;
+    }
+    ++counts_.attempts;
+    ++exchange.attempt;
+    exchange.phase = ExchangePhase::Submitted;
+    exchange.submittedTo = link.incarnation;
+    exchange.heardAt = now_;
+    Submit message{exchange.origin,
+                   exchange.attempt,
+                   link.incarnation,
+                   notAfter,
+                   exchange.terms,
+                   exchange.call,
+                   0,
+                   loads_.freshest(limits::submitLoads, now_)};
+    if (exchange.cause != "redirect" && exchange.home != exchange.upstream)
+        message.movedFrom = exchange.home;
+    send(exchange.upstream, std::move(message));
+}
+
+auto RouterNode::State::resume(Exchange &exchange) -> void
+{
+    exchange.askedAt = now_;
+    exchange.askedFrom = exchange.answer.received;
+    exchange.heardAt = now_;
+    send(exchange.upstream,
+         Resume{exchange.origin, exchange.terms.team + '/' + exchange.terms.customer,
+                exchange.answer.received});
+}
+
+auto RouterNode::State::leaveUpstream(Exchange &exchange, std::string reason) -> void
+{
+    const auto link = links_.find(exchange.upstream);
+    if (link != links_.end())
+        link->second.exchanges.erase(exchange.request);
+    exchange.tried.push_back(exchange.upstream);
+    exchange.passedOver.push_back({exchange.upstream, std::move(reason)});
+    exchange.upstream = 0;
+}
+
+auto RouterNode::State::revoke(Exchange &exchange) -> void
+{
+    if (exchange.phase != ExchangePhase::Submitted && exchange.phase != ExchangePhase::Detached)
+        return;
+    if (exchange.attempt == 0)
+        return;
+    auto &link = links_[exchange.upstream];
+    const Revoke message{exchange.origin, exchange.attempt};
+    if (link.phase == LinkPhase::Open)
+        send(exchange.upstream, message);
+    else if (link.unwanted.size() < links::unwantedLimit)
+        link.unwanted.push_back(message);
+}
+
+auto RouterNode::State::lose(Exchange &exchange, const std::string &why) -> void
+{
+    revoke(exchange);
+    if (exchange.terms.runOnce) {
+        fail(exchange, {ErrorKind::OutcomeUnknown, Run::Unknown, why, std::nullopt});
+        return;
+    }
+    if (exchange.kind == ExchangeKind::Resume) {
+        fail(exchange, {ErrorKind::AnswerLost, Run::Unknown, why, std::nullopt});
+        return;
+    }
+    exchange.run = worse(exchange.run, exchange.answer.headSent ? Run::Ran : Run::Unknown);
+    if (!exchange.mayRunAgain()) {
+        fail(exchange, {ErrorKind::UpstreamFailed, exchange.run, why, std::nullopt});
+        return;
+    }
+    exchange.lastKind = ErrorKind::UpstreamFailed;
+    leaveUpstream(exchange, "lost");
+    retry(exchange, true);
+}
+
+auto RouterNode::State::fail(Exchange &exchange, Failure failure) -> void
+{
+    ++counts_.failures;
+    failure.run = worse(failure.run, exchange.run);
+    LogLine line("answer-failed");
+    line.add("request", exchange.request)
+        .add("kind", answerFor(failure.kind).name)
+        .add("run", runName(failure.run))
+        .add("attempts", exchange.attempt)
+        .add("detail", failure.detail);
+    actions_.emplace_back(AnswerFailure{exchange.request, std::move(failure)});
+    actions_.emplace_back(WriteLog{line});
+    erase(exchange);
+}
+
+auto RouterNode::State::erase(Exchange &exchange) -> void
+{
+    const auto link = links_.find(exchange.upstream);
+    if (link != links_.end())
+        link->second.exchanges.erase(exchange.request);
+    const auto origin = byOrigin_.find(exchange.origin);
+    if (origin != byOrigin_.end() && origin->second == exchange.request)
+        byOrigin_.erase(origin);
+    // A copy: the argument may be a part of what is erased.
+    const auto request = exchange.request;
+    exchanges_.erase(request);
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/router-choice.cc
@@ -0,0 +1,169 @@
+// Where a request goes next.
+#include "applehatch/core/placement.h"
+
+#include "router-state.h"
+
+#include <algorithm>
+
+namespace applehatch::core {
+
+namespace {
+
+auto contains(const std::vector<UpstreamId> &ids, UpstreamId id) -> bool
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+auto without(const std::vector<UpstreamId> &ids, const std::vector<UpstreamId> &dropped)
+    -> std::vector<UpstreamId>
+{
+    auto left = ids;
+    if (!dropped.empty())
+        std::erase_if(left, [&](UpstreamId id) { return contains(dropped, id); });
+    return left;
+}
+
+} // namespace
+
+auto RouterNode::State::choose(Exchange &exchange) -> std::optional<Choice>
+{
+    if (exchange.boundTo != 0) {
+        if (contains(exchange.tried, exchange.boundTo))
+            return std::nullopt;
+        return Choice{exchange.boundTo, exchange.cause.empty() ? "position" : exchange.cause};
+    }
+    const auto redirect = std::exchange(exchange.redirect, 0);
+    if (redirect != 0 && !contains(exchange.tried, redirect)
+        && exchange.pool.member(redirect) != nullptr)
+        return Choice{redirect, "redirect"};
+    if (auto choice = chooseAfterCrash(exchange))
+        return choice;
+    return chooseByPlacement(exchange);
+}
+
+auto RouterNode::State::crashedUpstreams(const Exchange &exchange) const -> std::vector<UpstreamId>
+{
+    auto crashed = exchange.crashedAt;
+    for (const auto &life : crashes_.livesOf(exchange.terms.fingerprint, now_))
+        crashed.push_back(life.upstream);
+    return crashed;
+}
+
+// The order depends on the request alone, so its copies that arrive through other routers meet at
+// the same second upstream and cannot take down one upstream each.
+auto RouterNode::State::chooseAfterCrash(const Exchange &exchange) -> std::optional<Choice>
+{
+    auto passed = crashedUpstreams(exchange);
+    if (passed.empty())
+        return std::nullopt;
+    passed.insert(passed.end(), exchange.tried.begin(), exchange.tried.end());
+    const auto &pool = *exchange.pool.pool;
+    const auto usable = without(poolView(exchange.pool).usable, passed);
+    for (const auto id : rendezvousOrder(pool, exchange.terms.fingerprint, pool.members.size())) {
+        if (contains(usable, id))
+            return Choice{id, "after-crash"};
+    }
+    return std::nullopt;
+}
+
+auto RouterNode::State::chooseByPlacement(Exchange &exchange) -> std::optional<Choice>
+{
+    const auto &view = poolView(exchange.pool);
+    auto passed = crashedUpstreams(exchange);
+    passed.insert(passed.end(), exchange.tried.begin(), exchange.tried.end());
+    auto usable = without(view.usable, passed);
+    if (usable.empty())
+        usable = without(view.doubtful, passed);
+    if (usable.empty())
+        return std::nullopt;
+    const PlacementView asked{*exchange.pool.pool,
+                              loads_,
+                              exchange.terms.chat,
+                              exchange.tokenHome,
+                              std::move(usable),
+                              identity_.dataCenter,
+                              now_,
+                              view.load};
+    const auto order = placement_(asked, random_);
+    if (order.empty())
+        return std::nullopt;
+    const auto chosen = order.front();
+    if (chosen == exchange.tokenHome)
+        return Choice{chosen, "token"};
+    return Choice{chosen, exchange.terms.chat == 0 ? "least-of-two" : "hash"};
+}
+
+auto RouterNode::State::poolView(const PoolRef &pool) -> const PoolView &
+{
+    auto &view = views_[pool.pool->team + '/' + pool.pool->name];
+    if (view.pool.pool != pool.pool || now_ - view.madeAt > limits::poolViewLifetime)
+        view = makePoolView(pool, now_);
+    return view;
+}
+
+auto RouterNode::State::makePoolView(const PoolRef &pool, Instant now) const -> PoolView
+{
+    PoolView view;
+    view.pool = pool;
+    view.madeAt = now;
+    view.load = loads_.poolLoad(*pool.pool, now);
+    for (const auto &member : pool.pool->members) {
+        if (!obstacle(member, false, now).empty())
+            continue;
+        view.doubtful.push_back(member.id);
+        if (obstacle(member, true, now).empty())
+            view.usable.push_back(member.id);
+    }
+    return view;
+}
+
+// Weak evidence is what may be wrong on our side: the lagging host list, and a connection that
+// failed. It never leaves a request without any candidate.
+auto RouterNode::State::obstacle(const settings::Member &member, bool weakToo, Instant now) const
+    -> std::string_view
+{
+    const auto host = hosts_.find(member.sidecar.ip);
+    if (host != hosts_.end() && host->second == HostState::Leaving)
+        return "leaving-host";
+    if (const auto entry = loads_.find(member.id, now)) {
+        if (entry->state == UpstreamState::Leaving)
+            return "leaving";
+        if (entry->state == UpstreamState::Down)
+            return "down";
+        if (entry->state == UpstreamState::Joining)
+            return "joining";
+    }
+    if (!weakToo)
+        return {};
+    if (!hosts_.empty() && host == hosts_.end())
+        return "not-listed";
+    const auto link = links_.find(member.id);
+    if (link != links_.end() && link->second.failedAt
+        && now - *link->second.failedAt < links::failureMemory)
+        return "link-down";
+    return {};
+}
+
+auto RouterNode::State::writeDecision(const Exchange &exchange) -> void
+{
+    const auto nameOf = [&](UpstreamId id) {
+        const auto *member = exchange.pool.member(id);
+        return member == nullptr ? std::string("unknown") : member->name;
+    };
+    std::string passed;
+    for (const auto &other : exchange.passedOver)
+        passed += (passed.empty() ? "" : ",") + nameOf(other.upstream) + ':' + other.reason;
+    LogLine line("route");
+    line.add("request", exchange.request)
+        .add("customer", exchange.terms.team + '/' + exchange.terms.customer)
+        .add("pool", exchange.terms.pool)
+        .add("chat", std::to_string(exchange.terms.chat))
+        .add("choice", nameOf(exchange.upstream))
+        .add("cause", exchange.cause)
+        .add("attempt", exchange.attempt + 1);
+    if (!passed.empty())
+        line.add("passed", passed);
+    actions_.emplace_back(WriteLog{line});
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/router-link-events.cc
@@ -0,0 +1,131 @@
+// Connections to sidecars: opening, loss and silence.
+#include "router-state.h"
+
+#include <algorithm>
+
+namespace applehatch::core {
+
+auto RouterNode::State::send(UpstreamId upstream, Message message) -> void
+{
+    actions_.emplace_back(SendToSidecar{upstream, std::move(message)});
+}
+
+auto RouterNode::State::openLink(UpstreamId upstream) -> void
+{
+    auto &link = links_[upstream];
+    if (link.phase != LinkPhase::Closed)
+        return;
+    link.phase = LinkPhase::Opening;
+    link.openedAt = now_;
+    actions_.emplace_back(OpenLink{upstream});
+}
+
+auto RouterNode::State::on(LinkUp &event) -> void
+{
+    auto &link = links_[event.upstream];
+    link.phase = LinkPhase::Open;
+    link.incarnation = event.incarnation;
+    link.readClock(event.clock, now_);
+    link.quietSince = now_;
+    link.heartbeatAt = now_;
+    if (link.failedAt) {
+        link.failedAt.reset();
+        views_.clear();
+    }
+    for (const auto &revoke : std::exchange(link.unwanted, {}))
+        send(event.upstream, revoke);
+    const auto waiting = link.exchanges;
+    for (const auto &request : waiting) {
+        auto *exchange = find(request);
+        if (exchange != nullptr && exchange->upstream == event.upstream && exchange->isAnswering())
+            serve(*exchange);
+    }
+}
+
+auto RouterNode::State::on(LinkDown &event) -> void
+{
+    const auto link = links_.find(event.upstream);
+    if (link != links_.end())
+        linkLost(event.upstream, link->second);
+}
+
+auto RouterNode::State::linkLost(UpstreamId upstream, Link &link) -> void
+{
+    link.phase = LinkPhase::Closed;
+    link.failedAt = now_;
+    views_.clear();
+    const auto depending = link.exchanges;
+    for (const auto &request : depending) {
+        auto *exchange = find(request);
+        if (exchange != nullptr && exchange->upstream == upstream)
+            linkLost(*exchange);
+    }
+}
+
+auto RouterNode::State::linkLost(Exchange &exchange) -> void
+{
+    if (!exchange.isAnswering()) {
+        erase(exchange);
+        return;
+    }
+    if (exchange.phase == ExchangePhase::Waiting && exchange.kind != ExchangeKind::Resume) {
+        if (exchange.boundTo != 0) {
+            fail(exchange,
+                 {ErrorKind::NoUpstream, Run::NotRun, "its upstream cannot be reached",
+                  limits::retryEstimate});
+            return;
+        }
+        exchange.lastKind = ErrorKind::NoUpstream;
+        leaveUpstream(exchange, "link-down");
+        retry(exchange, false);
+        return;
+    }
+    const auto firstLoss = !exchange.lostAt;
+    if (firstLoss)
+        exchange.lostAt = now_;
+    if (!firstLoss && (exchange.mayRunAgain() || now_ - *exchange.lostAt >= limits::reopenWindow)) {
+        lose(exchange, "its upstream cannot be reached");
+        return;
+    }
+    // The first opening is tried at once, the next ones from the tick.
+    if (firstLoss)
+        openLink(exchange.upstream);
+}
+
+auto RouterNode::State::isOutstanding(const Link &link) -> bool
+{
+    return std::any_of(link.exchanges.begin(), link.exchanges.end(), [&](const auto &request) {
+        const auto *exchange = find(request);
+        return exchange != nullptr && exchange->phase != ExchangePhase::Finished;
+    });
+}
+
+auto RouterNode::State::checkLink(UpstreamId upstream, Link &link) -> void
+{
+    if (link.phase == LinkPhase::Opening && now_ - link.openedAt >= links::openTimeout) {
+        actions_.emplace_back(DropLink{upstream});
+        linkLost(upstream, link);
+        return;
+    }
+    if (!isOutstanding(link))
+        return;
+    if (link.phase == LinkPhase::Closed && now_ - link.openedAt >= limits::reopenPause) {
+        openLink(upstream);
+        return;
+    }
+    if (link.phase != LinkPhase::Open)
+        return;
+    if (now_ - link.quietSince >= links::silence) {
+        // Something between the two ends has lost track of the connection. It never reports an
+        // error; the caller would see its stream stop for good. A new one works.
+        actions_.emplace_back(DropLink{upstream});
+        linkLost(upstream, link);
+        return;
+    }
+    if (now_ - link.heartbeatAt >= links::heartbeatPeriod) {
+        link.heartbeatAt = now_;
+        send(upstream, Heartbeat{});
+    }
+}
+
+} // namespace applehatch::core
--- /dev/null
+++ b/src/core/router-links.h
@@ -0,0 +1,62 @@
+/// What a router knows of its connections to sidecars.
+#pragma once
+
+#include "applehatch/core/message.h"
+
+#include <chrono>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace applehatch::core {
+
+enum class LinkPhase {
+    Closed,
+    Opening,
+    Open,
+};
+
+/// The connection to one sidecar, and the requests that depend on it.
+struct Link
+{
+    LinkPhase phase = LinkPhase::Closed;
+    Incarnation incarnation = 0;
+    Instant sidecarClock; ///< The sidecar's last reading.
+    Instant clockReadAt;  ///< When that reading was received.
+    Instant openedAt;     ///< Since when it is opening.
+    Instant quietSince;   ///< Last message, or when something became outstanding.
+    Instant heartbeatAt;  ///< Last heartbeat sent.
+    std::optional<Instant> failedAt;
+    std::set<RequestId> exchanges;
+    std::vector<Revoke> unwanted; ///< Attempts given up while the link was down.
+
+    /// The reading of the sidecar's clock that corresponds to `instant` of ours.
+    [[nodiscard]] auto onSidecarClock(Instant instant) const -> Instant
+    {
+        return sidecarClock + (instant - clockReadAt);
+    }
+
+    auto readClock(Instant clock, Instant now) -> void
+    {
+        sidecarClock = clock;
+        clockReadAt = now;
+    }
+};
+
+namespace links {
+
+using namespace std::chrono_literals;
+
+inline constexpr Duration heartbeatPeriod = 1s;
+inline constexpr Duration silence = 4s;       ///< Without a message this long, a link is dead.
+inline constexpr Duration openTimeout = 2s;   ///< An answer to a connection attempt.
+inline constexpr Duration failureMemory = 3s; ///< How long a failed link is passed over.
+inline constexpr Duration lateTick = 1s;      ///< A longer gap between ticks is a pause of ours.
+inline constexpr std::size_t unwantedLimit = 1000;
+
+} // namespace links
+
+using LinkTable = std::unordered_map<UpstreamId, Link>;
+
+} // namespace applehatch::core
--- a/src/core/router-node.cc
+++ b/src/core/router-node.cc
@@ -1,65 +1,124 @@
 #include "applehatch/core/router-node.h"
 
+#include "applehatch/core/placement.h"
+
+#include "router-state.h"
+
+#include <algorithm>
+
 namespace applehatch::core {
 
-struct RouterNode::State
-{
-    RouterIdentity identity;
-    Placement placement;
-    RouterEvent last;
-    LoadTable loads;
-    SettingsPtr settings;
-};
+RouterNode::State::State(RouterIdentity self, Placement order)
+    : identity_(std::move(self))
+    , placement_(order ? std::move(order) : Placement(placeByContext))
+    , random_(identity_.seed)
+{ }
 
 RouterNode::RouterNode(RouterIdentity identity)
     : RouterNode(std::move(identity), Placement())
 { }
 
 RouterNode::RouterNode(RouterIdentity identity, Placement placement)
-    : state_(std::make_unique<State>())
+    : state_(std::make_unique<State>(std::move(identity), std::move(placement)))
+{ }
+
+RouterNode::~RouterNode() = default;
+
+auto RouterNode::handle(RouterEvent event, Instant now) -> std::vector<RouterAction>
 {
-    state_->identity = std::move(identity);
-    state_->placement = std::move(placement);
+    state_->now_ = now;
+    state_->handleEvent(event);
+    state_->sayDrained();
+    return std::exchange(state_->actions_, {});
 }
 
-RouterNode::~RouterNode() = default;
+auto RouterNode::State::handleEvent(RouterEvent &event) -> void
+{
+    std::visit([this](auto &held) { on(held); }, event);
+}
+
+auto RouterNode::State::on(SettingsInForce &event) -> void
+{
+    settings_ = std::move(event.settings);
+    views_.clear();
+}
+
+auto RouterNode::State::on(HostListRead &event) -> void
+{
+    hosts_.clear();
+    for (const auto &host : event.list.hosts)
+        hosts_[host.ip] = host.state;
+    views_.clear();
+}
+
+auto RouterNode::State::on(DigestReceived &event) -> void
+{
+    applyLoads(event.digest.entries);
+    crashes_.apply(event.digest.crashes, now_);
+}
+
+auto RouterNode::State::applyLoads(const std::vector<DigestEntry> &entries) -> void
+{
+    if (loads_.apply(entries, now_) == 0)
+        return;
+    const auto isStopping = [](const DigestEntry &entry) {
+        return entry.state != UpstreamState::Serving;
+    };
+    if (std::any_of(entries.begin(), entries.end(), isStopping))
+        views_.clear();
+}
+
+auto RouterNode::State::on(DrainRequested & /*event*/) -> void
+{
+    draining_ = true;
+}
 
-auto RouterNode::handle(RouterEvent event, Instant /*now*/) -> std::vector<RouterAction>
+auto RouterNode::State::sayDrained() -> void
 {
-    state_->last = std::move(event);
-    return {};
+    if (!draining_ || drainedSaid_)
+        return;
+    const auto holdsUp = [](const auto &item) {
+        return item.second.phase != ExchangePhase::Detached;
+    };
+    if (std::any_of(exchanges_.begin(), exchanges_.end(), holdsUp))
+        return;
+    drainedSaid_ = true;
+    actions_.emplace_back(Drained{});
 }
 
-auto RouterNode::explain(const std::string & /*team*/, const std::string & /*pool*/,
-                         const std::string & /*chat*/, const std::string & /*contextToken*/,
-                         Instant /*now*/) const -> std::vector<Candidate>
+auto RouterNode::State::on(FromSidecar &event) -> void
 {
-    return {};
+    const auto link = links_.find(event.upstream);
+    if (link != links_.end())
+        link->second.quietSince = now_;
+    std::visit([&](auto &message) { onMessage(event.upstream, message); }, event.message);
 }
 
 auto RouterNode::counts() const -> RouterCounts
 {
-    return {};
+    auto counts = state_->counts_;
+    counts.inFlight = state_->exchanges_.size();
+    return counts;
 }
 
 auto RouterNode::ready() const -> bool
 {
-    return state_->settings != nullptr;
+    return state_->settings_ != nullptr && !state_->settings_->teams.empty() && !state_->draining_;
 }
 
 auto RouterNode::draining() const -> bool
 {
-    return false;
+    return state_->draining_;
 }
 
 auto RouterNode::loads() const -> const LoadTable &
 {
-    return state_->loads;
+    return state_->loads_;
 }
 
 auto RouterNode::settings() const -> SettingsPtr
 {
-    return state_->settings;
+    return state_->settings_;
 }
 
 } // namespace applehatch::core
--- /dev/null
+++ b/src/core/router-requests.cc
@@ -0,0 +1,193 @@
+// What callers send: requests, resumes, progress and departures.
+#include "applehatch/core/token.h"
+
+#include "router-state.h"
+
+#include <algorithm>
+
+namespace applehatch::core {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration shortestDeadline = 1ms;
+
+auto refusal(ErrorKind kind, std::string detail) -> Failure
+{
+    Failure failure{kind, Run::NotRun, std::move(detail), std::nullopt};
+    if (answerFor(kind).mayRepeat)
+        failure.retryAfter = limits::retryEstimate;
+    return failure;
+}
+
+} // namespace
+
+auto RouterNode::State::on(CallerRequest &event) -> void
+{
+    if (exchanges_.contains(event.request))
+        return;
+    ++counts_.received;
+    Exchange exchange;
+    exchange.request = event.request;
+    exchange.origin = event.request;
+    auto refused = admit(event, exchange);
+    if (refused) {
+        fail(exchange, std::move(*refused));
+        return;
+    }
+    budgets_[exchange.terms.team + '/' + exchange.terms.pool].earn(exchange.pool.pool->retryBudget,
+                                                                   now_);
+    start(std::move(exchange));
+}
+
+auto RouterNode::State::admit(CallerRequest &event, Exchange &exchange) -> std::optional<Failure>
+{
+    if (draining_)
+        return refusal(ErrorKind::Draining, "");
+    if (!settings_)
+        return refusal(ErrorKind::NotReady, "");
+    auto found = findPool(*settings_, event.terms, event.call.path);
+    if (auto *failure = std::get_if<Failure>(&found))
+        return std::move(*failure);
+    exchange.pool = std::get<PoolRef>(std::move(found));
+    if (auto failure = checkDeadline(event, exchange))
+        return failure;
+    exchange.terms = std::move(event.terms);
+    exchange.call = std::move(event.call);
+    exchange.terms.pool = exchange.pool.pool->name;
+    exchange.terms.chat = chatKey(*exchange.pool.pool, exchange.terms.chat);
+    exchange.terms.fingerprint = fingerprintOf(exchange.terms, exchange.call);
+    if (const auto context = parseContext(event.contextToken))
+        exchange.tokenHome = context->upstream;
+    if (auto failure = checkCrashes(exchange))
+        return failure;
+    return bindRunOnce(event.ticket, exchange);
+}
+
+auto RouterNode::State::checkDeadline(const CallerRequest &event, Exchange &exchange)
+    -> std::optional<Failure>
+{
+    const auto &pool = *exchange.pool.pool;
+    const auto deadline = event.deadline.value_or(pool.defaultDeadline);
+    if (deadline < shortestDeadline || deadline > pool.maxDeadline)
+        return refusal(ErrorKind::BadRequest, "the deadline is out of the pool's range");
+    exchange.deadline = now_ + deadline;
+    return std::nullopt;
+}
+
+auto RouterNode::State::checkCrashes(const Exchange &exchange) -> std::optional<Failure>
+{
+    const auto lives = crashes_.livesOf(exchange.terms.fingerprint, now_);
+    if (lives.size() < CrashTable::suspectAt)
+        return std::nullopt;
+    return refusal(ErrorKind::CrashSuspect, "it was running when two upstreams died");
+}
+
+auto RouterNode::State::start(Exchange exchange) -> void
+{
+    supersede(exchange.origin);
+    byOrigin_[exchange.origin] = exchange.request;
+    const auto request = exchange.request;
+    exchange.heardAt = now_;
+    auto &held = exchanges_.insert_or_assign(request, std::move(exchange)).first->second;
+    advance(held);
+}
+
+// A caller that comes back for a stream may be faster than the news that its old connection
+// closed. Without this two exchanges would take the same chunks and each miss some.
+auto RouterNode::State::supersede(const RequestId &origin) -> void
+{
+    const auto earlier = byOrigin_.find(origin);
+    if (earlier == byOrigin_.end())
+        return;
+    auto *exchange = find(earlier->second);
+    if (exchange == nullptr)
+        return;
+    if (exchange->isAnswering()) {
+        ++counts_.failures;
+        actions_.emplace_back(AnswerFailure{
+            exchange->request,
+            {ErrorKind::Revoked, Run::Ran, "resumed on another connection", std::nullopt}});
+    }
+    erase(*exchange);
+}
+
+auto RouterNode::State::on(CallerConsumed &event) -> void
+{
+    auto *exchange = find(event.request);
+    if (exchange == nullptr || exchange->phase == ExchangePhase::Waiting)
+        return;
+    auto &answer = exchange->answer;
+    answer.consumed = std::clamp(event.offset, answer.consumed, answer.passedOn);
+    if (exchange->phase == ExchangePhase::Finished && answer.consumed == answer.received) {
+        acknowledge(*exchange, true);
+        erase(*exchange);
+        return;
+    }
+    if (answer.consumed >= answer.acknowledged + limits::acknowledgeStep)
+        acknowledge(*exchange, false);
+}
+
+auto RouterNode::State::on(CallerGone &event) -> void
+{
+    auto *exchange = find(event.request);
+    if (exchange == nullptr || exchange->phase == ExchangePhase::Detached)
+        return;
+    const auto mayComeBack = exchange->answer.stream && exchange->answer.passedOn > 0;
+    if (!mayComeBack) {
+        if (exchange->phase == ExchangePhase::Finished)
+            acknowledge(*exchange, true);
+        else
+            revoke(*exchange);
+        erase(*exchange);
+        return;
+    }
+    // The caller holds a position and may resume at any router. Stopping the run now would cost
+    // it the rest of its answer.
+    exchange->phase = ExchangePhase::Detached;
+    exchange->leftAt = now_;
+}
+
+auto RouterNode::State::on(CallerResume &event) -> void
+{
+    if (exchanges_.contains(event.request))
+        return;
+    ++counts_.received;
+    Exchange exchange;
+    exchange.request = event.request;
+    exchange.kind = ExchangeKind::Resume;
+    if (draining_ || !settings_) {
+        fail(exchange, refusal(draining_ ? ErrorKind::Draining : ErrorKind::NotReady, ""));
+        return;
+    }
+    const auto position = parsePosition(event.position);
+    if (!position) {
+        fail(exchange, refusal(ErrorKind::BadRequest, "the position cannot be read"));
+        return;
+    }
+    exchange.pool = findPoolOf(*settings_, event.team, position->upstream);
+    if (exchange.pool.pool == nullptr) {
+        fail(exchange, {ErrorKind::AnswerLost, Run::Unknown, "its upstream is gone", std::nullopt});
+        return;
+    }
+    exchange.origin = position->request;
+    exchange.terms.team = event.team;
+    exchange.terms.customer = event.customer;
+    exchange.terms.pool = exchange.pool.pool->name;
+    exchange.boundTo = position->upstream;
+    exchange.deadline = now_ + exchange.pool.pool->maxDeadline;
+    exchange.run = Run::Unknown;
+    auto &answer = exchange.answer;
+    answer.stream = true;
+    answer.fromStart = position->offset == 0;
+    answer.start = position->offset;
+    answer.received = position->offset;
+    answer.passedOn = position->offset;
+    answer.consumed = position->offset;
+    answer.acknowledged = position->offset;
+    ++counts_.resumed;
+    start(std::move(exchange));
+}
+
+} // namespace applehatch::core
