Add the clients of the configuration service and host list, with a stand-in

A broken answer is an error and leaves what the caller holds as it was; a table of 27 broken answers runs against the stand-in. Base64 is decoded strictly, as a lenient decoder would hand a damaged subtree on as if it were published.

--- /dev/null
+++ b/src/platform/host-list-client.cc
@@ -0,0 +1,74 @@
+#include "applehatch/platform/http.h"
+#include "applehatch/platform/settings-client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace applehatch::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int ok = 200;
+
+auto parseHost(const Json &row) -> std::optional<core::Host>
+{
+    const auto ip = row.is_object() ? row.find("ip") : row.end();
+    const auto state = row.is_object() ? row.find("state") : row.end();
+    if (ip == row.end() || state == row.end() || !ip->is_string() || !state->is_string()) {
+        return std::nullopt;
+    }
+    if (*state != "live" && *state != "leaving") {
+        return std::nullopt;
+    }
+    return core::Host{ip->get<std::string>(),
+                      *state == "live" ? core::HostState::Live : core::HostState::Leaving};
+}
+
+auto parseList(const std::string &body) -> std::optional<core::HostList>
+{
+    const auto root = Json::parse(body, nullptr, false);
+    const auto version = root.is_object() ? root.find("version") : root.end();
+    const auto hosts = root.is_object() ? root.find("hosts") : root.end();
+    if (version == root.end() || hosts == root.end() || !version->is_number_unsigned()
+        || !hosts->is_array()) {
+        return std::nullopt;
+    }
+    core::HostList list;
+    list.version = version->get<std::uint64_t>();
+    for (const auto &row : *hosts) {
+        auto host = parseHost(row);
+        if (!host) {
+            return std::nullopt;
+        }
+        list.hosts.push_back(std::move(*host));
+    }
+    return list;
+}
+
+} // namespace
+
+HostListClient::HostListClient(core::Address service)
+    : service_(std::move(service))
+{ }
+
+auto HostListClient::read(core::Duration timeout, core::HostList &into) const -> std::error_code
+{
+    HttpRequest request;
+    request.server = service_;
+    request.path = "/v1/hosts";
+    request.timeout = timeout;
+    HttpResponse response;
+    const auto failed = exchange(request, response);
+    if (failed) {
+        return failed;
+    }
+    auto list = response.status == ok ? parseList(response.body) : std::nullopt;
+    if (!list) {
+        return std::make_error_code(std::errc::bad_message);
+    }
+    into = std::move(*list);
+    return {};
+}
+
+} // namespace applehatch::platform
--- /dev/null
+++ b/test/platform/settings-client-test.cc
@@ -0,0 +1,239 @@
+#include "applehatch/platform/http.h"
+#include "applehatch/platform/settings-client.h"
+#include "standin/platform.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <thread>
+
+namespace {
+
+using namespace applehatch;
+using namespace std::chrono_literals;
+using standin::Service;
+
+template <typename Condition>
+auto waitUntil(Condition condition) -> void
+{
+    while (!condition()) {
+        std::this_thread::sleep_for(1ms);
+    }
+}
+
+auto http(const std::string &headers, const std::string &body) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\nConnection: close\r\n" + headers + "\r\n" + body;
+}
+
+/// A body with its right length.
+auto whole(const std::string &headers, const std::string &body) -> std::string
+{
+    return http(headers + "Content-Length: " + std::to_string(body.size()) + "\r\n", body);
+}
+
+auto row(const std::string &value) -> std::string
+{
+    return whole("X-Consul-Index: 5\r\n",
+                 R"([{"Key": "teams/ledgerworks", "ModifyIndex": 4, "Value": )" + value + "}]");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(settings_client)
+
+BOOST_AUTO_TEST_CASE(a_read_gives_every_team_with_its_index)
+{
+    standin::Platform platform;
+    const platform::SettingsClient client(platform.address());
+    core::SettingsRead read;
+    BOOST_TEST(!client.read(std::nullopt, 1s, read));
+    BOOST_TEST(read.index == 1U);
+    BOOST_TEST(read.texts.empty());
+
+    for (const std::string text : {"", "a", "ab", "abc", "{ \"pools\": {} } // \xc3\xa9"}) {
+        const auto index = platform.putTeam("ledgerworks", text);
+        BOOST_TEST(!client.read(std::nullopt, 1s, read));
+        BOOST_TEST(read.index == index);
+        BOOST_REQUIRE(read.texts.size() == 1U);
+        BOOST_TEST(read.texts[0].team == "ledgerworks");
+        BOOST_TEST(read.texts[0].index == index);
+        BOOST_TEST(*read.texts[0].text == text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_watch_is_held_until_the_index_rises_and_counts_as_one_call)
+{
+    standin::Platform platform;
+    const auto index = platform.putTeam("ledgerworks", "{}");
+    const platform::SettingsClient client(platform.address());
+    core::SettingsRead read;
+    auto watch = std::async(std::launch::async, [&] { return client.read(index, 60s, read); });
+    waitUntil([&] { return platform.calls().waiting == 1; });
+    const auto next = platform.putTeam("cwm-taf", "{}");
+    BOOST_TEST(!watch.get());
+    BOOST_TEST(read.index == next);
+    BOOST_TEST(read.texts.size() == 2U);
+    BOOST_TEST(platform.calls().settings == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stale_or_reverted_service_answers_an_older_tree)
+{
+    standin::Platform platform;
+    const auto older = platform.putTeam("ledgerworks", "old");
+    platform.putTeam("ledgerworks", "new");
+    const platform::SettingsClient client(platform.address());
+    core::SettingsRead read;
+    platform.setStale(older);
+    BOOST_TEST(!client.read(std::nullopt, 1s, read));
+    BOOST_TEST(*read.texts.at(0).text == "old");
+    platform.setStale(std::nullopt);
+    BOOST_TEST(!client.read(std::nullopt, 1s, read));
+    BOOST_TEST(*read.texts.at(0).text == "new");
+    platform.revertTo(older);
+    BOOST_TEST(!client.read(std::nullopt, 1s, read));
+    BOOST_TEST(read.index == older);
+}
+
+// The configuration service and the host list are others' programs: behind a broken proxy, or in
+// the middle of a restart, they answer with anything at all. Taken at its word, half an answer
+// would remove teams, and a crash here would stop the process; the user would find no router.
+BOOST_AUTO_TEST_CASE(a_broken_answer_is_an_error_and_changes_nothing)
+{
+    struct Row
+    {
+        const char *name;
+        Service service;
+        std::string bytes;
+        std::errc error;
+    };
+    const std::string list = R"({"version": 1, "hosts": [{"ip": "127.0.0.1", "state": )";
+    const auto bad = std::errc::bad_message;
+    const std::vector<Row> rows{
+        {"no bytes", Service::Settings, "", bad},
+        {"garbage", Service::Settings, std::string("\x00\x01\xff garbage\r\n\r\n", 14), bad},
+        {"head cut short", Service::Settings, "HTTP/1.1 200 OK\r\nX-Consul", bad},
+        {"no index", Service::Settings, whole("", "[]"), bad},
+        {"index is no number", Service::Settings, whole("X-Consul-Index: 5x\r\n", "[]"), bad},
+        {"index is negative", Service::Settings, whole("X-Consul-Index: -5\r\n", "[]"), bad},
+        {"index too large", Service::Settings,
+         whole("X-Consul-Index: 99999999999999999999\r\n", "[]"), bad},
+        {"no JSON", Service::Settings, whole("X-Consul-Index: 5\r\n", "<html>"), bad},
+        {"JSON cut short", Service::Settings, whole("X-Consul-Index: 5\r\n", "[{"), bad},
+        {"no array", Service::Settings, whole("X-Consul-Index: 5\r\n", "{}"), bad},
+        {"row is no object", Service::Settings, whole("X-Consul-Index: 5\r\n", "[7]"), bad},
+        {"key of wrong type", Service::Settings, whole("X-Consul-Index: 5\r\n", R"([{"Key": 7}])"),
+         bad},
+        {"body shorter than told", Service::Settings,
+         http("X-Consul-Index: 5\r\nContent-Length: 200\r\n", "[]"), bad},
+        {"body larger than taken", Service::Settings,
+         http("X-Consul-Index: 5\r\nContent-Length: 999999999\r\n", "[]"), std::errc::message_size},
+        {"value missing", Service::Settings, row("null"), bad},
+        {"value not base64", Service::Settings, row("\"****\""), bad},
+        {"base64 with blanks", Service::Settings, row("\"e30 \""), bad},
+        {"base64 without padding", Service::Settings, row("\"e30\""), bad},
+        {"base64 with stray bits", Service::Settings, row("\"e31=\""), bad},
+        {"padding inside", Service::Settings, row("\"e3==e30=\""), bad},
+        {"status 500", Service::Settings,
+         "HTTP/1.1 500 -\r\nX-Consul-Index: 9\r\nContent-Length: 2\r\n\r\n[]", bad},
+        {"hosts: no JSON", Service::HostList, whole("", "hosts"), bad},
+        {"hosts: cut short", Service::HostList, whole("", list), bad},
+        {"hosts: unknown state", Service::HostList, whole("", list + R"("gone"}]})"), bad},
+        {"hosts: no version", Service::HostList, whole("", R"({"hosts": []})"), bad},
+        {"hosts: an array", Service::HostList, whole("", "[]"), bad},
+        {"hosts: row is no object", Service::HostList, whole("", R"({"version":1,"hosts":[1]})"),
+         bad},
+    };
+    standin::Platform platform;
+    const platform::SettingsClient settings(platform.address());
+    const platform::HostListClient hosts(platform.address());
+    for (const auto &row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            platform.setRawAnswer(row.service, row.bytes);
+            core::SettingsRead read{77, {}};
+            core::HostList list77{77, {}};
+            const auto failed = row.service == Service::Settings
+                ? settings.read(std::nullopt, 1s, read)
+                : hosts.read(1s, list77);
+            BOOST_TEST(failed == std::make_error_code(row.error));
+            BOOST_TEST(read.index == 77U);
+            BOOST_TEST(list77.version == 77U);
+        }
+    }
+}
+
+// A key that stands below a team, or a folder's own key, is no team. Refusing the whole answer for
+// it would let one stray key stop every team's changes.
+BOOST_AUTO_TEST_CASE(keys_that_are_no_team_are_passed_over)
+{
+    standin::Platform platform;
+    platform.setRawAnswer(Service::Settings,
+                          whole("X-Consul-Index: 5\r\n",
+                                R"([{"Key": "teams/", "Value": null, "ModifyIndex": 1},
+                  {"Key": "teams/a/b", "Value": "e30=", "ModifyIndex": 2},
+                  {"Key": "teams/a", "Value": "e30=", "ModifyIndex": 3}])"));
+    core::SettingsRead read;
+    BOOST_TEST(!platform::SettingsClient(platform.address()).read(std::nullopt, 1s, read));
+    BOOST_REQUIRE(read.texts.size() == 1U);
+    BOOST_TEST(*read.texts[0].text == "{}");
+}
+
+// While the service restarts, connections are refused, closed at once, or accepted and left
+// silent. A read without an end would hold its thread for good and changes would no longer arrive.
+BOOST_AUTO_TEST_CASE(a_service_that_is_down_or_silent_is_reported_in_time)
+{
+    auto platform = std::make_unique<standin::Platform>();
+    platform->setHost("127.0.0.9", core::HostState::Leaving);
+    const auto address = platform->address();
+    const platform::HostListClient client(address);
+    core::HostList list;
+    BOOST_TEST(!client.read(5s, list));
+    BOOST_TEST((list.hosts == std::vector{core::Host{"127.0.0.9", core::HostState::Leaving}}));
+
+    platform->setDown(Service::HostList, true);
+    BOOST_TEST(client.read(5s, list) == std::make_error_code(std::errc::bad_message));
+    platform->setDown(Service::HostList, false);
+    platform->setDelay(60s);
+    BOOST_TEST(client.read(50ms, list) == std::make_error_code(std::errc::timed_out));
+    platform.reset();
+    BOOST_TEST(client.read(5s, list) == std::make_error_code(std::errc::connection_refused));
+}
+
+BOOST_AUTO_TEST_CASE(the_weight_store_refuses_beyond_its_rate)
+{
+    standin::Platform platform;
+    platform.setWeightRate(1);
+    platform::HttpRequest request;
+    request.server = platform.address();
+    request.path = "/v1/weights/sheet-writer";
+    platform::HttpResponse response;
+    BOOST_TEST(!platform::exchange(request, response));
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(!platform::exchange(request, response));
+    BOOST_TEST(response.status == 429);
+    BOOST_TEST(response.header("retry-after") == "1");
+}
+
+BOOST_AUTO_TEST_CASE(control_calls_change_the_standin)
+{
+    standin::Platform platform;
+    platform::HttpRequest request;
+    request.server = platform.address();
+    request.method = "POST";
+    request.path = "/control";
+    request.body = R"({"putTeam": {"team": "a", "text": "{}"}, "down": ["hostList"]})";
+    platform::HttpResponse response;
+    BOOST_TEST(!platform::exchange(request, response));
+    BOOST_TEST(response.status == 200);
+    core::SettingsRead read;
+    core::HostList list;
+    BOOST_TEST(!platform::SettingsClient(platform.address()).read(std::nullopt, 1s, read));
+    BOOST_TEST(read.texts.size() == 1U);
+    BOOST_TEST(!!platform::HostListClient(platform.address()).read(1s, list));
+    request.body = R"({"noSuchOrder": 1})";
+    BOOST_TEST(!platform::exchange(request, response));
+    BOOST_TEST(response.status == 400);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
