Place chats over the configured members and retry only what is safe

A flapping list must not move other chats, a returning chat must find its context, and a refusal must not multiply the load. A retry is paid from a token bucket of the pool only when there is an upstream left to pay for: a test showed that it was spent with none left. After a crash the order depends on the fingerprint alone, so copies through other routers meet at one upstream.

--- a/include/applehatch/core/placement.h
+++ b/include/applehatch/core/placement.h
@@ -33,6 +33,13 @@
 [[nodiscard]] auto placeConsistentBounded(const PlacementView &view, Random &random)
     -> std::vector<UpstreamId>;
 
+/// True when a recent load puts the member so far over its bound that it would refuse a request.
+[[nodiscard]] auto isClearlyOver(const PlacementView &view, UpstreamId id) -> bool;
+
+/// Where the configured members alone would put a chat; 0 for an empty pool.
+[[nodiscard]] auto chatHome(const Pool &pool, ChatKey chat, std::string_view ownDataCenter)
+    -> UpstreamId;
+
 /// The first `count` of the configured members in weighted rendezvous order of `key`: the same in
 /// every process with the same settings, whatever it knows of who is live.
 [[nodiscard]] auto rendezvousOrder(const Pool &pool, std::uint64_t key, std::size_t count)
--- a/include/applehatch/core/router-node.h
+++ b/include/applehatch/core/router-node.h
@@ -245,7 +245,8 @@
     /// Takes one event and gives what is to be done, in order.
     [[nodiscard]] auto handle(RouterEvent event, Instant now) -> std::vector<RouterAction>;
 
-    /// The candidates that this chat's next request would see; changes nothing.
+    /// The candidates that this chat's next request would see, best first; changes nothing.
+    /// `chat` is the chat's name; `Terms::chat` of a `CallerRequest` is its `stableHash`.
     [[nodiscard]] auto explain(const std::string &team, const std::string &pool,
                                const std::string &chat, const std::string &contextToken,
                                Instant now) const -> std::vector<Candidate>;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -93,17 +93,6 @@
     return entry && view.poolLoad.slots != 0 && loadOf(*entry) >= boundOf(view, *entry);
 }
 
-// A chat leaves its context only for a member that would refuse it even if the load heard of is
-// somewhat old: a needless move costs a cold start, a needless try costs one refusal.
-auto isClearlyOver(const PlacementView &view, UpstreamId id) -> bool
-{
-    const auto entry = view.loads.find(id, view.now);
-    if (!entry || entry->age > loadFreshness || view.poolLoad.slots == 0)
-        return false;
-    const auto bound = boundOf(view, *entry);
-    return loadOf(*entry) >= bound + std::max(overMargin, bound / 4);
-}
-
 auto relativeLoad(const PlacementView &view, UpstreamId id) -> double
 {
     const auto entry = view.loads.find(id, view.now);
@@ -160,6 +149,17 @@
 
 } // namespace
 
+// A chat leaves its context only for a member that would refuse it even if the load heard of is
+// somewhat old: a needless move costs a cold start, a needless try costs one refusal.
+auto isClearlyOver(const PlacementView &view, UpstreamId id) -> bool
+{
+    const auto entry = view.loads.find(id, view.now);
+    if (!entry || entry->age > loadFreshness || view.poolLoad.slots == 0)
+        return false;
+    const auto bound = boundOf(view, *entry);
+    return loadOf(*entry) >= bound + std::max(overMargin, bound / 4);
+}
+
 auto placeByContext(const PlacementView &view, Random &random) -> std::vector<UpstreamId>
 {
     if (view.chat == 0)
@@ -221,6 +221,18 @@
     return ids;
 }
 
+auto chatHome(const Pool &pool, ChatKey chat, std::string_view ownDataCenter) -> UpstreamId
+{
+    Ranked best;
+    for (const auto &member : pool.members) {
+        const auto foreign = pool.preferOwnDataCenter && member.dataCenter != ownDataCenter;
+        const Ranked ranked{foreign, weightedScore(member, chat), member.id};
+        if (best.id == 0 || ranked < best)
+            best = ranked;
+    }
+    return best.id;
+}
+
 auto rendezvousOrder(const Pool &pool, std::uint64_t key, std::size_t count)
     -> std::vector<UpstreamId>
 {
--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -112,6 +112,7 @@
         return;
     const auto received = exchange->answer.received;
     if (!exchange->answer.headSent || chunk.offset > received) {
+        exchange->answer.gap = true;
         askAgain(*exchange);
         return;
     }
@@ -126,6 +127,7 @@
 auto RouterNode::State::passOn(Exchange &exchange, std::string data) -> void
 {
     auto &answer = exchange.answer;
+    answer.gap = false;
     answer.received += data.size();
     if (answer.fromStart)
         answer.hash.append(data);
@@ -158,17 +160,19 @@
         return;
     }
     exchange->answer.end = std::move(end);
-    if (!exchange->answer.headSent || exchange->answer.received < exchange->answer.end->length)
-        askAgain(*exchange);
-    else
+    if (exchange->answer.headSent && exchange->answer.received >= exchange->answer.end->length) {
         finish(*exchange);
+        return;
+    }
+    exchange->answer.gap = true;
+    askAgain(*exchange);
 }
 
 auto RouterNode::State::finish(Exchange &exchange) -> void
 {
     auto &answer = exchange.answer;
     const auto whole = answer.received == answer.end->length
-        && (!answer.fromStart || answer.hash.value() == answer.end->hash);
+        && (!answer.fromStart || answer.end->hash == 0 || answer.hash.value() == answer.end->hash);
     if (!whole) {
         // One would notice a summary with a part missing or twice; the caller is told instead.
         fail(exchange,
@@ -236,6 +240,14 @@
         // The life that this was addressed to may have run it before it ended.
         failure = {ErrorKind::OutcomeUnknown, Run::Unknown, "the sidecar restarted", std::nullopt};
     }
+    if (exchange.terms.runOnce)
+        exchange.run = failure.run; // All sends of a key meet at this sidecar.
+    if (failure.kind == ErrorKind::AnswerLost && failure.run == Run::NotRun
+        && exchange.kind == ExchangeKind::Request && !exchange.answer.headSent) {
+        // Asked about a submit that never reached it, the sidecar has barred that attempt.
+        resubmit(exchange);
+        return;
+    }
     if (failure.kind == ErrorKind::UpstreamCrashed && crash(exchange, failure))
         return;
     if (exchange.answer.headSent)
@@ -259,7 +271,7 @@
         exchange.redirect = refusal.redirect;
     }
     leaveUpstream(exchange, std::string(answerFor(failure.kind).name));
-    retry(exchange, !redirects);
+    advance(exchange, redirects ? AttemptCost::Free : AttemptCost::OneRetry);
 }
 
 // True when the exchange is over: a request that saw two upstreams die is not given a third.
--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -5,7 +5,18 @@
 
 namespace applehatch::core {
 
-auto RouterNode::State::advance(Exchange &exchange) -> void
+namespace {
+
+// An engine keeps a stream when only its sidecar restarts, and the next life can go on with it.
+auto engineMayHold(const Exchange &exchange) -> bool
+{
+    return exchange.answer.headSent && exchange.answer.stream && !exchange.terms.runOnce
+        && exchange.pool.pool->kind == settings::PoolKind::Model;
+}
+
+} // namespace
+
+auto RouterNode::State::advance(Exchange &exchange, AttemptCost cost) -> void
 {
     if (exchange.attempt >= limits::attempts || exchange.hops >= limits::hops) {
         giveUp(exchange, ErrorKind::Overloaded, "no upstream took it");
@@ -22,6 +33,10 @@
         giveUp(exchange, ErrorKind::NoUpstream, "no upstream is left to try");
         return;
     }
+    if (!pay(exchange, cost)) {
+        giveUp(exchange, ErrorKind::Overloaded, "the retry budget is spent");
+        return;
+    }
     ++exchange.hops;
     exchange.upstream = choice->upstream;
     exchange.cause = std::move(choice->cause);
@@ -38,17 +53,16 @@
         openLink(exchange.upstream);
 }
 
-auto RouterNode::State::retry(Exchange &exchange, bool spendsBudget) -> void
+auto RouterNode::State::pay(const Exchange &exchange, AttemptCost cost) -> bool
 {
-    ++counts_.retries;
     auto &budget = budgets_[exchange.terms.team + '/' + exchange.terms.pool];
-    if (spendsBudget && !budget.spend(now_)) {
-        --counts_.retries;
+    if (cost == AttemptCost::OneRetry && !budget.spend(now_)) {
         ++counts_.retriesDenied;
-        giveUp(exchange, ErrorKind::Overloaded, "the retry budget is spent");
-        return;
+        return false;
     }
-    advance(exchange);
+    if (cost != AttemptCost::First)
+        ++counts_.retries;
+    return true;
 }
 
 auto RouterNode::State::giveUp(Exchange &exchange, ErrorKind kind, std::string detail) -> void
@@ -79,14 +93,27 @@
         submit(exchange, link);
         return;
     }
-    if (exchange.submittedTo != link.incarnation) {
+    if (exchange.submittedTo != link.incarnation && !engineMayHold(exchange)) {
         lose(exchange, "its sidecar restarted");
         return;
     }
-    exchange.lostAt.reset();
+    // Not yet well: a link that keeps failing before it says anything must not be reopened without
+    // a pause.
+    exchange.submittedTo = link.incarnation;
     resume(exchange);
 }
 
+auto RouterNode::State::resubmit(Exchange &exchange) -> void
+{
+    if (exchange.attempt >= limits::attempts) {
+        giveUp(exchange, ErrorKind::NoUpstream, "it was not delivered");
+        return;
+    }
+    exchange.phase = ExchangePhase::Waiting;
+    exchange.askedAt.reset();
+    serve(exchange);
+}
+
 auto RouterNode::State::submit(Exchange &exchange, Link &link) -> void
 {
     auto notAfter = link.onSidecarClock(exchange.deadline);
@@ -119,7 +146,7 @@
                    exchange.terms,
                    exchange.call,
                    0,
-                   loads_.freshest(limits::submitLoads, now_)};
+                   recentLoads()};
     if (exchange.cause != "redirect" && exchange.home != exchange.upstream)
         message.movedFrom = exchange.home;
     send(exchange.upstream, std::move(message));
@@ -177,7 +204,7 @@
     }
     exchange.lastKind = ErrorKind::UpstreamFailed;
     leaveUpstream(exchange, "lost");
-    retry(exchange, true);
+    advance(exchange, AttemptCost::OneRetry);
 }
 
 auto RouterNode::State::fail(Exchange &exchange, Failure failure) -> void
--- a/src/core/router-choice.cc
+++ b/src/core/router-choice.cc
@@ -23,6 +23,18 @@
     return left;
 }
 
+// Finding a chat's home is a walk over the pool; with everybody usable and nobody full there is
+// nothing to find.
+auto mayHaveLeftHome(const PlacementView &view, const std::vector<UpstreamId> &order) -> bool
+{
+    if (view.tokenHome != 0)
+        return view.tokenHome != order.front();
+    return view.chat != 0
+        && (view.usable.size() < view.pool.members.size()
+            || std::any_of(order.begin(), order.end(),
+                           [&](UpstreamId id) { return isClearlyOver(view, id); }));
+}
+
 } // namespace
 
 auto RouterNode::State::choose(Exchange &exchange) -> std::optional<Choice>
@@ -33,11 +45,12 @@
         return Choice{exchange.boundTo, exchange.cause.empty() ? "position" : exchange.cause};
     }
     const auto redirect = std::exchange(exchange.redirect, 0);
+    const auto crashed = crashedUpstreams(exchange);
+    if (!crashed.empty())
+        return chooseAfterCrash(exchange, crashed);
     if (redirect != 0 && !contains(exchange.tried, redirect)
         && exchange.pool.member(redirect) != nullptr)
         return Choice{redirect, "redirect"};
-    if (auto choice = chooseAfterCrash(exchange))
-        return choice;
     return chooseByPlacement(exchange);
 }
 
@@ -51,17 +64,19 @@
 
 // The order depends on the request alone, so its copies that arrive through other routers meet at
 // the same second upstream and cannot take down one upstream each.
-auto RouterNode::State::chooseAfterCrash(const Exchange &exchange) -> std::optional<Choice>
+// When that one refuses it, it is not given a third.
+auto RouterNode::State::chooseAfterCrash(const Exchange &exchange,
+                                         const std::vector<UpstreamId> &crashed)
+    -> std::optional<Choice>
 {
-    auto passed = crashedUpstreams(exchange);
-    if (passed.empty())
-        return std::nullopt;
-    passed.insert(passed.end(), exchange.tried.begin(), exchange.tried.end());
     const auto &pool = *exchange.pool.pool;
-    const auto usable = without(poolView(exchange.pool).usable, passed);
+    const auto usable = without(poolView(exchange.pool).usable, crashed);
     for (const auto id : rendezvousOrder(pool, exchange.terms.fingerprint, pool.members.size())) {
-        if (contains(usable, id))
-            return Choice{id, "after-crash"};
+        if (!contains(usable, id))
+            continue;
+        if (contains(exchange.tried, id))
+            return std::nullopt;
+        return Choice{id, "after-crash"};
     }
     return std::nullopt;
 }
@@ -69,11 +84,9 @@
 auto RouterNode::State::chooseByPlacement(Exchange &exchange) -> std::optional<Choice>
 {
     const auto &view = poolView(exchange.pool);
-    auto passed = crashedUpstreams(exchange);
-    passed.insert(passed.end(), exchange.tried.begin(), exchange.tried.end());
-    auto usable = without(view.usable, passed);
+    auto usable = without(view.usable, exchange.tried);
     if (usable.empty())
-        usable = without(view.doubtful, passed);
+        usable = without(view.doubtful, exchange.tried);
     if (usable.empty())
         return std::nullopt;
     const PlacementView asked{*exchange.pool.pool,
@@ -88,11 +101,30 @@
     if (order.empty())
         return std::nullopt;
     const auto chosen = order.front();
+    if (exchange.hops == 0 && mayHaveLeftHome(asked, order))
+        noteHome(exchange, asked, chosen);
     if (chosen == exchange.tokenHome)
         return Choice{chosen, "token"};
     return Choice{chosen, exchange.terms.chat == 0 ? "least-of-two" : "hash"};
 }
 
+// Says in the log why a chat did not go home, and lets a home that is merely full learn where its
+// chat went.
+auto RouterNode::State::noteHome(Exchange &exchange, const PlacementView &view, UpstreamId chosen)
+    -> void
+{
+    const auto *member = exchange.pool.member(
+        view.tokenHome != 0 ? view.tokenHome : chatHome(view.pool, view.chat, view.ownDataCenter));
+    if (member == nullptr || member->id == chosen)
+        return;
+    auto reason = std::string(obstacle(*member, true, now_));
+    if (reason.empty() && isClearlyOver(view, member->id)) {
+        reason = "over-bound";
+        exchange.home = member->id;
+    }
+    exchange.passedOver.push_back({member->id, reason.empty() ? "ranked-lower" : reason});
+}
+
 auto RouterNode::State::poolView(const PoolRef &pool) -> const PoolView &
 {
     auto &view = views_[pool.pool->team + '/' + pool.pool->name];
@@ -125,13 +157,13 @@
     const auto host = hosts_.find(member.sidecar.ip);
     if (host != hosts_.end() && host->second == HostState::Leaving)
         return "leaving-host";
-    if (const auto entry = loads_.find(member.id, now)) {
+    const auto entry = loads_.find(member.id, now);
+    if (entry && entry->state != UpstreamState::Serving) {
         if (entry->state == UpstreamState::Leaving)
             return "leaving";
         if (entry->state == UpstreamState::Down)
             return "down";
-        if (entry->state == UpstreamState::Joining)
-            return "joining";
+        return "joining";
     }
     if (!weakToo)
         return {};
--- a/src/core/router-exchange.h
+++ b/src/core/router-exchange.h
@@ -51,6 +51,7 @@
     std::uint64_t passedOn = 0;
     std::uint64_t consumed = 0;
     std::uint64_t acknowledged = 0;
+    bool gap = false; ///< Something later than `received` arrived.
     std::optional<End> end;
     BodyHash hash;
     EventSplitter events;
--- a/src/core/router-link-events.cc
+++ b/src/core/router-link-events.cc
@@ -77,7 +77,7 @@
         }
         exchange.lastKind = ErrorKind::NoUpstream;
         leaveUpstream(exchange, "link-down");
-        retry(exchange, false);
+        advance(exchange, AttemptCost::Free);
         return;
     }
     const auto firstLoss = !exchange.lostAt;
--- a/src/core/router-node.cc
+++ b/src/core/router-node.cc
@@ -59,13 +59,22 @@
 
 auto RouterNode::State::applyLoads(const std::vector<DigestEntry> &entries) -> void
 {
-    if (loads_.apply(entries, now_) == 0)
-        return;
-    const auto isStopping = [](const DigestEntry &entry) {
-        return entry.state != UpstreamState::Serving;
+    const auto changesState = [this](const DigestEntry &entry) {
+        const auto known = loads_.find(entry.upstream, now_);
+        return entry.state != (known ? known->state : UpstreamState::Serving);
     };
-    if (std::any_of(entries.begin(), entries.end(), isStopping))
+    if (std::any_of(entries.begin(), entries.end(), changesState))
         views_.clear();
+    loads_.apply(entries, now_);
+}
+
+auto RouterNode::State::recentLoads() -> const std::vector<DigestEntry> &
+{
+    if (recentLoads_.empty() || now_ - recentLoadsAt_ > limits::poolViewLifetime) {
+        recentLoads_ = loads_.freshest(limits::submitLoads, now_);
+        recentLoadsAt_ = now_;
+    }
+    return recentLoads_;
 }
 
 auto RouterNode::State::on(DrainRequested & /*event*/) -> void
--- a/src/core/router-requests.cc
+++ b/src/core/router-requests.cc
@@ -31,6 +31,11 @@
     Exchange exchange;
     exchange.request = event.request;
     exchange.origin = event.request;
+    // The key may have been sent before through another router; only its sidecar can say "not
+    // run" then.
+    const auto mayBeResent = event.terms.runOnce || !event.ticket.empty();
+    if (mayBeResent && !event.terms.firstSend)
+        exchange.run = Run::Unknown;
     auto refused = admit(event, exchange);
     if (refused) {
         fail(exchange, std::move(*refused));
@@ -58,7 +63,8 @@
     exchange.terms.pool = exchange.pool.pool->name;
     exchange.terms.chat = chatKey(*exchange.pool.pool, exchange.terms.chat);
     exchange.terms.fingerprint = fingerprintOf(exchange.terms, exchange.call);
-    if (const auto context = parseContext(event.contextToken))
+    const auto context = parseContext(event.contextToken);
+    if (context && exchange.pool.member(context->upstream) != nullptr)
         exchange.tokenHome = context->upstream;
     if (auto failure = checkCrashes(exchange))
         return failure;
@@ -91,7 +97,7 @@
     const auto request = exchange.request;
     exchange.heardAt = now_;
     auto &held = exchanges_.insert_or_assign(request, std::move(exchange)).first->second;
-    advance(held);
+    advance(held, AttemptCost::First);
 }
 
 // A caller that comes back for a stream may be faster than the news that its old connection
@@ -149,6 +155,17 @@
     exchange->leftAt = now_;
 }
 
+// Request ids can be guessed; a guess must not cut off another customer's stream.
+auto RouterNode::State::isOfAnother(const CallerResume &event, const RequestId &origin) -> bool
+{
+    const auto earlier = byOrigin_.find(origin);
+    if (earlier == byOrigin_.end())
+        return false;
+    const auto *exchange = find(earlier->second);
+    return exchange != nullptr
+        && (exchange->terms.team != event.team || exchange->terms.customer != event.customer);
+}
+
 auto RouterNode::State::on(CallerResume &event) -> void
 {
     if (exchanges_.contains(event.request))
@@ -167,8 +184,8 @@
         return;
     }
     exchange.pool = findPoolOf(*settings_, event.team, position->upstream);
-    if (exchange.pool.pool == nullptr) {
-        fail(exchange, {ErrorKind::AnswerLost, Run::Unknown, "its upstream is gone", std::nullopt});
+    if (exchange.pool.pool == nullptr || isOfAnother(event, position->request)) {
+        fail(exchange, {ErrorKind::AnswerLost, Run::Unknown, "no such answer", std::nullopt});
         return;
     }
     exchange.origin = position->request;
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -50,6 +50,13 @@
     Instant madeAt;
 };
 
+/// What an attempt takes from the retry budget.
+enum class AttemptCost {
+    First,
+    Free,     ///< The last one was never sent, or its refusal named where to go.
+    OneRetry, ///< Any other repetition.
+};
+
 /// Where a request goes next, and why.
 struct Choice
 {
@@ -67,6 +74,7 @@
     auto on(DigestReceived &event) -> void;
     auto on(DrainRequested &event) -> void;
     auto on(FromSidecar &event) -> void;
+    [[nodiscard]] auto recentLoads() -> const std::vector<DigestEntry> &;
     auto applyLoads(const std::vector<DigestEntry> &entries) -> void;
     auto sayDrained() -> void;
 
@@ -80,6 +88,7 @@
         -> std::optional<Failure>;
     [[nodiscard]] auto checkCrashes(const Exchange &exchange) -> std::optional<Failure>;
     auto start(Exchange exchange) -> void;
+    [[nodiscard]] auto isOfAnother(const CallerResume &event, const RequestId &origin) -> bool;
     auto supersede(const RequestId &origin) -> void;
 
     // router-tickets.cc
@@ -92,7 +101,10 @@
 
     // router-choice.cc
     [[nodiscard]] auto choose(Exchange &exchange) -> std::optional<Choice>;
-    [[nodiscard]] auto chooseAfterCrash(const Exchange &exchange) -> std::optional<Choice>;
+    [[nodiscard]] auto chooseAfterCrash(const Exchange &exchange,
+                                        const std::vector<UpstreamId> &crashed)
+        -> std::optional<Choice>;
+    auto noteHome(Exchange &exchange, const PlacementView &view, UpstreamId chosen) -> void;
     [[nodiscard]] auto chooseByPlacement(Exchange &exchange) -> std::optional<Choice>;
     [[nodiscard]] auto crashedUpstreams(const Exchange &exchange) const -> std::vector<UpstreamId>;
     [[nodiscard]] auto poolView(const PoolRef &pool) -> const PoolView &;
@@ -109,10 +121,11 @@
                                 const std::vector<UpstreamId> &order) const -> Candidate;
 
     // router-attempts.cc
-    auto advance(Exchange &exchange) -> void;
-    auto retry(Exchange &exchange, bool spendsBudget) -> void;
+    auto advance(Exchange &exchange, AttemptCost cost) -> void;
+    [[nodiscard]] auto pay(const Exchange &exchange, AttemptCost cost) -> bool;
     auto giveUp(Exchange &exchange, ErrorKind kind, std::string detail) -> void;
     auto serve(Exchange &exchange) -> void;
+    auto resubmit(Exchange &exchange) -> void;
     auto submit(Exchange &exchange, Link &link) -> void;
     auto resume(Exchange &exchange) -> void;
     auto leaveUpstream(Exchange &exchange, std::string reason) -> void;
@@ -160,6 +173,8 @@
     Placement placement_;
     Random random_;
     LoadTable loads_;
+    std::vector<DigestEntry> recentLoads_; ///< Sent with each submit; picking them costs a sort.
+    Instant recentLoadsAt_;
     CrashTable crashes_;
     SettingsPtr settings_;
     std::unordered_map<std::string, HostState> hosts_; ///< Empty while unknown.
--- a/src/core/router-tick.cc
+++ b/src/core/router-tick.cc
@@ -46,9 +46,8 @@
         return;
     // A message can be lost on a connection that otherwise works, in the peer's own queue say;
     // the answer would then never go on although heartbeats do.
-    const auto gap =
-        exchange.answer.end || (exchange.askedAt && exchange.heardAt <= *exchange.askedAt);
-    if (now_ - exchange.heardAt >= (gap ? limits::askPeriod : limits::quietExchange))
+    const auto patience = exchange.answer.gap ? limits::askPeriod : limits::quietExchange;
+    if (now_ - exchange.heardAt >= patience)
         askAgain(exchange);
 }
 
--- /dev/null
+++ b/test/core/placement-test.cc
@@ -0,0 +1,158 @@
+#include "applehatch/core/placement.h"
+
+#include "core/router-fixture.h"
+
+#include <map>
+#include <set>
+
+namespace {
+
+using namespace applehatch::core;
+using namespace applehatch::core::test;
+using applehatch::settings::PoolKind;
+
+struct Fleet
+{
+    Pool pool = makePool("drafting", PoolKind::Model, 24);
+    LoadTable loads;
+    Random random{5};
+
+    [[nodiscard]] auto ids() const -> std::vector<UpstreamId>
+    {
+        std::vector<UpstreamId> all;
+        for (const auto &member : pool.members)
+            all.push_back(member.id);
+        return all;
+    }
+
+    auto load(UpstreamId id, std::uint32_t running) -> void
+    {
+        loads.apply({{id, 1, ++version, running, 0, 8, UpstreamState::Serving, 0us}}, start);
+    }
+
+    [[nodiscard]] auto view(ChatKey chat, std::vector<UpstreamId> usable, UpstreamId home = 0) const
+        -> PlacementView
+    {
+        return {
+            pool, loads, chat, home, std::move(usable), "bole", start, loads.poolLoad(pool, start)};
+    }
+
+    std::uint32_t version = 0;
+};
+
+constexpr std::uint64_t chats = 2000;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(placement)
+
+// An upstream that flaps drops out of the lists of some routers for seconds. Were other chats to
+// move with it, each flap would cost contexts all over the pool.
+BOOST_AUTO_TEST_CASE(a_flapping_member_moves_only_its_own_chats)
+{
+    Fleet fleet;
+    const auto all = fleet.ids();
+    auto less = all;
+    less.erase(less.begin() + 3);
+    std::uint32_t moved = 0;
+    for (std::uint64_t chat = 1; chat <= chats; ++chat) {
+        const auto before = placeByContext(fleet.view(chat, all), fleet.random).front();
+        const auto during = placeByContext(fleet.view(chat, less), fleet.random).front();
+        if (before == all[3])
+            ++moved;
+        else
+            BOOST_TEST(before == during);
+    }
+    BOOST_TEST(moved > 0U);
+    BOOST_TEST(moved < 2 * chats / all.size());
+}
+
+BOOST_AUTO_TEST_CASE(members_get_chats_in_proportion_to_their_slots)
+{
+    Fleet fleet;
+    fleet.pool.members[0].slots = 24;
+    std::map<UpstreamId, std::uint32_t> counts;
+    for (std::uint64_t chat = 1; chat <= 20 * chats; ++chat)
+        ++counts[chatHome(fleet.pool, chat, "bole")];
+    const auto share = 20.0 * chats / (24 + 23 * 8);
+    BOOST_TEST(counts[fleet.pool.members[0].id] > 24 * share * 0.9);
+    BOOST_TEST(counts[fleet.pool.members[0].id] < 24 * share * 1.1);
+    BOOST_TEST(counts[fleet.pool.members[1].id] < 8 * share * 1.15);
+}
+
+BOOST_AUTO_TEST_CASE(own_data_centre_comes_first_where_the_pool_says_so)
+{
+    Fleet fleet;
+    fleet.pool.preferOwnDataCenter = true;
+    for (const ChatKey chat : {0, 1, 2, 3, 4, 5, 6, 7}) {
+        const auto order = placeByContext(fleet.view(chat, fleet.ids()), fleet.random);
+        BOOST_TEST(order.size() == placementDepth);
+        for (std::size_t i = 0; i < order.size(); ++i) {
+            const auto row = std::find_if(fleet.pool.members.begin(), fleet.pool.members.end(),
+                                          [&](const auto &each) { return each.id == order[i]; });
+            BOOST_TEST((row->dataCenter == "bole") == (i < 12));
+        }
+    }
+}
+
+// What was heard of a home's load is a second old. A chat that leaves for a small excess pays for
+// its whole context again; one that insists on a buried home only collects refusals.
+BOOST_AUTO_TEST_CASE(a_chat_leaves_its_home_only_when_that_is_clearly_over)
+{
+    struct Row
+    {
+        std::uint32_t homeLoad;
+        bool stays;
+    };
+    for (const auto viaToken : {false, true}) {
+        for (const auto &row : {Row{4, true}, Row{6, true}, Row{7, true}, Row{40, false}}) {
+            Fleet fleet;
+            const auto all = fleet.ids();
+            for (const auto id : all)
+                fleet.load(id, 4);
+            const auto home = viaToken ? all[5] : chatHome(fleet.pool, 9, "bole");
+            fleet.load(home, row.homeLoad);
+            const auto view = fleet.view(9, all, viaToken ? home : 0);
+            const auto order = placeByContext(view, fleet.random);
+            BOOST_TEST((order.front() == home) == row.stays);
+            BOOST_TEST(isClearlyOver(view, home) == !row.stays);
+            BOOST_TEST(std::set<UpstreamId>(order.begin(), order.end()).size() == order.size());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(without_a_chat_the_lesser_loaded_of_two_takes_it)
+{
+    Fleet fleet;
+    const std::vector<UpstreamId> two{fleet.pool.members[0].id, fleet.pool.members[1].id};
+    fleet.load(two[0], 6);
+    fleet.load(two[1], 2);
+    for (auto round = 0; round < 20; ++round)
+        BOOST_TEST(placeByContext(fleet.view(0, two), fleet.random).front() == two[1]);
+    // A token without a chat still leads to the context.
+    BOOST_TEST(placeByContext(fleet.view(0, two, two[0]), fleet.random).front() == two[0]);
+}
+
+BOOST_AUTO_TEST_CASE(every_hook_gives_usable_members_once_and_the_bounded_ones_pass_over_the_full)
+{
+    Fleet fleet;
+    const auto all = fleet.ids();
+    for (const auto id : all)
+        fleet.load(id, 4);
+    const std::vector<UpstreamId> usable(all.begin() + 4, all.end());
+    for (const auto &hook : std::vector<Placement>{placeByContext, placeRandom, placeLeastOfTwo,
+                                                   placeRendezvousLive, placeConsistentBounded}) {
+        const auto order = hook(fleet.view(3, usable), fleet.random);
+        BOOST_TEST(!order.empty());
+        const std::set<UpstreamId> once(order.begin(), order.end());
+        BOOST_TEST(once.size() == order.size());
+        for (const auto id : order)
+            BOOST_TEST((std::find(usable.begin(), usable.end(), id) != usable.end()));
+        BOOST_TEST(hook(fleet.view(3, {}), fleet.random).empty());
+    }
+    const auto first = placeConsistentBounded(fleet.view(3, usable), fleet.random).front();
+    fleet.load(first, 40);
+    BOOST_TEST(placeConsistentBounded(fleet.view(3, usable), fleet.random).back() == first);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/core/router-fixture.h
+++ b/test/core/router-fixture.h
@@ -90,6 +90,18 @@
         return feed(LinkUp{upstream, incarnation, now + clockOffset});
     }
 
+    /// Opens a link to every engine.
+    auto upAll() -> void
+    {
+        for (const auto &each : engines())
+            up(each.id);
+    }
+
+    [[nodiscard]] auto engines() const -> const std::vector<settings::Member> &
+    {
+        return node.settings()->teams.at("ledger")->pools.at("drafting").members;
+    }
+
     /// Ticks every 50 ms for `time`, answering heartbeats of `alive` upstreams.
     auto pass(Duration time, const std::vector<UpstreamId> &alive = {}) -> void
     {
