--- /dev/null
+++ b/test/core/sidecar-answers-test.cc
@@ -0,0 +1,170 @@
+#include "core/sidecar-fixture.h"
+
+using namespace applehatch::core;
+using namespace applehatch::core::test;
+
+namespace {
+
+auto modelPool(std::uint32_t slots = 4) -> Pool
+{
+    auto pool = poolOf(1, slots);
+    pool.kind = applehatch::settings::PoolKind::Model;
+    return pool;
+}
+
+auto servicePool() -> Pool
+{
+    auto pool = poolOf(1, 4);
+    pool.kind = applehatch::settings::PoolKind::Service;
+    return pool;
+}
+
+auto joined(const std::vector<Chunk> &chunks) -> std::string
+{
+    std::string body;
+    for (const auto &chunk : chunks)
+        body += chunk.data;
+    return body;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(sidecar_answers)
+
+// The router's link dies in mid-answer. It, or another router, asks on a new link for the rest:
+// the caller must get each byte once, then the live ones, then the end.
+BOOST_AUTO_TEST_CASE(rest_of_an_answer_then_live)
+{
+    for (const std::uint64_t offset : {0U, 2U, 5U}) {
+        Sidecar sidecar(modelPool());
+        const auto run = sidecar.run(sidecar.request("r1"));
+        sidecar.give(RunHead{run, 200, {}, false}).give(RunChunk{run, "abcde"});
+        sidecar.give(PeerLinkDown{routerLink}).give(PeerLinkUp{2});
+        sidecar.pass(10s);
+        BOOST_TEST(sidecar.did<CancelRun>().empty());
+        sidecar.from(Resume{"r1", "tai/c1", offset}, 2);
+        auto body = joined(sidecar.sent<Chunk>(2));
+        BOOST_TEST(body == std::string("abcde").substr(offset));
+        sidecar.give(RunChunk{run, "fg"});
+        BOOST_TEST(sidecar.sent<Chunk>(2).at(0).offset == 5U);
+        sidecar.give(RunEnd{run});
+        BOOST_TEST(sidecar.sent<End>(2).at(0).length == 7U);
+        sidecar.pass(59s);
+        sidecar.from(Resume{"r1", "tai/c1", offset}, 2);
+        BOOST_TEST(joined(sidecar.sent<Chunk>(2)) == std::string("abcdefg").substr(offset));
+        BOOST_TEST(sidecar.sent<End>(2).size() == 1U);
+        sidecar.from(Acknowledge{"r1", 7, true}, 2);
+        BOOST_TEST(sidecar.node().counts().answerBytes == 0U);
+    }
+}
+
+// Somebody learnt a request id and asks for another customer's answer.
+BOOST_AUTO_TEST_CASE(answers_are_given_to_their_customer_only)
+{
+    Sidecar sidecar(modelPool());
+    const auto submit = sidecar.request("r1");
+    const auto run = sidecar.run(submit);
+    sidecar.answer(run, "secret");
+    sidecar.from(Resume{"r1", "tai/c2", 0});
+    BOOST_TEST(told(sidecar.refusal()) == "answer-lost/unknown");
+    BOOST_TEST(sidecar.sent<Chunk>().empty());
+    auto other = submit;
+    other.terms.customer = "c2";
+    sidecar.from(other);
+    BOOST_TEST(told(sidecar.refusal()) == "answer-lost/unknown");
+    BOOST_TEST(sidecar.did<StartRun>().empty());
+}
+
+// The router is gone for good. Its run must not hold a slot until its deadline.
+BOOST_AUTO_TEST_CASE(unread_runs_stop_after_the_grace)
+{
+    Sidecar sidecar(modelPool());
+    sidecar.run(sidecar.request("r1"));
+    sidecar.give(PeerLinkDown{routerLink});
+    sidecar.pass(14s);
+    BOOST_TEST(sidecar.did<CancelRun>().empty());
+    sidecar.pass(1s);
+    BOOST_TEST(sidecar.did<CancelRun>().size() == 1U);
+    BOOST_TEST(sidecar.node().counts().running == 0U);
+}
+
+// The sidecar restarted under a stream that its engine still holds.
+BOOST_AUTO_TEST_CASE(streams_go_on_after_a_restart)
+{
+    Sidecar before(modelPool());
+    before.from(before.request("r1"));
+    const auto name = before.did<StartRun>().at(0).request;
+
+    Sidecar after(modelPool(), {}, 8);
+    after.from(Resume{"r1", "tai/c1", 100});
+    const auto start = after.did<StartRun>().at(0);
+    BOOST_TEST(start.resumeFrom == 100U);
+    BOOST_TEST(start.request == name);
+    after.give(RunHead{start.run, 200, {}, false}).give(RunChunk{start.run, "xy"});
+    BOOST_TEST(after.sent<Chunk>().at(0).offset == 100U);
+    after.give(RunEnd{start.run});
+    BOOST_TEST(after.sent<End>().at(0).length == 102U);
+    BOOST_TEST(after.sent<End>().at(0).hash == 0U);
+
+    after.from(Resume{"r1", "tai/c1", 20});
+    BOOST_TEST(told(after.refusal()) == "answer-lost/ran");
+    after.from(Resume{"r2", "tai/c2", 0});
+    BOOST_TEST(after.did<StartRun>().at(0).request != name);
+    after.give(RunHead{after.started(), 404, {}, false});
+    BOOST_TEST(told(after.refusal()) == "answer-lost/unknown");
+
+    Sidecar service(servicePool());
+    service.from(Resume{"r1", "tai/c1", 0});
+    BOOST_TEST(told(service.refusal()) == "answer-lost/unknown");
+    BOOST_TEST(service.did<StartRun>().empty());
+}
+
+// A caller reads more slowly than the engine writes. Memory is bounded; the caller is told.
+BOOST_AUTO_TEST_CASE(answers_beyond_what_is_kept_are_stopped)
+{
+    SidecarLimits limits;
+    limits.answerBytesEach = 10;
+    Sidecar sidecar(modelPool(), limits);
+    const auto run = sidecar.run(sidecar.request("r1"));
+    sidecar.give(RunChunk{run, "12345678"}).from(Acknowledge{"r1", 8, false});
+    sidecar.give(RunChunk{run, "12345678"});
+    BOOST_TEST(sidecar.did<CancelRun>().empty());
+    sidecar.give(RunChunk{run, "123"});
+    BOOST_TEST(sidecar.did<CancelRun>().size() == 1U);
+    BOOST_TEST(told(sidecar.refusal()) == "answer-lost/ran");
+}
+
+// Something between the two ends loses track of a connection: it stays open and carries nothing.
+// The router sees a stalled answer until the link is closed and it resumes on a new one.
+BOOST_AUTO_TEST_CASE(silent_links_are_closed)
+{
+    Sidecar sidecar(modelPool());
+    sidecar.give(PeerLinkUp{2});
+    BOOST_TEST(sidecar.sent<Heartbeat>(2).at(0).incarnation == 7U);
+    BOOST_TEST((sidecar.sent<Heartbeat>(2).at(0).clock == sidecar.now));
+    sidecar.pass(10s);
+    BOOST_TEST(sidecar.sent<Heartbeat>(2).empty());
+    sidecar.from(sidecar.request("r1"), 2);
+    sidecar.pass(3s);
+    BOOST_TEST(sidecar.sent<Heartbeat>(2).size() >= 2U);
+    BOOST_TEST(sidecar.did<ClosePeer>().empty());
+    sidecar.from(Heartbeat{}, 2);
+    sidecar.pass(3900ms);
+    BOOST_TEST(sidecar.did<ClosePeer>().empty());
+    sidecar.pass(200ms);
+    BOOST_TEST(sidecar.did<ClosePeer>().at(0).link == 2U);
+    BOOST_TEST(sidecar.did<ClosePeer>().size() == 1U);
+    BOOST_TEST(sidecar.did<CancelRun>().empty());
+}
+
+// The sidecar itself slept. It was deaf, the links were not silent.
+BOOST_AUTO_TEST_CASE(own_sleep_closes_no_link)
+{
+    Sidecar sidecar(modelPool());
+    sidecar.run(sidecar.request("r1"));
+    sidecar.now += 30s;
+    sidecar.give(Tick{});
+    BOOST_TEST(sidecar.did<ClosePeer>().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/core/sidecar-fixture.h
+++ b/test/core/sidecar-fixture.h
@@ -82,6 +82,19 @@
         return *this;
     }
 
+    /// Lets time pass with a router that sends its heartbeats.
+    auto passAlive(Duration time) -> Sidecar &
+    {
+        std::vector<SidecarAction> seen;
+        for (const auto end = now + time; now < end;) {
+            pass(std::min<Duration>(1s, end - now));
+            seen.insert(seen.end(), last.begin(), last.end());
+            from(Heartbeat{});
+        }
+        last = seen;
+        return *this;
+    }
+
     auto report(const std::string &epoch, std::vector<std::string> models = {},
                 std::uint64_t fence = 0) -> Sidecar &
     {
