--- a/test/core/router-answers-test.cc
+++ b/test/core/router-answers-test.cc
@@ -1,5 +1,7 @@
 #include "core/router-fixture.h"
 
+#include "../src/core/router-body.h"
+
 namespace {
 
 using namespace applehatch::core;
@@ -53,4 +55,167 @@
     BOOST_TEST(bench.node.counts().inFlight == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(events_are_cut_at_blank_lines_however_the_bytes_arrive)
+{
+    const std::vector<std::pair<std::string, std::vector<std::string>>> rows = {
+        {"data: a\n\ndata: b\n\n", {"data: a\n\n", "data: b\n\n"}},
+        {"a\r\n\r\nb\r\n\r\n", {"a\r\n\r\n", "b\r\n\r\n"}},
+        {"a\r\rb\n\n", {"a\r\r", "b\n\n"}},
+        {"a\nb\n\nrest", {"a\nb\n\n", "rest"}},
+        {"a\n\r\nb\r\n\n", {"a\n\r\n", "b\r\n\n"}},
+        {"\n: ping\n\n", {"\n", ": ping\n\n"}},
+        {"", {}},
+    };
+    for (const auto &[body, events] : rows) {
+        for (std::size_t cut = 1; cut <= body.size() + 1; ++cut) {
+            EventSplitter splitter;
+            std::vector<std::string> got;
+            for (std::size_t at = 0; at < body.size(); at += cut) {
+                for (auto &event : splitter.append(std::string_view(body).substr(at, cut)))
+                    got.push_back(std::move(event));
+            }
+            if (auto rest = splitter.takeRest(); !rest.empty())
+                got.push_back(std::move(rest));
+            BOOST_TEST(got == events, boost::test_tools::per_element());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_hash_in_parts_is_the_stable_hash)
+{
+    std::string body;
+    BodyHash hash;
+    BOOST_TEST(hash.value() == stableHash(""));
+    for (auto i = 0; i < 300; ++i) {
+        const auto part = std::string(static_cast<std::size_t>(i % 7), static_cast<char>(i));
+        body += part;
+        hash.append(part);
+    }
+    BOOST_TEST(hash.value() == stableHash(body));
+}
+
+// Messages cross and repeat when a link is replaced. A part taken twice or left out would reach an
+// officer as a summary that reads well and is wrong.
+BOOST_AUTO_TEST_CASE(chunks_are_taken_by_offset_alone)
+{
+    struct Row
+    {
+        std::string what;
+        std::vector<std::pair<std::uint64_t, std::string>> chunks;
+        std::string passedOn;
+        std::size_t resumes;
+    };
+    const std::vector<Row> rows = {
+        {"in order", {{0, "ab"}, {2, "cd"}}, "abcd", 0},
+        {"twice", {{0, "ab"}, {0, "ab"}, {2, "cd"}, {0, "abcd"}}, "abcd", 0},
+        {"overlapping", {{0, "ab"}, {1, "bcd"}}, "abcd", 0},
+        {"gap", {{2, "cd"}}, "", 1},
+        {"gap seen often", {{0, "a"}, {2, "c"}, {3, "d"}}, "a", 1},
+        {"gap filled", {{2, "cd"}, {0, "ab"}, {2, "cd"}}, "abcd", 1},
+    };
+    for (const auto &row : rows) {
+        Bench bench;
+        bench.feed(serviceRequest("r1", "GET"));
+        const auto upstream = bench.openAsked();
+        bench.from(upstream, Head{"r1", 1, 200, {}, false, false});
+        for (const auto &[offset, data] : row.chunks)
+            bench.from(upstream, Chunk{"r1", offset, data});
+        BOOST_TEST_CONTEXT(row.what)
+        {
+            BOOST_TEST(bench.body("r1") == row.passedOn);
+            const auto resumes = Bench::sent<Resume>(bench.all);
+            BOOST_TEST(resumes.size() == row.resumes);
+            bench.from(upstream, End{"r1", 4, stableHash("abcd"), {}});
+            const auto isWhole = row.passedOn == "abcd";
+            BOOST_TEST(Bench::of<AnswerEnd>(bench.last).size() == (isWhole ? 1U : 0U));
+            BOOST_TEST(bench.failures().empty());
+        }
+    }
+}
+
+// An answer that is not the one the sidecar sent must end in a failure, never quietly.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_not_whole_ends_in_a_failure)
+{
+    for (const auto &end :
+         {End{"r1", 3, stableHash("abc"), {}}, End{"r1", 4, stableHash("abxd"), {}}}) {
+        Bench bench;
+        bench.feed(chatRequest("r1"));
+        const auto upstream = bench.openAsked();
+        bench.from(upstream, Head{"r1", 1, 200, {}, false, false});
+        bench.from(upstream, Chunk{"r1", 0, "abcd"});
+        bench.from(upstream, end);
+        BOOST_TEST(Bench::of<AnswerEnd>(bench.all).empty());
+        BOOST_REQUIRE(bench.failures().size() == 1U);
+        BOOST_TEST((bench.failures()[0].failure.kind == ErrorKind::UpstreamFailed));
+        BOOST_TEST((bench.failures()[0].failure.run == Run::Ran));
+    }
+}
+
+// A chunk, an end or a whole submit is lost on a link that otherwise lives.
+BOOST_AUTO_TEST_CASE(a_quiet_exchange_on_a_live_link_is_asked_about)
+{
+    Bench bench;
+    bench.feed(chatRequest("r1"));
+    const auto upstream = bench.openAsked();
+    bench.pass(4900ms, {upstream});
+    BOOST_TEST(Bench::sent<Resume>(bench.all).empty());
+    bench.pass(200ms, {upstream});
+    BOOST_TEST(Bench::sent<Resume>(bench.all).size() == 1U);
+    bench.from(upstream, Head{"r1", 1, 200, {}, false, false});
+    bench.from(upstream, End{"r1", 4, stableHash("abcd"), {}});
+    BOOST_TEST(Bench::sent<Resume>(bench.all).size() == 1U);
+    bench.pass(1s, {upstream});
+    BOOST_TEST(Bench::sent<Resume>(bench.all).size() == 2U);
+    bench.from(upstream, Chunk{"r1", 0, "abcd"});
+    BOOST_TEST(Bench::of<AnswerEnd>(bench.last).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_upstreams_headers_pass_but_never_speak_for_us)
+{
+    Bench bench;
+    bench.feed(chatRequest("r1"));
+    const auto upstream = bench.openAsked();
+    bench.from(upstream,
+               Head{"r1", 1, 207, {{"X-Sheet", "7"}, {"applehatch-Context", "1.1"}}, false, false});
+    const auto head = Bench::of<AnswerHead>(bench.last).at(0);
+    BOOST_TEST(head.status == 207);
+    BOOST_TEST(head.headers.size() == 4U);
+    BOOST_TEST(head.headers[0].second == "7");
+    for (const auto &[name, value] : head.headers)
+        BOOST_TEST(value != "1.1");
+}
+
+BOOST_AUTO_TEST_CASE(progress_is_acknowledged_in_steps_and_never_beyond_what_was_passed_on)
+{
+    Bench bench;
+    bench.feed(chatRequest("r1"));
+    const auto upstream = bench.openAsked();
+    bench.from(upstream, Head{"r1", 1, 200, {}, false, false});
+    const std::string body(100000, 'x');
+    bench.from(upstream, Chunk{"r1", 0, body});
+    std::vector<std::uint64_t> acknowledged;
+    for (const auto offset : {1000U, 32767U, 32768U, 40000U, 65536U, 900000U}) {
+        for (const auto &message :
+             Bench::sent<Acknowledge>(bench.feed(CallerConsumed{"r1", offset}))) {
+            BOOST_TEST(!message.finished);
+            acknowledged.push_back(message.offset);
+        }
+    }
+    BOOST_TEST(acknowledged == (std::vector<std::uint64_t>{32768, 65536, 100000}),
+               boost::test_tools::per_element());
+    bench.from(upstream, End{"r1", body.size(), stableHash(body), {}});
+    BOOST_TEST(Bench::sent<Acknowledge>(bench.last).at(0).finished);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_for_good_has_its_run_stopped)
+{
+    Bench bench;
+    bench.feed(chatRequest("r1"));
+    const auto upstream = bench.openAsked();
+    bench.feed(CallerGone{"r1"});
+    BOOST_TEST(Bench::sent<Revoke>(bench.last).at(0).attempt == 1U);
+    BOOST_TEST(bench.node.counts().inFlight == 0U);
+    BOOST_TEST(bench.from(upstream, Chunk{"r1", 0, "late"}).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
