--- a/src/core/sidecar-crashes.cc
+++ b/src/core/sidecar-crashes.cc
@@ -25,6 +25,7 @@
 {
     ++reportsSincePause;
     report = event;
+    reportAt = now;
     if (!event.reachable) {
         if (!inPhase(JobPhase::Lost).empty())
             declareCrash("unreachable");
--- a/src/core/sidecar-orders.cc
+++ b/src/core/sidecar-orders.cc
@@ -29,7 +29,7 @@
             .add("detail", event.detail));
     if (event.done) {
         orderFailures = 0;
-        orderNotBefore = now + reportLag;
+        reportWantedAfter = now + reportLag;
         return;
     }
     // The weight store limits its rate; all engines of a rollout asking again at once would keep
@@ -46,7 +46,7 @@
     // An engine that ignores fencing numbers obeys a sidecar that slept as well as any other.
     const auto hasReread =
         pool.fencing == settings::Fencing::Honored || reportsSincePause >= reportsToTrust;
-    return hasReread && now >= orderNotBefore;
+    return hasReread && now >= orderNotBefore && reportAt >= reportWantedAfter;
 }
 
 auto SidecarNode::State::considerOrder() -> void
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -168,6 +168,8 @@
     std::optional<std::uint64_t> outstandingOrder;
     Instant orderGivenAt;
     Instant orderNotBefore;
+    Instant reportAt;
+    Instant reportWantedAfter; ///< Older reports may not show the last order's effect.
     std::uint32_t orderFailures = 0;
     std::uint32_t reportsSincePause = 0;
     bool ordersStopped = false;
