--- a/test/schedule/world-impl.h
+++ b/test/schedule/world-impl.h
@@ -12,6 +12,7 @@
     core::Duration clockOffset{0};
     std::uint64_t life = 0;
     core::Instant pausedUntil{};
+    std::deque<core::RouterEvent> inbox; ///< What arrived during a pause.
     std::map<core::UpstreamId, LinkPtr> links;
     std::map<core::UpstreamId, std::deque<core::Message>> waiting; ///< While a link opens.
 };
@@ -29,6 +30,7 @@
     std::unique_ptr<core::SidecarNode> node;
     core::Duration clockOffset{0};
     core::Instant pausedUntil{};
+    std::deque<core::SidecarEvent> inbox; ///< What arrived during a pause.
     core::Instant engineDownUntil{};
     std::uint64_t engineEpoch = 1;
     bool model = true;
--- a/test/schedule/world.cc
+++ b/test/schedule/world.cc
@@ -134,6 +134,7 @@
 {
     ++router.life;
     router.pausedUntil = {};
+    router.inbox.clear();
     router.links.clear();
     router.waiting.clear();
     router.identity.seed = random_();
@@ -147,6 +148,7 @@
     sidecar.identity.incarnation += 1000000;
     sidecar.identity.seed = random_();
     sidecar.pausedUntil = {};
+    sidecar.inbox.clear();
     sidecar.running.clear();
     sidecar.draining = false;
     sidecar.seenWhileLeaving.clear();
@@ -168,34 +170,52 @@
 }
 
 // A paused process takes everything that happened meanwhile when it wakes, in order.
-auto World::toRouter(Router &router, core::RouterEvent event) -> void
+template <typename Process, typename Event>
+auto World::defer(Process &process, Event event) -> void
 {
-    if (now_ < router.pausedUntil) {
-        if (std::holds_alternative<core::Tick>(event))
-            return;
-        const auto life = router.life;
-        at(router.pausedUntil, [this, &router, life, event = std::move(event)] {
-            if (router.life == life)
-                toRouter(router, event);
-        });
+    if (std::holds_alternative<core::Tick>(event))
+        return;
+    process.inbox.push_back(std::move(event));
+    if (process.inbox.size() == 1)
+        at(process.pausedUntil, [this, &process] { wake(process); });
+}
+
+template <typename Process>
+auto World::wake(Process &process) -> void
+{
+    if (now_ < process.pausedUntil) {
+        at(process.pausedUntil, [this, &process] { wake(process); });
         return;
     }
+    const auto missed = std::exchange(process.inbox, {});
+    for (const auto &event : missed)
+        take(process, event);
+}
+
+auto World::toRouter(Router &router, core::RouterEvent event) -> void
+{
+    if (now_ < router.pausedUntil || !router.inbox.empty())
+        defer(router, std::move(event));
+    else
+        take(router, std::move(event));
+}
+
+auto World::toSidecar(Sidecar &sidecar, core::SidecarEvent event) -> void
+{
+    if (now_ < sidecar.pausedUntil || !sidecar.inbox.empty())
+        defer(sidecar, std::move(event));
+    else
+        take(sidecar, std::move(event));
+}
+
+auto World::take(Router &router, core::RouterEvent event) -> void
+{
     for (auto &action : router.node->handle(std::move(event), now_ + router.clockOffset))
         act(router, std::move(action));
 }
 
-auto World::toSidecar(Sidecar &sidecar, core::SidecarEvent event) -> void
+auto World::take(Sidecar &sidecar, core::SidecarEvent event) -> void
 {
-    if (now_ < sidecar.pausedUntil) {
-        if (std::holds_alternative<core::Tick>(event))
-            return;
-        const auto life = sidecar.identity.incarnation;
-        at(sidecar.pausedUntil, [this, &sidecar, life, event = std::move(event)] {
-            if (sidecar.identity.incarnation == life)
-                toSidecar(sidecar, event);
-        });
-        return;
-    }
     for (auto &action : sidecar.node->handle(std::move(event), now_ + sidecar.clockOffset))
         act(sidecar, std::move(action));
 }
--- a/test/schedule/world.h
+++ b/test/schedule/world.h
@@ -74,6 +74,12 @@
 
     auto toRouter(Router &router, core::RouterEvent event) -> void;
     auto toSidecar(Sidecar &sidecar, core::SidecarEvent event) -> void;
+    template <typename Process, typename Event>
+    auto defer(Process &process, Event event) -> void;
+    template <typename Process>
+    auto wake(Process &process) -> void;
+    auto take(Router &router, core::RouterEvent event) -> void;
+    auto take(Sidecar &sidecar, core::SidecarEvent event) -> void;
     auto act(Router &router, core::RouterAction action) -> void;
     auto act(Sidecar &sidecar, core::SidecarAction action) -> void;
 
