Share key ownership and ticket keys between router and sidecar

Cause: router and sidecar scored members and named keys each in their own way, so every run-once request would have met a sidecar that does not own its key. Both packages' private headers also named types Link and Answer alike, which the linker may merge. Ruled out: teaching the sidecar both ways; a caller's own key could then pass for a ticket. Change: the router takes rendezvousScore, runOnceHash and ticketKey, and names the addressed life in Revoke; the sidecar's types are PeerLink and StoredAnswer.

--- a/include/applehatch/core/answer-store.h
+++ b/include/applehatch/core/answer-store.h
@@ -14,13 +14,13 @@
 namespace applehatch::core {
 
 /// The bytes of one answer from `base` on, and the hash of everything appended.
-class Answer
+class StoredAnswer
 {
 public:
-    explicit Answer(std::uint64_t base = 0);
-    ~Answer();
-    Answer(Answer &&other) noexcept;
-    auto operator=(Answer &&other) noexcept -> Answer &;
+    explicit StoredAnswer(std::uint64_t base = 0);
+    ~StoredAnswer();
+    StoredAnswer(StoredAnswer &&other) noexcept;
+    auto operator=(StoredAnswer &&other) noexcept -> StoredAnswer &;
 
     auto append(std::string_view data) -> void;
 
@@ -70,7 +70,7 @@
     auto drop(std::uint64_t run) -> void;
 
     /// Null when the answer is not kept.
-    [[nodiscard]] auto find(std::uint64_t run) const -> const Answer *;
+    [[nodiscard]] auto find(std::uint64_t run) const -> const StoredAnswer *;
 
     /// Drops the finished answers whose lifetime has passed, and names them.
     auto expire(Instant now) -> std::vector<std::uint64_t>;
@@ -81,7 +81,7 @@
 private:
     struct Held
     {
-        Answer answer;
+        StoredAnswer answer;
         std::uint64_t acknowledged = 0;
         bool finished = false;
     };
--- a/src/core/answer-store.cc
+++ b/src/core/answer-store.cc
@@ -6,7 +6,7 @@
 
 namespace applehatch::core {
 
-struct Answer::Hasher
+struct StoredAnswer::Hasher
 {
     struct Free
     {
@@ -18,23 +18,23 @@
     Hasher() { XXH3_64bits_reset(state.get()); }
 };
 
-Answer::Answer(std::uint64_t base)
+StoredAnswer::StoredAnswer(std::uint64_t base)
     : base_(base)
     , hasher_(base == 0 ? std::make_unique<Hasher>() : nullptr)
 { }
 
-Answer::~Answer() = default;
-Answer::Answer(Answer &&other) noexcept = default;
-auto Answer::operator=(Answer &&other) noexcept -> Answer & = default;
+StoredAnswer::~StoredAnswer() = default;
+StoredAnswer::StoredAnswer(StoredAnswer &&other) noexcept = default;
+auto StoredAnswer::operator=(StoredAnswer &&other) noexcept -> StoredAnswer & = default;
 
-auto Answer::append(std::string_view data) -> void
+auto StoredAnswer::append(std::string_view data) -> void
 {
     bytes_ += data;
     if (hasher_)
         XXH3_64bits_update(hasher_->state.get(), data.data(), data.size());
 }
 
-auto Answer::trim(std::uint64_t offset) -> void
+auto StoredAnswer::trim(std::uint64_t offset) -> void
 {
     if (offset <= base_)
         return;
@@ -44,13 +44,13 @@
     base_ += count;
 }
 
-auto Answer::from(std::uint64_t offset) const -> std::string_view
+auto StoredAnswer::from(std::uint64_t offset) const -> std::string_view
 {
     const auto skip = std::min<std::uint64_t>(offset - base_, bytes_.size());
     return std::string_view(bytes_).substr(skip);
 }
 
-auto Answer::hash() const -> std::uint64_t
+auto StoredAnswer::hash() const -> std::uint64_t
 {
     return hasher_ ? XXH3_64bits_digest(hasher_->state.get()) : 0;
 }
@@ -61,7 +61,7 @@
 
 auto AnswerStore::begin(std::uint64_t run, std::uint64_t base) -> void
 {
-    held_.insert_or_assign(run, Held{Answer(base), base, false});
+    held_.insert_or_assign(run, Held{StoredAnswer(base), base, false});
 }
 
 auto AnswerStore::append(std::uint64_t run, std::string_view data) -> std::vector<std::uint64_t>
@@ -109,7 +109,7 @@
     held_.erase(found);
 }
 
-auto AnswerStore::find(std::uint64_t run) const -> const Answer *
+auto AnswerStore::find(std::uint64_t run) const -> const StoredAnswer *
 {
     const auto found = held_.find(run);
     return found == held_.end() ? nullptr : &found->second.answer;
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -1,4 +1,5 @@
 #include "applehatch/core/placement.h"
+#include "applehatch/core/rendezvous.h"
 
 #include <algorithm>
 #include <cmath>
@@ -48,7 +49,7 @@
 // a member that joins or leaves moves only its own share of keys.
 auto weightedScore(const Member &member, std::uint64_t key) -> double
 {
-    return -std::log(unitInterval(mix(member.id, key))) / std::max(1U, member.slots);
+    return 1 / rendezvousScore(key, member.id, member.slots);
 }
 
 template <typename Visit>
--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -79,7 +79,7 @@
         const auto named = byOrigin_.find(head.request);
         const auto *other = named == byOrigin_.end() ? nullptr : find(named->second);
         if (other == nullptr || other->phase != ExchangePhase::Finished)
-            send(upstream, Revoke{head.request, head.attempt});
+            send(upstream, Revoke{head.request, head.attempt, links_[upstream].incarnation});
         return;
     }
     exchange->heardAt = now_;
--- a/src/core/router-tickets.cc
+++ b/src/core/router-tickets.cc
@@ -1,26 +1,14 @@
 // Requests that may run once only: keys bound by hash, and tickets.
 #include "applehatch/core/placement.h"
+#include "applehatch/core/run-once.h"
 #include "applehatch/core/token.h"
 
 #include "router-state.h"
 
-#include <array>
-#include <charconv>
-
 namespace applehatch::core {
 
 namespace {
 
-constexpr int hexBase = 16;
-
-auto ticketKey(std::uint64_t nonce) -> std::string
-{
-    std::array<char, 2 * sizeof(nonce)> digits{};
-    const auto end =
-        std::to_chars(digits.data(), digits.data() + digits.size(), nonce, hexBase).ptr;
-    return "ticket:" + std::string(digits.data(), end);
-}
-
 auto poolName(const Terms &terms) -> std::string
 {
     return terms.team + '/' + terms.pool;
@@ -37,10 +25,10 @@
         return std::nullopt;
     // Copies of a request may arrive at routers with different lists of who is live, so only the
     // configured members decide where a key belongs.
-    const auto &terms = exchange.terms;
-    const auto &key = terms.idempotencyKey.empty() ? exchange.request : terms.idempotencyKey;
-    const auto seed = stableHash(terms.customer, stableHash(poolName(terms)));
-    const auto order = rendezvousOrder(*exchange.pool.pool, stableHash(key, seed), 1);
+    auto terms = exchange.terms;
+    if (terms.idempotencyKey.empty())
+        terms.idempotencyKey = exchange.request;
+    const auto order = rendezvousOrder(*exchange.pool.pool, runOnceHash(terms), 1);
     if (order.empty())
         return Failure{ErrorKind::NoUpstream, Run::NotRun, "the pool is empty", std::nullopt};
     exchange.boundTo = order.front();
@@ -59,7 +47,7 @@
         return Failure{ErrorKind::OutcomeUnknown, Run::Unknown, "the ticket's upstream is gone",
                        std::nullopt};
     exchange.terms.runOnce = true;
-    exchange.terms.idempotencyKey = ticketKey(ticket->nonce);
+    exchange.terms.idempotencyKey = ticketKey(*ticket);
     exchange.boundTo = ticket->life.upstream;
     exchange.boundLife = ticket->life.incarnation;
     exchange.expires = ticket->expires;
--- a/src/core/sidecar-answers.cc
+++ b/src/core/sidecar-answers.cc
@@ -59,7 +59,7 @@
     return true;
 }
 
-auto SidecarNode::State::sendBytes(const Answer &answer, Reader &reader) -> void
+auto SidecarNode::State::sendBytes(const StoredAnswer &answer, Reader &reader) -> void
 {
     auto rest = answer.from(reader.next);
     while (!rest.empty()) {
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -91,7 +91,7 @@
     std::string cause; ///< For the log line.
 };
 
-struct Link
+struct PeerLink
 {
     Instant heardAt;
     Instant heartbeatAt;
@@ -148,7 +148,7 @@
     ServiceTime serviceTime;
 
     // Peers and the load plane.
-    std::map<LinkId, Link> links;
+    std::map<LinkId, PeerLink> links;
     LoadTable loads;
     PoolSums sums;
     CrashBook crashes;
@@ -244,7 +244,7 @@
     auto read(Job &job, Reader reader) -> void;
     auto serve(Job &job) -> void;
     auto serveReader(Job &job, Reader &reader) -> bool;
-    auto sendBytes(const Answer &answer, Reader &reader) -> void;
+    auto sendBytes(const StoredAnswer &answer, Reader &reader) -> void;
     auto resume(LinkId link, const Resume &message) -> void;
     auto continueStream(LinkId link, const Resume &message) -> void;
     auto acknowledge(const Acknowledge &message) -> void;
--- a/test/core/sidecar-parts-test.cc
+++ b/test/core/sidecar-parts-test.cc
@@ -50,7 +50,7 @@
     BOOST_TEST(store.expire(Instant{10s}).empty());
     BOOST_TEST(store.expire(Instant{11s}).size() == 1U);
     BOOST_TEST(store.find(1) == nullptr);
-    Answer late(50);
+    StoredAnswer late(50);
     late.append("xy");
     BOOST_TEST(late.from(51) == "y");
     BOOST_TEST(late.hash() == 0U);
