--- a/src/core/router-tickets.cc
+++ b/src/core/router-tickets.cc
@@ -1,5 +1,5 @@
 // Requests that may run once only: keys bound by hash, and tickets.
-#include "applehatch/core/rendezvous.h"
+#include "applehatch/core/placement.h"
 #include "applehatch/core/run-once.h"
 #include "applehatch/core/token.h"
 
@@ -24,13 +24,14 @@
     if (!exchange.terms.runOnce)
         return std::nullopt;
     // Copies of a request may arrive at routers with different lists of who is live, so only the
-    // configured members decide where a key belongs. The sidecar reckons the same owner.
-    auto named = exchange.terms;
-    if (named.idempotencyKey.empty())
-        named.idempotencyKey = exchange.request;
-    exchange.boundTo = rendezvousOwner(runOnceHash(named), exchange.pool.pool->members);
-    if (exchange.boundTo == 0)
+    // configured members decide where a key belongs.
+    auto terms = exchange.terms;
+    if (terms.idempotencyKey.empty())
+        terms.idempotencyKey = exchange.request;
+    const auto order = rendezvousOrder(*exchange.pool.pool, runOnceHash(terms), 1);
+    if (order.empty())
         return Failure{ErrorKind::NoUpstream, Run::NotRun, "the pool is empty", std::nullopt};
+    exchange.boundTo = order.front();
     exchange.cause = "key";
     return std::nullopt;
 }
