--- a/include/applehatch/core/router-node.h
+++ b/include/applehatch/core/router-node.h
@@ -206,6 +206,7 @@
     std::string_view ownDataCenter;
     Instant now;
     PoolLoad poolLoad; ///< Of `pool`, at most a few ticks old; empty when nothing was heard.
+    Fingerprint fingerprint = 0; ///< Of the request; 0 when only the chat is asked about.
 };
 
 /// Orders the usable members, best first.
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -114,23 +114,21 @@
         std::swap(ids[0], ids[1]);
 }
 
+// The two candidates are drawn by the request itself. Were they drawn at random, a request that
+// crashes engines would reach a new one with each repeat until the crash is known everywhere.
 auto placeWithoutChat(const PlacementView &view, Random &random) -> std::vector<UpstreamId>
 {
-    std::vector<UpstreamId> near;
-    std::vector<UpstreamId> far;
-    near.reserve(view.usable.size());
+    const auto draw = view.fingerprint != 0 ? view.fingerprint : random();
+    std::vector<Ranked> ranked;
+    ranked.reserve(view.usable.size());
     forEachUsable(view, [&](const Member &member) {
         const auto foreign =
             view.pool.preferOwnDataCenter && member.dataCenter != view.ownDataCenter;
-        (foreign ? far : near).push_back(member.id);
+        ranked.push_back({foreign, weightedScore(member, draw), member.id});
     });
-    shuffleFirst(near, placementDepth, random);
-    shuffleFirst(far, placementDepth, random);
-    putLesserLoadedFirst(view, near);
-    putLesserLoadedFirst(view, far);
-    auto ids = std::move(near);
-    ids.insert(ids.end(), far.begin(), far.end());
-    ids.resize(std::min(ids.size(), placementDepth));
+    auto ids = firstIds(ranked, placementDepth);
+    if (ranked.size() > 1 && ranked[0].foreign == ranked[1].foreign)
+        putLesserLoadedFirst(view, ids);
     std::stable_partition(ids.begin(), ids.end(),
                           [&](UpstreamId id) { return !isAtBound(view, id); });
     return ids;
--- a/src/core/router-choice.cc
+++ b/src/core/router-choice.cc
@@ -96,7 +96,8 @@
                               std::move(usable),
                               identity_.dataCenter,
                               now_,
-                              view.load};
+                              view.load,
+                              exchange.terms.fingerprint};
     const auto order = placement_(asked, random_);
     if (order.empty())
         return std::nullopt;
