Let only the named member try a request that crashed an upstream

After a crash a router's repeat could reach any member whose own list of crashes was a moment old, and each such member was lost. With one crash known, a sidecar now takes the request only if the request's own hash names it among the members that it has not crashed; others refuse it and say where it goes. Ruled out: spreading the notices faster, which cannot beat repeats already under way.

Two unit tests took the second try at whatever member they stood at; they now choose a fingerprint that names that member, and a row for the others is new.

--- a/include/applehatch/core/crash-book.h
+++ b/include/applehatch/core/crash-book.h
@@ -31,6 +31,10 @@
     /// Whether it may not run any more.
     [[nodiscard]] auto isSuspect(Fingerprint fingerprint, Instant now) const -> bool;
 
+    /// Where those crashes happened.
+    [[nodiscard]] auto upstreams(Fingerprint fingerprint, Instant now) const
+        -> std::vector<UpstreamId>;
+
     /// Up to `count` notices for a digest, newest first.
     [[nodiscard]] auto notices(std::size_t count, Instant now) const -> std::vector<CrashNotice>;
 
--- a/src/core/crash-book.cc
+++ b/src/core/crash-book.cc
@@ -42,15 +42,20 @@
     }
 }
 
-auto CrashBook::crashes(Fingerprint fingerprint, Instant now) const -> std::size_t
+auto CrashBook::upstreams(Fingerprint fingerprint, Instant now) const -> std::vector<UpstreamId>
 {
-    std::size_t count = 0;
+    std::vector<UpstreamId> found;
     for (auto item = held_.lower_bound({fingerprint, 0, 0, 0});
          item != held_.end() && item->first.fingerprint == fingerprint; ++item) {
         if (!item->second.withdrawn && item->second.until > now)
-            ++count;
+            found.push_back(item->first.upstream);
     }
-    return count;
+    return found;
+}
+
+auto CrashBook::crashes(Fingerprint fingerprint, Instant now) const -> std::size_t
+{
+    return upstreams(fingerprint, now).size();
 }
 
 auto CrashBook::isSuspect(Fingerprint fingerprint, Instant now) const -> bool
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -204,6 +204,7 @@
     auto submit(LinkId link, Submit &&message) -> void;
     [[nodiscard]] auto checkAddress(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto checkHistory(const Submit &message) const -> std::optional<Rejection>;
+    [[nodiscard]] auto checkSecondTry(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto checkPlace(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto checkLoad(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto bound() const -> std::uint32_t;
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -101,6 +101,25 @@
     if (crashes.isSuspect(message.terms.fingerprint, now))
         return Rejection{refusalOf(ErrorKind::CrashSuspect, Run::NotRun, "crashed two upstreams"),
                          0, "crash-suspect"};
+    return checkSecondTry(message);
+}
+
+// After one crash the request has one more try, at an upstream that it names itself. Were any
+// other to take it, repeats that are under way at the same time would each cost an upstream.
+auto SidecarNode::State::checkSecondTry(const Submit &message) const -> std::optional<Rejection>
+{
+    const auto fingerprint = message.terms.fingerprint;
+    const auto crashedAt = crashes.upstreams(fingerprint, now);
+    if (crashedAt.empty())
+        return std::nullopt;
+    for (const auto id : rendezvousOrder(fingerprint, pool.members)) {
+        if (id == crashedAt.front())
+            continue;
+        if (id == self)
+            return std::nullopt;
+        return Rejection{refusalOf(ErrorKind::NoUpstream, Run::NotRun, "crashed an upstream"), id,
+                         "second-try-elsewhere"};
+    }
     return std::nullopt;
 }
 
