Carry messages between processes over Cap'n Proto links

The packages had interfaces and no carrier. One event-loop thread owns all capabilities; each side of a connection delivers batches of messages to the other. Messages that other threads queue while the loop is busy are taken in one wake-up and travel in one call. At most eight batches are outstanding on a link, the rest waits in a queue with a cap, beyond which the link is closed.

Ruled out: one call for each message (a wake-up and an envelope for each chunk), and blocking the sender at the cap (a worker would wait on one slow peer with requests for others in hand).

--- a/include/applehatch/wire/codec.h
+++ b/include/applehatch/wire/codec.h
@@ -13,10 +13,26 @@
 /// Largest accepted message between processes, in bytes.
 inline constexpr std::size_t maxMessageBytes = 16U << 20U;
 
-/// Packed bytes of a digest for one datagram.
+/// Largest accepted digest datagram, in bytes; fits an Ethernet frame.
+inline constexpr std::size_t maxDatagramBytes = 1400;
+
+/// Packed bytes of a digest for one datagram. Ages are rounded up to whole milliseconds.
 [[nodiscard]] auto encodeDigest(const core::Digest &digest) -> std::string;
 
 /// None when the bytes are truncated, garbage or hold values out of range.
 [[nodiscard]] auto decodeDigest(std::string_view bytes) -> std::optional<core::Digest>;
 
+/// Unpacked bytes of one message, as a link carries it within a batch.
+[[nodiscard]] auto encodeMessage(const core::Message &message) -> std::string;
+
+/// None when the bytes are truncated, garbage, too large or hold values out of range.
+[[nodiscard]] auto decodeMessage(std::string_view bytes) -> std::optional<core::Message>;
+
+/// Name of a message's kind for metrics, such as `chunk`.
+[[nodiscard]] auto kindName(const core::Message &message) -> std::string_view;
+
+/// Whether a kind counts as control traffic. Payload is what a caller sent or receives: `submit`,
+/// `head`, `chunk`, `end` and `refusal`; all else is control.
+[[nodiscard]] auto isControl(const core::Message &message) -> bool;
+
 } // namespace applehatch::wire
--- a/include/applehatch/wire/link-loop.h
+++ b/include/applehatch/wire/link-loop.h
@@ -3,9 +3,11 @@
 
 #include "applehatch/core/message.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <system_error>
 
 namespace applehatch::wire {
@@ -20,22 +22,35 @@
     std::function<void(LinkId)> onDown;
 };
 
-/// Bytes and messages carried, by message kind, for the control-traffic measure.
+/// Bytes and messages carried, by message kind, for the control-traffic measure; called on the
+/// loop's thread. Any hook may be empty.
 struct LinkTraffic
 {
     std::function<void(std::string_view kind, std::size_t bytes)> onSent;
+    std::function<void(std::string_view kind, std::size_t bytes)> onReceived;
+    std::function<void()> onMalformed; ///< A message or batch was dropped: out of range, too large.
+};
+
+/// Bounds on what one link holds.
+struct LinkLimits
+{
+    std::size_t queuedBytes = 64U << 20U; ///< Beyond this the link is closed, with `onDown`.
+    core::Duration connectTimeout = std::chrono::seconds(1); ///< Until `onUp`, else `onDown`.
 };
 
 /// One event-loop thread that owns every Cap'n Proto capability of the process.
 class LinkLoop
 {
 public:
-    LinkLoop(LinkHooks hooks, LinkTraffic traffic);
+    LinkLoop(LinkHooks hooks, LinkTraffic traffic, LinkLimits limits = {});
+
+    /// Closes every link without `onDown` and joins the thread.
     ~LinkLoop();
     LinkLoop(const LinkLoop &) = delete;
     auto operator=(const LinkLoop &) -> LinkLoop & = delete;
 
     /// Accepts links on `address`; port 0 picks a free one, given back in `bound`.
+    /// Errors: `std::errc::invalid_argument`, `std::errc::address_in_use`. Not from a hook.
     [[nodiscard]] auto listen(const core::Address &address, core::Address &bound)
         -> std::error_code;
 
--- /dev/null
+++ b/src/wire/connection.cc
@@ -0,0 +1,221 @@
+#include "connection.h"
+
+#include "applehatch/wire/codec.h"
+#include "message-size.h"
+#include "schema-codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace applehatch::wire {
+
+namespace {
+
+// A peer that stops reading holds at most this many batches inside the RPC system; all else waits
+// in our own queue, where it is counted against the link's cap.
+constexpr unsigned maxOutstanding = 8;
+constexpr std::size_t maxBatchBytes = 1U << 20U;
+constexpr std::size_t maxBatchMessages = 4096;
+constexpr int nestingLimit = 32;
+
+// A batch is at most one message larger than `maxBatchBytes`, plus the RPC envelope.
+auto readLimits() -> capnp::ReaderOptions
+{
+    return {2 * maxMessageBytes / sizeof(capnp::word), nestingLimit};
+}
+
+auto structBytes(capnp::MessageSize size) -> std::size_t
+{
+    return size.wordCount * sizeof(capnp::word);
+}
+
+class TaskErrors final : public kj::TaskSet::ErrorHandler
+{
+public:
+    explicit TaskErrors(std::function<void()> onError)
+        : onError_(std::move(onError))
+    { }
+
+    auto taskFailed(kj::Exception && /*exception*/) -> void override { onError_(); }
+
+private:
+    std::function<void()> onError_;
+};
+
+} // namespace
+
+class Connection::LinkServer final : public schema::Link::Server
+{
+public:
+    explicit LinkServer(Connection &connection)
+        : connection_(connection)
+    { }
+
+    auto deliver(DeliverContext context) -> kj::Promise<void> override
+    {
+        connection_.receive(context.getParams().getBatch());
+        return kj::READY_NOW;
+    }
+
+private:
+    Connection &connection_;
+};
+
+class Connection::PortServer final : public schema::Port::Server
+{
+public:
+    explicit PortServer(Connection &connection)
+        : connection_(connection)
+    { }
+
+    auto open(OpenContext context) -> kj::Promise<void> override
+    {
+        if (connection_.up())
+            return KJ_EXCEPTION(FAILED, "a connection carries one link");
+        context.getResults().setLink(kj::heap<LinkServer>(connection_));
+        connection_.setPeer(context.getParams().getLink());
+        return kj::READY_NOW;
+    }
+
+private:
+    Connection &connection_;
+};
+
+Connection::Connection(kj::Own<kj::AsyncIoStream> stream, ConnectionHooks hooks,
+                       const LinkTraffic &traffic, const LinkLimits &limits, bool accepted)
+    : hooks_(std::move(hooks))
+    , traffic_(traffic)
+    , limits_(limits)
+    , accepted_(accepted)
+    , stream_(kj::mv(stream))
+    , network_(*stream_,
+               accepted ? capnp::rpc::twoparty::Side::SERVER : capnp::rpc::twoparty::Side::CLIENT,
+               readLimits())
+    , taskErrors_(std::make_unique<TaskErrors>([this] { breakOff(); }))
+{
+    tasks_ = kj::heap<kj::TaskSet>(*taskErrors_);
+    if (accepted)
+        rpc_.emplace(capnp::makeRpcServer(network_, kj::heap<PortServer>(*this)));
+    else
+        rpc_.emplace(capnp::makeRpcClient(network_));
+    disconnected_ = network_.onDisconnect()
+                        .then([this] { breakOff(); })
+                        .eagerlyEvaluate([this](kj::Exception && /*exception*/) { breakOff(); });
+}
+
+Connection::~Connection()
+{
+    broken_ = true;
+    disconnected_ = nullptr;
+    tasks_ = nullptr;
+    peer_ = nullptr;
+    rpc_ = nullptr;
+}
+
+auto Connection::requestLink() -> kj::Promise<void>
+{
+    capnp::MallocMessageBuilder builder;
+    auto server = builder.initRoot<capnp::rpc::twoparty::VatId>();
+    server.setSide(capnp::rpc::twoparty::Side::SERVER);
+    auto port = KJ_ASSERT_NONNULL(rpc_).bootstrap(server).castAs<schema::Port>();
+    auto request = port.openRequest();
+    request.setLink(kj::heap<LinkServer>(*this));
+    return request.send().then([this](auto &&response) { setPeer(response.getLink()); });
+}
+
+auto Connection::setPeer(schema::Link::Client peer) -> void
+{
+    peer_ = kj::mv(peer);
+    up_ = true;
+    hooks_.onUp();
+    for (auto &message : std::exchange(early_, {}))
+        hooks_.onMessage(std::move(message));
+    flush();
+}
+
+auto Connection::receive(capnp::List<schema::Message>::Reader batch) -> void
+{
+    const auto failure = kj::runCatchingExceptions([&] {
+        for (const auto item : batch) {
+            auto message = read(item);
+            if (!message) {
+                if (traffic_.onMalformed)
+                    traffic_.onMalformed();
+                continue;
+            }
+            if (traffic_.onReceived)
+                traffic_.onReceived(kindName(*message), structBytes(item.totalSize()));
+            deliver(std::move(*message));
+        }
+    });
+    if (failure != nullptr && traffic_.onMalformed)
+        traffic_.onMalformed();
+}
+
+auto Connection::deliver(core::Message message) -> void
+{
+    // The listener may speak as soon as it knows our end, and its answer to `open` can be read
+    // later; a message handed on before `onUp` would come from a link nobody knows.
+    if (!up_)
+        early_.push_back(std::move(message));
+    else if (!broken_)
+        hooks_.onMessage(std::move(message));
+}
+
+auto Connection::enqueue(core::Message message) -> void
+{
+    if (broken_)
+        return;
+    const auto bytes = messageBytes(message);
+    if (bytes > maxMessageBytes) {
+        if (traffic_.onMalformed)
+            traffic_.onMalformed();
+        return;
+    }
+    queuedBytes_ += bytes;
+    queued_.push_back(std::move(message));
+    // A peer that stopped reading, with its kernel still accepting bytes, would otherwise grow this
+    // queue until the process is killed; its requests go on over another link.
+    if (queuedBytes_ > limits_.queuedBytes)
+        breakOff();
+}
+
+auto Connection::flush() -> void
+{
+    while (up_ && !broken_ && !queued_.empty() && outstanding_ < maxOutstanding)
+        sendBatch();
+}
+
+auto Connection::sendBatch() -> void
+{
+    std::size_t bytes = 0;
+    unsigned count = 0;
+    while (count < queued_.size() && count < maxBatchMessages && bytes < maxBatchBytes)
+        bytes += messageBytes(queued_[count++]);
+    auto request = KJ_ASSERT_NONNULL(peer_).deliverRequest(
+        capnp::MessageSize{bytes / sizeof(capnp::word) + 1, 0});
+    auto batch = request.initBatch(count);
+    for (unsigned index = 0; index < count; ++index) {
+        const auto &message = queued_.front();
+        write(message, batch[index]);
+        if (traffic_.onSent)
+            traffic_.onSent(kindName(message), structBytes(batch[index].asReader().totalSize()));
+        queued_.pop_front();
+    }
+    queuedBytes_ -= std::min(bytes, queuedBytes_);
+    ++outstanding_;
+    KJ_ASSERT_NONNULL(tasks_)->add(request.send().then([this](auto && /*response*/) {
+        --outstanding_;
+        flush();
+    }));
+}
+
+auto Connection::breakOff() -> void
+{
+    if (std::exchange(broken_, true))
+        return;
+    queued_.clear();
+    hooks_.onBroken();
+}
+
+} // namespace applehatch::wire
--- /dev/null
+++ b/src/wire/connection.h
@@ -0,0 +1,75 @@
+/// One TCP connection and the link it carries; lives on the loop's thread only.
+#pragma once
+
+#include "applehatch/wire/link-loop.h"
+#include "generated/applehatch.capnp.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <deque>
+#include <functional>
+#include <kj/async-io.h>
+#include <memory>
+#include <vector>
+
+namespace applehatch::wire {
+
+/// What a connection reports to its loop; a report may not destroy the connection at once.
+struct ConnectionHooks
+{
+    std::function<void()> onUp;
+    std::function<void(core::Message)> onMessage;
+    std::function<void()> onBroken; ///< Closed by the peer, refused, silent or over its cap.
+};
+
+class Connection
+{
+public:
+    Connection(kj::Own<kj::AsyncIoStream> stream, ConnectionHooks hooks, const LinkTraffic &traffic,
+               const LinkLimits &limits, bool accepted);
+    ~Connection();
+    Connection(const Connection &) = delete;
+    auto operator=(const Connection &) -> Connection & = delete;
+
+    /// Asks the peer for its end of the link; for the side that connected.
+    auto requestLink() -> kj::Promise<void>;
+
+    [[nodiscard]] auto up() const -> bool { return up_; }
+
+    /// The peer connected and has not asked for a link.
+    [[nodiscard]] auto unannounced() const -> bool { return accepted_ && !up_; }
+
+    /// Queues a message; `flush` sends what is queued.
+    auto enqueue(core::Message message) -> void;
+    auto flush() -> void;
+
+private:
+    class PortServer;
+    class LinkServer;
+
+    auto setPeer(schema::Link::Client peer) -> void;
+    auto receive(capnp::List<schema::Message>::Reader batch) -> void;
+    auto deliver(core::Message message) -> void;
+    auto sendBatch() -> void;
+    auto breakOff() -> void;
+
+    ConnectionHooks hooks_;
+    const LinkTraffic &traffic_;
+    const LinkLimits &limits_;
+    bool accepted_ = false;
+    bool up_ = false;
+    bool broken_ = false;
+    std::deque<core::Message> queued_;
+    std::size_t queuedBytes_ = 0;
+    std::vector<core::Message> early_; ///< Arrived before the peer's end of the link was known.
+    unsigned outstanding_ = 0;         ///< Batches sent and not yet answered.
+
+    kj::Own<kj::AsyncIoStream> stream_;
+    capnp::TwoPartyVatNetwork network_;
+    kj::Maybe<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> rpc_;
+    kj::Maybe<schema::Link::Client> peer_;
+    kj::Promise<void> disconnected_ = nullptr;
+    kj::Maybe<kj::Own<kj::TaskSet>> tasks_;
+    std::unique_ptr<kj::TaskSet::ErrorHandler> taskErrors_;
+};
+
+} // namespace applehatch::wire
--- /dev/null
+++ b/src/wire/link-loop.cc
@@ -0,0 +1,320 @@
+#include "applehatch/wire/link-loop.h"
+
+#include "connection.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+#include <thread>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+namespace applehatch::wire {
+
+namespace {
+
+constexpr auto pauseAfterFailure = 100 * kj::MILLISECONDS;
+
+using Wake = kj::Own<kj::CrossThreadPromiseFulfiller<void>>;
+
+// One thing that another thread asks of the loop: a message for a link, or a task.
+struct Asked
+{
+    LinkId link = 0;
+    std::optional<core::Message> message;
+    std::function<void()> task;
+};
+
+auto socketAddress(const core::Address &from) -> std::optional<sockaddr_in>
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(from.port);
+    if (inet_pton(AF_INET, from.ip.c_str(), &address.sin_addr) != 1)
+        return std::nullopt;
+    return address;
+}
+
+} // namespace
+
+struct LinkLoop::State final : public kj::TaskSet::ErrorHandler
+{
+    LinkHooks hooks;
+    LinkTraffic traffic;
+    LinkLimits limits;
+    std::atomic<LinkId> nextLink{1};
+
+    // Guards `asked` and `wake`; the innermost lock of the process, nothing is called under it.
+    std::mutex mutex;
+    std::vector<Asked> asked;
+    kj::Maybe<Wake> wake;
+
+    // Below: the loop's thread only.
+    kj::AsyncIoContext *io = nullptr;
+    kj::Own<kj::TaskSet> tasks;
+    std::unordered_map<LinkId, kj::Own<Connection>> connections;
+    /// Being connected and not yet in `connections`, with what waits to be sent.
+    std::unordered_map<LinkId, std::vector<core::Message>> opening;
+    std::vector<kj::Own<kj::ConnectionReceiver>> listeners;
+    bool stopping = false;
+    std::thread thread;
+
+    auto ask(Asked what) -> void;
+    auto runLoop() -> void;
+    auto nextWake() -> kj::Promise<void>;
+    auto takeAsked() -> void;
+    auto deliver(LinkId link, core::Message message) -> void;
+    auto listenNow(const core::Address &address, core::Address &bound) -> std::error_code;
+    auto acceptNext(kj::ConnectionReceiver &listener) -> kj::Promise<void>;
+    auto accepted(kj::Own<kj::AsyncIoStream> stream) -> void;
+    auto connect(LinkId link, const core::Address &peer) -> void;
+    auto connected(LinkId link, kj::Own<kj::AsyncIoStream> stream) -> kj::Promise<void>;
+    auto addConnection(LinkId link, kj::Own<kj::AsyncIoStream> stream, bool fromPeer)
+        -> Connection &;
+    auto dropUnlessUp(LinkId link) -> void;
+    auto broken(LinkId link) -> void;
+    auto remove(LinkId link) -> bool;
+    auto taskFailed(kj::Exception && /*exception*/) -> void override { }
+};
+
+auto LinkLoop::State::ask(Asked what) -> void
+{
+    const std::lock_guard lock(mutex);
+    asked.push_back(std::move(what));
+    KJ_IF_MAYBE (sleeping, wake) {
+        (*sleeping)->fulfill();
+        wake = nullptr;
+    }
+}
+
+// Messages queued while the loop is busy are taken in one wake-up, so a wake-up's cost is shared
+// by more messages the busier the process is.
+auto LinkLoop::State::nextWake() -> kj::Promise<void>
+{
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+    const std::lock_guard lock(mutex);
+    if (asked.empty())
+        wake = kj::mv(pair.fulfiller);
+    else
+        pair.fulfiller->fulfill();
+    return kj::mv(pair.promise);
+}
+
+auto LinkLoop::State::takeAsked() -> void
+{
+    std::vector<Asked> taken;
+    {
+        const std::lock_guard lock(mutex);
+        taken.swap(asked);
+    }
+    std::unordered_set<LinkId> touched;
+    for (auto &what : taken) {
+        if (what.task) {
+            what.task();
+            continue;
+        }
+        deliver(what.link, std::move(*what.message));
+        touched.insert(what.link);
+    }
+    for (const auto link : touched) {
+        const auto found = connections.find(link);
+        if (found != connections.end())
+            found->second->flush();
+    }
+}
+
+auto LinkLoop::State::deliver(LinkId link, core::Message message) -> void
+{
+    const auto found = connections.find(link);
+    if (found != connections.end()) {
+        found->second->enqueue(std::move(message));
+        return;
+    }
+    const auto waiting = opening.find(link);
+    if (waiting != opening.end())
+        waiting->second.push_back(std::move(message));
+}
+
+auto LinkLoop::State::runLoop() -> void
+{
+    auto context = kj::setupAsyncIo();
+    io = &context;
+    tasks = kj::heap<kj::TaskSet>(*this);
+    while (!stopping) {
+        nextWake().wait(context.waitScope);
+        takeAsked();
+    }
+    tasks = nullptr;
+    listeners.clear();
+    connections.clear();
+    const std::lock_guard lock(mutex);
+    wake = nullptr;
+}
+
+auto LinkLoop::State::listenNow(const core::Address &address, core::Address &bound)
+    -> std::error_code
+{
+    auto wanted = socketAddress(address);
+    if (!wanted)
+        return std::make_error_code(std::errc::invalid_argument);
+    const auto failure = kj::runCatchingExceptions([&] {
+        auto target = io->provider->getNetwork().getSockaddr(&*wanted, sizeof(*wanted));
+        auto listener = target->listen();
+        bound = {address.ip, static_cast<std::uint16_t>(listener->getPort())};
+        tasks->add(acceptNext(*listener));
+        listeners.push_back(kj::mv(listener));
+    });
+    return failure == nullptr ? std::error_code() : std::make_error_code(std::errc::address_in_use);
+}
+
+auto LinkLoop::State::acceptNext(kj::ConnectionReceiver &listener) -> kj::Promise<void>
+{
+    return listener.accept().then(
+        [this, &listener](kj::Own<kj::AsyncIoStream> stream) {
+            accepted(kj::mv(stream));
+            return acceptNext(listener);
+        },
+        // Out of file descriptors: giving up would leave a process that looks well and can never
+        // be reached again.
+        [this, &listener](kj::Exception && /*exception*/) {
+            return io->provider->getTimer().afterDelay(pauseAfterFailure).then([this, &listener] {
+                return acceptNext(listener);
+            });
+        });
+}
+
+auto LinkLoop::State::accepted(kj::Own<kj::AsyncIoStream> stream) -> void
+{
+    const auto link = nextLink++;
+    addConnection(link, kj::mv(stream), true);
+    dropUnlessUp(link);
+}
+
+auto LinkLoop::State::dropUnlessUp(LinkId link) -> void
+{
+    const auto timeout = limits.connectTimeout.count() * kj::MICROSECONDS;
+    tasks->add(io->provider->getTimer().afterDelay(timeout).then([this, link] {
+        const auto found = connections.find(link);
+        const auto up = found != connections.end() && found->second->up();
+        if (!up)
+            broken(link);
+    }));
+}
+
+auto LinkLoop::State::connect(LinkId link, const core::Address &peer) -> void
+{
+    auto wanted = socketAddress(peer);
+    opening.emplace(link, std::vector<core::Message>());
+    if (!wanted) {
+        broken(link);
+        return;
+    }
+    dropUnlessUp(link);
+    auto target = io->provider->getNetwork().getSockaddr(&*wanted, sizeof(*wanted));
+    auto stream = target->connect();
+    tasks->add(stream
+                   .then([this, link](kj::Own<kj::AsyncIoStream> opened) {
+                       return connected(link, kj::mv(opened));
+                   })
+                   .attach(kj::mv(target))
+                   .catch_([this, link](kj::Exception && /*exception*/) { broken(link); }));
+}
+
+auto LinkLoop::State::connected(LinkId link, kj::Own<kj::AsyncIoStream> stream) -> kj::Promise<void>
+{
+    auto waiting = opening.extract(link);
+    if (waiting.empty())
+        return kj::READY_NOW;
+    auto &connection = addConnection(link, kj::mv(stream), false);
+    for (auto &message : waiting.mapped())
+        connection.enqueue(std::move(message));
+    return connection.requestLink();
+}
+
+auto LinkLoop::State::addConnection(LinkId link, kj::Own<kj::AsyncIoStream> stream, bool fromPeer)
+    -> Connection &
+{
+    ConnectionHooks reports;
+    reports.onUp = [this, link] { hooks.onUp(link); };
+    reports.onMessage = [this, link](core::Message message) {
+        hooks.onMessage(link, std::move(message));
+    };
+    reports.onBroken = [this, link] { broken(link); };
+    auto connection =
+        kj::heap<Connection>(kj::mv(stream), std::move(reports), traffic, limits, fromPeer);
+    auto &added = *connection;
+    connections.emplace(link, kj::mv(connection));
+    return added;
+}
+
+auto LinkLoop::State::broken(LinkId link) -> void
+{
+    const auto found = connections.find(link);
+    // A peer that connected and never asked for a link was never reported up.
+    const auto unannounced = found != connections.end() && found->second->unannounced();
+    if (remove(link) && !unannounced)
+        hooks.onDown(link);
+}
+
+// Destroyed one turn later: the caller may be a promise that belongs to the connection.
+auto LinkLoop::State::remove(LinkId link) -> bool
+{
+    if (opening.erase(link) != 0)
+        return true;
+    const auto found = connections.find(link);
+    if (found == connections.end())
+        return false;
+    auto connection = kj::mv(found->second);
+    connections.erase(found);
+    tasks->add(kj::evalLater([] {}).attach(kj::mv(connection)));
+    return true;
+}
+
+LinkLoop::LinkLoop(LinkHooks hooks, LinkTraffic traffic, LinkLimits limits)
+    : state_(std::make_unique<State>())
+{
+    state_->hooks = std::move(hooks);
+    state_->traffic = std::move(traffic);
+    state_->limits = limits;
+    state_->thread = std::thread([state = state_.get()] { state->runLoop(); });
+}
+
+LinkLoop::~LinkLoop()
+{
+    state_->ask({0, std::nullopt, [state = state_.get()] { state->stopping = true; }});
+    state_->thread.join();
+}
+
+auto LinkLoop::listen(const core::Address &address, core::Address &bound) -> std::error_code
+{
+    std::promise<std::error_code> done;
+    auto outcome = done.get_future();
+    state_->ask({0, std::nullopt, [&] { done.set_value(state_->listenNow(address, bound)); }});
+    return outcome.get();
+}
+
+auto LinkLoop::open(const core::Address &peer) -> LinkId
+{
+    const auto link = state_->nextLink++;
+    state_->ask(
+        {0, std::nullopt, [state = state_.get(), link, peer] { state->connect(link, peer); }});
+    return link;
+}
+
+auto LinkLoop::send(LinkId link, core::Message message) -> void
+{
+    state_->ask({link, std::move(message), nullptr});
+}
+
+auto LinkLoop::close(LinkId link) -> void
+{
+    state_->ask({0, std::nullopt, [state = state_.get(), link] { state->remove(link); }});
+}
+
+} // namespace applehatch::wire
--- /dev/null
+++ b/test/wire/link-loop-test.cc
@@ -0,0 +1,200 @@
+#include "applehatch/wire/link-loop.h"
+
+#include <arpa/inet.h>
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace applehatch::wire {
+
+namespace {
+
+// Far beyond what a busy machine needs; reached only when the awaited thing never happens.
+constexpr auto patience = std::chrono::seconds(20);
+
+// What one loop's hooks reported, with a wait for conditions on it.
+class Recorder
+{
+public:
+    auto hooks() -> LinkHooks
+    {
+        LinkHooks hooks;
+        hooks.onUp = [this](LinkId link) { change([&] { up.push_back(link); }); };
+        hooks.onDown = [this](LinkId link) { change([&] { down.push_back(link); }); };
+        hooks.onMessage = [this](LinkId link, core::Message message) {
+            change([&] { messages.emplace_back(link, std::move(message)); });
+        };
+        return hooks;
+    }
+
+    template <typename Condition>
+    auto waitFor(Condition condition) -> bool
+    {
+        std::unique_lock lock(mutex_);
+        return changed_.wait_for(lock, patience, condition);
+    }
+
+    std::vector<LinkId> up;
+    std::vector<LinkId> down;
+    std::vector<std::pair<LinkId, core::Message>> messages;
+
+private:
+    template <typename Change>
+    auto change(Change what) -> void
+    {
+        const std::lock_guard lock(mutex_);
+        what();
+        changed_.notify_all();
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+};
+
+auto listenOn(LinkLoop &loop) -> core::Address
+{
+    core::Address bound;
+    BOOST_REQUIRE(!loop.listen({"127.0.0.1", 0}, bound));
+    return bound;
+}
+
+// A TCP listener that accepts in the kernel and never reads.
+class SilentListener
+{
+public:
+    SilentListener()
+        : socket_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        BOOST_REQUIRE_EQUAL(bind(socket_, reinterpret_cast<sockaddr *>(&address), size), 0);
+        BOOST_REQUIRE_EQUAL(listen(socket_, 1), 0);
+        getsockname(socket_, reinterpret_cast<sockaddr *>(&address), &size);
+        port_ = ntohs(address.sin_port);
+    }
+    ~SilentListener() { ::close(socket_); }
+    SilentListener(const SilentListener &) = delete;
+    auto operator=(const SilentListener &) -> SilentListener & = delete;
+
+    [[nodiscard]] auto address() const -> core::Address { return {"127.0.0.1", port_}; }
+
+private:
+    int socket_;
+    std::uint16_t port_ = 0;
+};
+
+auto chunk(std::uint64_t offset) -> core::Message
+{
+    return core::Chunk{"request", offset, "data"};
+}
+
+auto offsetOf(const core::Message &message) -> std::uint64_t
+{
+    return std::get<core::Chunk>(message).offset;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(link_loop)
+
+BOOST_AUTO_TEST_CASE(messages_arrive_in_order_both_ways_from_before_the_link_is_up)
+{
+    constexpr std::uint64_t count = 20000;
+    Recorder near;
+    Recorder far;
+    LinkLoop server(far.hooks(), {});
+    LinkLoop client(near.hooks(), {});
+    const auto link = client.open(listenOn(server));
+    for (std::uint64_t i = 0; i < count; ++i)
+        client.send(link, chunk(i));
+    BOOST_REQUIRE(far.waitFor([&] { return far.messages.size() == count; }));
+    BOOST_REQUIRE_EQUAL(far.up.size(), 1U);
+    for (std::uint64_t i = 0; i < count; ++i)
+        server.send(far.up[0], chunk(i));
+    BOOST_REQUIRE(near.waitFor([&] { return near.messages.size() == count; }));
+    BOOST_TEST(near.up == std::vector<LinkId>{link});
+    for (std::uint64_t i = 0; i < count; ++i) {
+        BOOST_REQUIRE_EQUAL(offsetOf(near.messages[i].second), i);
+        BOOST_REQUIRE_EQUAL(offsetOf(far.messages[i].second), i);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_other_side_of_a_closed_link_is_told)
+{
+    Recorder near;
+    Recorder far;
+    LinkLoop server(far.hooks(), {});
+    LinkLoop client(near.hooks(), {});
+    const auto link = client.open(listenOn(server));
+    BOOST_REQUIRE(near.waitFor([&] { return near.up.size() == 1; }));
+    client.close(link);
+    BOOST_REQUIRE(far.waitFor([&] { return far.down.size() == 1; }));
+    BOOST_TEST(far.down == far.up);
+    BOOST_TEST(near.down.empty());
+}
+
+// A sidecar's host is gone or its process not yet started, so nothing accepts the connection. The
+// router has to hear of it at once, or the caller would wait for an answer nobody makes.
+BOOST_AUTO_TEST_CASE(a_refused_or_unreadable_address_is_reported_down)
+{
+    core::Address closed;
+    {
+        const SilentListener listener;
+        closed = listener.address();
+    }
+    Recorder near;
+    LinkLoop client(near.hooks(), {});
+    for (const auto &address : {closed, core::Address{"not-an-ip", 1}}) {
+        const auto link = client.open(address);
+        BOOST_TEST(near.waitFor([&] { return !near.down.empty() && near.down.back() == link; }));
+    }
+    BOOST_TEST(near.up.empty());
+}
+
+// Something between two hosts lost track of the connection, or the peer is paused: the connect
+// succeeds in the kernel and no byte ever comes back. Callers would hang on the opening link.
+BOOST_AUTO_TEST_CASE(a_peer_that_accepts_and_stays_silent_is_reported_down)
+{
+    const SilentListener listener;
+    Recorder near;
+    LinkLimits limits;
+    limits.connectTimeout = std::chrono::milliseconds(50);
+    LinkLoop client(near.hooks(), {}, limits);
+    const auto link = client.open(listener.address());
+    BOOST_REQUIRE(near.waitFor([&] { return !near.down.empty(); }));
+    BOOST_TEST(near.down == std::vector<LinkId>{link});
+}
+
+// A peer is paused while answers for it go on arriving. The queue for it would grow until the
+// process is killed and every other caller's request lost; the link is closed at its cap instead.
+BOOST_AUTO_TEST_CASE(a_peer_that_stops_reading_loses_its_link_at_the_cap)
+{
+    std::mutex pause;
+    Recorder near;
+    Recorder far;
+    auto blocking = far.hooks();
+    blocking.onMessage = [&](LinkId, const core::Message &) { const std::lock_guard wait(pause); };
+    LinkLoop server(blocking, {});
+    LinkLimits limits;
+    limits.queuedBytes = 4U << 20U;
+    LinkLoop client(near.hooks(), {}, limits);
+    const auto link = client.open(listenOn(server));
+    BOOST_REQUIRE(near.waitFor([&] { return !near.up.empty(); }));
+
+    const std::unique_lock paused(pause);
+    const std::string data(64U << 10U, 'x');
+    constexpr int overTheCap = 1000; // 64 MB: the cap, the outstanding batches and both kernels.
+    for (int i = 0; i < overTheCap; ++i)
+        client.send(link, core::Chunk{"request", 0, data});
+    BOOST_REQUIRE(near.waitFor([&] { return !near.down.empty(); }));
+    BOOST_TEST(near.down == std::vector<LinkId>{link});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace applehatch::wire
