Add the client for upstreams, with its contract tests

Cause: the sidecar must tell a call that never left from one that may have run, a whole answer from half of one, and must let go of a silent upstream. Ruled out: CivetWeb's own client for streams. Its mg_read returns only when the given buffer is full or the body ended: a body of eight 13-byte chunks followed by a pause gave nothing until the library's 30 s ran out, then -1 with those bytes lost (measured 30.7 s), and no call lets another thread end the wait. Change: an exchange on KJ's HTTP client, an event loop for each call, with a limit on every wait and a flag that ends it; an answer is whole only by its end marker, its length or its last chunk.

--- a/include/applehatch/platform/upstream-client.h
+++ b/include/applehatch/platform/upstream-client.h
@@ -1,4 +1,4 @@
-/// The upstream as its sidecar meets it: HTTP, through the library's client.
+/// The upstream as its sidecar meets it, over HTTP.
 #pragma once
 
 #include "applehatch/core/sidecar-node.h"
@@ -25,14 +25,23 @@
     core::RunBreak how = core::RunBreak::Lost;
 };
 
-/// Talks to one upstream. Thread-safe; each call blocks its thread.
+/// Talks to one upstream. Thread-safe; each call blocks its thread, which must not run a KJ event
+/// loop.
 class UpstreamClient
 {
 public:
     /// `silence` is the longest pause between two bytes before a call counts as silent.
     UpstreamClient(core::Address upstream, core::Duration silence);
 
-    /// Runs one call to its end. Setting `cancelled` ends it within about 100 ms.
+    /// Runs one call to its end. Setting `cancelled` ends it within about 100 ms; the engine goes
+    /// on with the stream until `cancel`, so that it can be resumed. Of a call that asked for a
+    /// stream each pause is limited by `silence`; a plain answer may take until the call's
+    /// deadline.
+    ///
+    /// Only an answer whose end shows that all of it arrived is whole: an event stream by its end
+    /// marker, another body by its length or its last chunk. `NeverSent`: no connection, or a
+    /// request that cannot be written as HTTP. `Lost`: broken before a readable head, or cancelled.
+    /// `EndedEarly`: broken after the head. `Silent`: no byte in time.
     [[nodiscard]] auto run(const core::StartRun &start, const CallHooks &hooks,
                            const std::atomic<bool> &cancelled) const -> CallOutcome;
 
--- /dev/null
+++ b/src/platform/upstream-client-calls.cc
@@ -0,0 +1,183 @@
+#include "applehatch/platform/upstream-client.h"
+
+#include "upstream-client-exchange.h"
+#include "upstream-client-stream-end.h"
+
+#include <nlohmann/json.hpp>
+
+namespace applehatch::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto callLimit = std::chrono::seconds(5);
+constexpr std::size_t maxAnswerBytes = 1U << 20U;
+constexpr std::size_t maxContextBytes = 64U << 20U;
+
+/// An answer read whole.
+struct Answer
+{
+    int status = 0;
+    std::string body;
+};
+
+/// A short call; none when it broke, took longer than `limit` or answered more than `maxBytes`.
+auto call(const core::Address &upstream, const ExchangeRequest &request, core::Duration limit,
+          std::size_t maxBytes) -> std::optional<Answer>
+{
+    const std::atomic<bool> never{false};
+    const auto until = std::chrono::steady_clock::now() + limit;
+    const auto left = [until] {
+        return std::chrono::duration_cast<core::Duration>(until - std::chrono::steady_clock::now());
+    };
+    try {
+        Exchange exchange(upstream, never);
+        if (!sendable(request) || !exchange.connect(limit)) {
+            return std::nullopt;
+        }
+        exchange.allowPause(left());
+        const auto head = exchange.send(request);
+        if (!head || !head->framed) {
+            return std::nullopt;
+        }
+        Answer answer{head->status, {}};
+        while (answer.body.size() <= maxBytes) {
+            exchange.allowPause(left());
+            const auto data = exchange.read();
+            if (exchange.stop() != ExchangeStop::None) {
+                return std::nullopt;
+            }
+            if (data.empty()) {
+                return answer;
+            }
+            answer.body.append(data);
+        }
+    } catch (const kj::Exception &) {
+        // Every way of failing is alike to a caller that asks again later.
+    }
+    return std::nullopt;
+}
+
+auto getJson(const core::Address &upstream, const std::string &path, core::Duration limit) -> json
+{
+    const auto answer = call(upstream, {"GET", path, {}, {}}, limit, maxAnswerBytes);
+    if (!answer || answer->status != 200) {
+        return json(json::value_t::discarded);
+    }
+    return json::parse(answer->body, nullptr, false);
+}
+
+auto number(const json &document, const char *key) -> std::uint64_t
+{
+    const auto found = document.find(key);
+    return found != document.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+auto text(const json &document, const char *key) -> std::string
+{
+    const auto found = document.find(key);
+    return found != document.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+auto contextPath(core::ChatKey chat) -> std::string
+{
+    return "/v1/cache/" + chatHex(chat);
+}
+
+auto addEvent(const json &event, core::CacheEvents &events) -> void
+{
+    if (!event.is_object()) {
+        events.gap = true;
+        return;
+    }
+    const auto chat = chatFromHex(text(event, "chat"));
+    const auto kind = text(event, "op");
+    if (kind == "stored" && chat != 0) {
+        events.stored.push_back(chat);
+    } else if (kind == "evicted" && chat != 0) {
+        events.evicted.push_back(chat);
+    }
+}
+
+} // namespace
+
+auto UpstreamClient::cancel(const core::RequestId &request) const -> std::error_code
+{
+    const auto answer =
+        call(upstream_, {"POST", "/v1/cancel/" + request, {}, {}}, callLimit, maxAnswerBytes);
+    return answer ? std::error_code{} : std::make_error_code(std::errc::host_unreachable);
+}
+
+auto UpstreamClient::state(core::Duration timeout) const -> core::UpstreamReport
+{
+    core::UpstreamReport report;
+    const auto document = getJson(upstream_, "/v1/state", timeout);
+    if (!document.is_object() || text(document, "epoch").empty()) {
+        return report;
+    }
+    report.reachable = true;
+    report.epoch = text(document, "epoch");
+    report.running = static_cast<std::uint32_t>(number(document, "running"));
+    report.waiting = static_cast<std::uint32_t>(number(document, "waiting"));
+    report.fence = number(document, "fence");
+    for (const auto &model : document.value("models", json::array())) {
+        if (model.is_string()) {
+            report.models.push_back(model.get<std::string>());
+        }
+    }
+    return report;
+}
+
+auto UpstreamClient::cacheEvents(std::uint64_t &sequence) const -> core::CacheEvents
+{
+    core::CacheEvents events;
+    const auto document =
+        getJson(upstream_, "/v1/cache/events?after=" + std::to_string(sequence), callLimit);
+    if (!document.is_object()) {
+        return events;
+    }
+    const auto gap = document.find("gap");
+    events.gap = gap != document.end() && *gap == true;
+    const auto list = document.find("events");
+    if (list != document.end() && list->is_array()) {
+        for (const auto &event : *list) {
+            addEvent(event, events);
+        }
+    }
+    sequence = number(document, "next");
+    return events;
+}
+
+auto UpstreamClient::order(const core::GiveOrder &order) const -> core::OrderAnswered
+{
+    const auto *kind = order.kind == core::OrderKind::LoadModel ? "load-model" : "unload-model";
+    const auto body = json{{"fence", order.fence}, {"kind", kind}, {"model", order.model}}.dump();
+    const core::Headers headers = {{"Content-Type", "application/json"}};
+    const auto answer =
+        call(upstream_, {"POST", "/v1/orders", headers, body}, callLimit, maxAnswerBytes);
+    if (!answer) {
+        return {order.fence, false, "no answer"};
+    }
+    return {order.fence, answer->status == 200, "status " + std::to_string(answer->status)};
+}
+
+auto UpstreamClient::handOff(core::ChatKey chat, const core::Address &to) const -> std::error_code
+{
+    const auto path = contextPath(chat);
+    const auto exported = call(upstream_, {"GET", path, {}, {}}, callLimit, maxContextBytes);
+    if (!exported) {
+        return std::make_error_code(std::errc::host_unreachable);
+    }
+    if (exported->status != 200) {
+        return std::make_error_code(std::errc::no_such_file_or_directory);
+    }
+    const auto imported = call(to, {"PUT", path, {}, exported->body}, callLimit, maxAnswerBytes);
+    if (!imported) {
+        return std::make_error_code(std::errc::host_unreachable);
+    }
+    return imported->status == 200 ? std::error_code{}
+                                   : std::make_error_code(std::errc::operation_not_permitted);
+}
+
+} // namespace applehatch::platform
--- /dev/null
+++ b/test/support/socket.h
@@ -0,0 +1,92 @@
+/// TCP and UDP sockets for tests, closed when they go out of scope.
+#pragma once
+
+#include "applehatch/core/identity.h"
+#include "support/eventually.h"
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace applehatch::support {
+
+/// One end of a TCP connection. Receiving and sending may be on two threads.
+class Socket
+{
+public:
+    Socket() = default;
+    explicit Socket(int descriptor)
+        : descriptor_(descriptor)
+    { }
+    ~Socket() { close(); }
+    Socket(Socket &&other) noexcept
+        : descriptor_(other.release())
+    { }
+    auto operator=(Socket &&other) noexcept -> Socket &;
+    Socket(const Socket &) = delete;
+    auto operator=(const Socket &) -> Socket & = delete;
+
+    /// An invalid socket when nothing accepts there.
+    [[nodiscard]] static auto connect(const core::Address &peer) -> Socket;
+
+    [[nodiscard]] auto valid() const -> bool { return descriptor_ >= 0; }
+    [[nodiscard]] auto descriptor() const -> int { return descriptor_; }
+
+    /// False when the peer is gone or took nothing for `limit`.
+    [[nodiscard]] auto sendAll(std::string_view data, milliseconds limit = patience) -> bool;
+
+    /// What has arrived; empty once the peer closed or reset; none when nothing came in time.
+    [[nodiscard]] auto receive(milliseconds limit = patience) -> std::optional<std::string>;
+
+    /// A small receive buffer, so that a caller that stops reading is soon noticed.
+    auto shrinkReceiveBuffer() -> void;
+    auto shutdown() -> void;
+    auto close() -> void;
+    auto reset() -> void; ///< Closes so that the peer sees a reset.
+
+private:
+    auto release() -> int;
+
+    int descriptor_ = -1;
+};
+
+/// A port on `ip` that nothing listened on a moment ago.
+[[nodiscard]] auto freePort(const std::string &ip) -> std::uint16_t;
+
+/// Sends one datagram.
+auto sendDatagram(const core::Address &to, std::string_view data) -> void;
+
+/// Accepts connections and hands each to `serve` on a thread of its own; closes it afterwards.
+class RawServer
+{
+public:
+    using Serve = std::function<void(Socket &)>;
+
+    RawServer(const std::string &ip, Serve serve, std::uint16_t port = 0);
+    ~RawServer();
+    RawServer(const RawServer &) = delete;
+    auto operator=(const RawServer &) -> RawServer & = delete;
+
+    [[nodiscard]] auto address() const -> const core::Address & { return address_; }
+    [[nodiscard]] auto accepted() const -> std::size_t { return accepted_; }
+
+private:
+    auto acceptLoop() -> void;
+
+    Serve serve_;
+    core::Address address_;
+    Socket listener_;
+    std::atomic<bool> stopping_{false};
+    std::atomic<std::size_t> accepted_{0};
+    std::mutex mutex_; ///< Guards the closing of connections.
+    std::list<Socket> connections_;
+    std::list<std::thread> threads_;
+    std::thread acceptor_;
+};
+
+} // namespace applehatch::support
