Host the two nodes: callers, links, upstream, settings, time

The decisions had nothing to carry them out. Each host calls its node under one lock and carries the actions out in the node's order, outside the lock, by whichever thread finds nobody acting; two threads acting at once could send a Submit and its Revoke the wrong way round. Callers' answers go to bounded queues, so a caller on a slow line never holds up the link loop. What both programs need (HTTP server, settings feed, links by address, drain, command line, metrics) is the package process.

Found by running the processes together: a link opened to ask for settings before the address table was known hid the heartbeat from the node, which then gave the upstream up after two seconds; the link is now opened afresh when the node asks. Seen once, not yet under a test.

Ruled out: a thread for the actions alone (one more hand-over for each message), and writing to callers' sockets from the loop.

--- a/include/applehatch/process/node-runner.h
+++ b/include/applehatch/process/node-runner.h
@@ -27,21 +27,25 @@
     { }
 
     auto handle(Event event) -> void
+    {
+        handle(std::move(event), [](Action &) { return false; });
+    }
+
+    /// As above, but first shows each action to `take`, under the lock; one for which it gives true
+    /// is left to it. For answers that belong to the one who sent the event.
+    template <typename Take>
+    auto handle(Event event, Take take) -> void
     {
         std::unique_lock lock(mutex_);
         auto actions = node_.handle(std::move(event), steadyNow());
-        for (auto &action : actions)
-            waiting_.push_back(std::move(action));
+        for (auto &action : actions) {
+            if (!take(action))
+                waiting_.push_back(std::move(action));
+        }
         if (acting_)
             return;
         acting_ = true;
-        while (!waiting_.empty()) {
-            auto taken = std::exchange(waiting_, {});
-            lock.unlock();
-            for (auto &action : taken)
-                act_(action);
-            lock.lock();
-        }
+        actWaiting(lock);
         acting_ = false;
     }
 
@@ -54,6 +58,17 @@
     }
 
 private:
+    auto actWaiting(std::unique_lock<std::mutex> &lock) -> void
+    {
+        while (!waiting_.empty()) {
+            auto taken = std::exchange(waiting_, {});
+            lock.unlock();
+            for (auto &action : taken)
+                act_(action);
+            lock.lock();
+        }
+    }
+
     std::function<void(Action &)> act_;
     mutable std::mutex mutex_; ///< Guards all below.
     Node node_;
--- a/include/applehatch/process/settings-feed.h
+++ b/include/applehatch/process/settings-feed.h
@@ -48,7 +48,7 @@
     [[nodiscard]] auto current() -> core::SettingsPtr;
 
     /// Longest blocking query; also how long a stop may wait for one.
-    static constexpr core::Duration watchWait = std::chrono::seconds(5);
+    static constexpr core::Duration watchWait = std::chrono::seconds(2);
 
 private:
     auto handle(core::SettingsEvent event, const Reply &answer) -> void;
--- a/include/applehatch/wire/link-loop.h
+++ b/include/applehatch/wire/link-loop.h
@@ -44,7 +44,7 @@
 public:
     LinkLoop(LinkHooks hooks, LinkTraffic traffic, LinkLimits limits = {});
 
-    /// Closes every link without `onDown` and joins the thread.
+    /// As `stop`.
     ~LinkLoop();
     LinkLoop(const LinkLoop &) = delete;
     auto operator=(const LinkLoop &) -> LinkLoop & = delete;
@@ -63,6 +63,10 @@
     /// Closes a link without `onDown`. Thread-safe.
     auto close(LinkId link) -> void;
 
+    /// Closes every link without `onDown` and joins the thread; no hook is called afterwards, and
+    /// what is still sent or opened is dropped. Once; not from a hook.
+    auto stop() -> void;
+
 private:
     struct State;
     std::unique_ptr<State> state_;
--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -14,16 +14,10 @@
 constexpr int handled = 1; // Tells the library that the answer was sent.
 constexpr std::size_t readBytes = 16384;
 
-auto startLine(int status) -> std::string
+auto headText(mg_connection *connection, int status, const core::Headers &headers) -> std::string
 {
-    // The reason phrase is for people; one word serves all.
-    return "HTTP/1.1 " + std::to_string(status) + (status < 400 ? " OK" : " Error")
-        + "\r\n"; // NOLINT
-}
-
-auto headText(int status, const core::Headers &headers) -> std::string
-{
-    auto text = startLine(status);
+    auto text = "HTTP/1.1 " + std::to_string(status) + ' ';
+    text.append(mg_get_response_code_text(connection, status)).append("\r\n");
     for (const auto &[name, value] : headers)
         text.append(name).append(": ").append(value).append("\r\n");
     text.append("Connection: close\r\n");
@@ -111,7 +105,7 @@
 
 auto HttpExchange::respond(int status, const core::Headers &headers, std::string_view body) -> bool
 {
-    auto text = headText(status, headers);
+    auto text = headText(connection_, status, headers);
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     if (method() != "HEAD")
         text += body;
@@ -120,7 +114,7 @@
 
 auto HttpExchange::beginStream(int status, const core::Headers &headers) -> bool
 {
-    auto text = headText(status, headers);
+    auto text = headText(connection_, status, headers);
     if (chunked_)
         text += "Transfer-Encoding: chunked\r\n";
     return writeAll(connection_, text + "\r\n");
--- a/src/router/router-admin.cc
+++ b/src/router/router-admin.cc
@@ -37,6 +37,7 @@
 {
     telemetry::addProcessMetrics(metrics_);
     std::vector<prometheus::Counter *> counters;
+    counters.reserve(totals.size());
     for (const auto &total : totals)
         counters.push_back(&metrics_.counter({total.name, total.help}));
     auto &inFlightGauge = metrics_.gauge({"applehatch_in_flight", "Requests of callers in flight"});
--- a/src/router/router-callers.cc
+++ b/src/router/router-callers.cc
@@ -72,6 +72,7 @@
     {
         const std::lock_guard lock(callersMutex_);
         callers_.erase(request);
+        callersLeft_.notify_all();
     }
     if (outcome != AnswerOutcome::Sent) {
         logCaller(request, outcome == AnswerOutcome::TooLarge ? "answer-too-large" : "left");
@@ -79,4 +80,13 @@
     }
 }
 
+// The node is done when it gave the last answer; the thread that writes it may not be. The server's
+// stop would cut such a write.
+auto RouterHost::waitForCallers() -> void
+{
+    constexpr auto longestWrite = std::chrono::seconds(5);
+    std::unique_lock lock(callersMutex_);
+    callersLeft_.wait_for(lock, longestWrite, [this] { return callers_.empty(); });
+}
+
 } // namespace applehatch::router
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-using process::steadyNow;
-
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
 constexpr core::Duration hostListPeriod = std::chrono::seconds(1);
 
@@ -45,15 +43,22 @@
             options_.placement)
     , loop_(linkHooks(), traffic_.linkHooks())
     , links_(loop_)
-    , digests_(digestHooks())
     , feed_(replicaIdentityOf(*options_.file), options_.file->settings, feedHooks())
     , hostList_(options_.file->hostList)
+    , digests_(digestHooks())
     , admin_(metrics_, health(), adminSource())
 {
     addMetrics();
 }
 
-RouterHost::~RouterHost() = default;
+// Threads that call into members end before any member does.
+RouterHost::~RouterHost()
+{
+    waitForCallers();
+    hostListPolls_.reset();
+    ticks_.reset();
+    loop_.stop();
+}
 
 auto RouterHost::start() -> std::error_code
 {
@@ -100,10 +105,15 @@
 
 auto RouterHost::carry(core::OpenLink &open) -> void
 {
-    if (const auto address = addresses_.sidecar(open.upstream))
-        links_.open(*address);
-    else
+    const auto address = addresses_.sidecar(open.upstream);
+    if (!address) {
         node_.handle(core::LinkDown{open.upstream});
+        return;
+    }
+    // A link may stand from asking for settings, before anyone knew whose it was. Its first
+    // heartbeat is gone, and the node would wait for `LinkUp` until it gave the upstream up.
+    links_.drop(*address);
+    links_.open(*address);
 }
 
 auto RouterHost::carry(core::DropLink &drop) -> void
--- a/src/router/router-host.h
+++ b/src/router/router-host.h
@@ -20,7 +20,9 @@
 #include "caller-queue.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <system_error>
 #include <unordered_map>
@@ -84,6 +86,7 @@
     auto serveEvent(process::HttpExchange &exchange, const core::RequestId &request,
                     std::variant<Event, core::Failure> read) -> void;
     auto nextRequest() -> core::RequestId;
+    auto waitForCallers() -> void;
 
     RouterOptions options_;
     telemetry::Metrics metrics_;
@@ -95,14 +98,15 @@
     std::atomic<std::size_t> bootstrapTurn_{0};
 
     std::mutex callersMutex_; ///< Guards `callers_`; the queues have their own locks.
+    std::condition_variable callersLeft_;
     std::unordered_map<core::RequestId, std::shared_ptr<CallerQueue>> callers_;
 
     Runner node_;
     wire::LinkLoop loop_;
     process::PeerLinks links_;
-    wire::DigestSocket digests_;
     process::SettingsFeed feed_;
     platform::HostListClient hostList_;
+    wire::DigestSocket digests_; ///< After the feed, which its thread calls.
     std::unique_ptr<process::Periodic> ticks_;
     std::unique_ptr<process::Periodic> hostListPolls_;
     process::AdminServer admin_;
--- a/src/sidecar/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace applehatch {}
--- a/src/wire/link-loop.cc
+++ b/src/wire/link-loop.cc
@@ -275,6 +275,13 @@
 
 LinkLoop::~LinkLoop()
 {
+    stop();
+}
+
+auto LinkLoop::stop() -> void
+{
+    if (!state_->thread.joinable())
+        return;
     state_->ask({0, std::nullopt, [state = state_.get()] { state->stopping = true; }});
     state_->thread.join();
 }
