Add the harness for tests with real processes

Cause: promises about restarts, silence and partitions show only between real processes. Ruled out: CivetWeb's client for callers, which cannot stop reading, leave half way or be read event by event. The plain service's stand-in is named apart from the platform stand-in's list of services, and stops at once instead of after the library's 2 s.

--- a/test/platform/upstream-standin-test.cc
+++ b/test/platform/upstream-standin-test.cc
@@ -198,10 +198,10 @@
 
 BOOST_AUTO_TEST_CASE(service_calls_pass_whole_with_their_key)
 {
-    standin::ServiceOptions options;
+    standin::PlainServiceOptions options;
     options.listen.ip = ip;
     options.threads = 8;
-    standin::Service service(options);
+    standin::PlainService service(options);
     struct Row
     {
         const char *method;
--- a/test/standin/service-main.cc
+++ b/test/standin/service-main.cc
@@ -16,13 +16,13 @@
     using namespace applehatch::standin;
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const StopSignals signals;
-    ServiceOptions options;
+    PlainServiceOptions options;
     options.listen = addressFromFlag(FLAGS_listen);
     options.delay = milliseconds(FLAGS_delay_ms);
     options.answerPad = FLAGS_answer_pad;
     options.threads = static_cast<int>(FLAGS_threads);
     options.logPath = FLAGS_log;
-    Service service(options);
+    PlainService service(options);
     service.record().control(nlohmann::json::parse(FLAGS_control));
     announce(service.address());
     signals.wait();
--- a/test/standin/service.cc
+++ b/test/standin/service.cc
@@ -11,7 +11,7 @@
     return nlohmann::json{{"answer", hash}, {"pad", std::string(pad, '.')}}.dump();
 }
 
-Service::Service(ServiceOptions options)
+PlainService::PlainService(PlainServiceOptions options)
     : options_(std::move(options))
     , record_(options_.logPath)
 {
@@ -21,13 +21,13 @@
                                            [this](const HttpRequest &call) { serve(call); });
 }
 
-Service::~Service()
+PlainService::~PlainService()
 {
     record_.stop();
     server_.reset();
 }
 
-auto Service::serve(const HttpRequest &request) -> void
+auto PlainService::serve(const HttpRequest &request) -> void
 {
     if (record_.serveControl(request) || !record_.pass()) {
         return;
@@ -57,7 +57,7 @@
     record_.finish(number, run(request));
 }
 
-auto Service::run(const HttpRequest &request) -> std::string
+auto PlainService::run(const HttpRequest &request) -> std::string
 {
     if (!record_.sleep(options_.delay)) {
         return "abandoned";
--- a/test/standin/upstream-server.cc
+++ b/test/standin/upstream-server.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdlib>
 #include <stdexcept>
+#include <thread>
 
 namespace applehatch::standin {
 
@@ -84,8 +85,16 @@
 
 HttpServer::~HttpServer()
 {
+    // The library's acceptor looks for the order to stop every 2 s only, unless a connection comes.
+    const std::jthread waker([this](const std::stop_token &done) {
+        while (!done.stop_requested()) {
+            std::array<char, 128> error{};
+            mg_close_connection(mg_connect_client(address_.ip.c_str(), address_.port, 0,
+                                                  error.data(), error.size()));
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+    });
     mg_stop(context_);
-    mg_exit_library();
 }
 
 auto HttpServer::handle(mg_connection *connection, void *self) -> int
--- /dev/null
+++ b/test/support/fleet.cc
@@ -0,0 +1,324 @@
+#include "support/fleet.h"
+
+#include "standin/upstream-server.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <sstream>
+#include <stdexcept>
+
+namespace applehatch::support {
+
+namespace {
+
+using nlohmann::json;
+
+/// Loopback networks are dealt out by process and fleet, so that tests may run side by side.
+auto nextNetwork() -> std::string
+{
+    constexpr auto first = 64;
+    constexpr auto count = 180;
+    static std::atomic<int> fleets{0};
+    return "127." + std::to_string(first + (::getpid() * 3 + fleets++) % count);
+}
+
+auto text(const core::Address &address) -> std::string
+{
+    return address.ip + ":" + std::to_string(address.port);
+}
+
+auto listening(const std::string &ip) -> core::Address
+{
+    return {ip, freePort(ip)};
+}
+
+auto front(const std::unique_ptr<Relay> &relay, const core::Address &behind) -> core::Address
+{
+    return relay ? relay->address() : behind;
+}
+
+auto isReady(const core::Address &address) -> bool
+{
+    return get(address, "/health/ready", milliseconds(1000)).status == 200;
+}
+
+} // namespace
+
+Fleet::Fleet(FleetOptions options)
+    : options_(std::move(options))
+    , network_(nextNetwork())
+    , platform_(std::make_unique<standin::Platform>(core::Address{network_ + ".4.1", 0}))
+{
+    for (std::size_t number = 0; number < options_.engines; ++number) {
+        addMember(enginePool, number);
+    }
+    for (std::size_t number = 0; number < options_.services; ++number) {
+        addMember(servicePool, number);
+    }
+    publish();
+    for (auto &member : members_) {
+        startUpstream(member);
+        startSidecar(member);
+    }
+    for (std::size_t number = 0; number < options_.routers; ++number) {
+        addRouter(number);
+        startRouter(routers_.back());
+    }
+    waitReady();
+}
+
+Fleet::~Fleet() = default;
+
+auto Fleet::router(std::size_t number) -> FleetRouter &
+{
+    return routers_.at(number);
+}
+
+auto Fleet::engine(std::size_t number) -> FleetMember &
+{
+    return members_.at(number);
+}
+
+auto Fleet::service(std::size_t number) -> FleetMember &
+{
+    return members_.at(options_.engines + number);
+}
+
+auto Fleet::addMember(const std::string &pool, std::size_t number) -> void
+{
+    FleetMember member;
+    member.pool = pool;
+    member.name = pool + "-" + std::to_string(number + 1);
+    member.dataCenter = options_.dataCenters[number % options_.dataCenters.size()];
+    member.ip = network_ + (pool == enginePool ? ".1." : ".2.") + std::to_string(number + 1);
+    member.links = listening(member.ip);
+    member.digest = listening(member.ip);
+    member.admin = listening(member.ip);
+    member.upstreamAt = listening(member.ip);
+    if (options_.relays) {
+        member.linkRelay = std::make_unique<Relay>(member.ip, member.links);
+        member.upstreamRelay = std::make_unique<Relay>(member.ip, member.upstreamAt);
+    }
+    member.runLog = std::make_unique<TemporaryFile>();
+    platform_->setHost(member.ip, core::HostState::Live);
+    members_.push_back(std::move(member));
+}
+
+auto Fleet::addRouter(std::size_t number) -> void
+{
+    FleetRouter router;
+    router.name = "router-" + std::to_string(number + 1);
+    const auto ip = network_ + ".3." + std::to_string(number + 1);
+    router.listens = listening(ip);
+    router.admin = listening(ip);
+    if (options_.relays) {
+        router.relay = std::make_unique<Relay>(ip, router.listens);
+    }
+    router.callers = front(router.relay, router.listens);
+    const json config = {{"name", router.name},
+                         {"dataCenter", options_.dataCenters[number % options_.dataCenters.size()]},
+                         {"callers", text(router.listens)},
+                         {"admin", text(router.admin)},
+                         {"digest", text(listening(ip))},
+                         {"settings", text(platform_->address())},
+                         {"hostList", text(platform_->address())},
+                         {"bootstrapPeers", peers()},
+                         {"drainDeadlineMs", 20000}};
+    router.config = std::make_unique<TemporaryFile>(config.dump(1));
+    platform_->setHost(ip, core::HostState::Live);
+    routers_.push_back(std::move(router));
+}
+
+auto Fleet::peers() const -> json
+{
+    auto list = json::array();
+    for (const auto &member : members_) {
+        list.push_back(text(front(member.linkRelay, member.links)));
+    }
+    return list;
+}
+
+auto Fleet::startUpstream(FleetMember &member) -> void
+{
+    const auto isEngine = member.pool == enginePool;
+    std::vector<std::string> command = {
+        programPath(isEngine ? "standin-engine" : "standin-service"),
+        "--listen",
+        text(member.upstreamAt),
+        "--log",
+        member.runLog->path(),
+        "--control",
+        options_.control};
+    if (isEngine) {
+        const std::vector<std::string> flags = {"--slots",
+                                                std::to_string(options_.slots),
+                                                "--tokens_per_second",
+                                                std::to_string(options_.tokensPerSecond),
+                                                "--cold_prefill_ms",
+                                                std::to_string(options_.coldPrefill.count())};
+        command.insert(command.end(), flags.begin(), flags.end());
+        command.insert(command.end(), options_.engineFlags.begin(), options_.engineFlags.end());
+    }
+    member.upstream = std::make_unique<Process>(command);
+    if (!member.upstream->waitForLine("ready")) {
+        throw std::runtime_error(member.name + " did not start: " + member.upstream->output());
+    }
+}
+
+auto Fleet::startSidecar(FleetMember &member) -> void
+{
+    const json config = {{"name", "sidecar-" + member.name},
+                         {"dataCenter", member.dataCenter},
+                         {"links", text(member.links)},
+                         {"admin", text(member.admin)},
+                         {"digest", text(member.digest)},
+                         {"upstream", text(front(member.upstreamRelay, member.upstreamAt))},
+                         {"team", team},
+                         {"pool", member.pool},
+                         {"member", member.name},
+                         {"settings", text(platform_->address())},
+                         {"hostList", text(platform_->address())},
+                         {"weights", text(platform_->address())},
+                         {"bootstrapPeers", peers()},
+                         {"drainDeadlineMs", 20000}};
+    member.config = std::make_unique<TemporaryFile>(config.dump(1));
+    member.sidecar = std::make_unique<Process>(std::vector<std::string>{
+        programPath("applehatch-sidecar"), "--config", member.config->path()});
+}
+
+auto Fleet::startRouter(FleetRouter &router) -> void
+{
+    router.process = std::make_unique<Process>(std::vector<std::string>{
+        programPath("applehatch-router"), "--config", router.config->path()});
+}
+
+auto Fleet::waitReady() -> void
+{
+    for (auto &member : members_) {
+        if (!eventually([&] { return isReady(member.admin) || !member.sidecar->running(); })
+            || !member.sidecar->running()) {
+            throw std::runtime_error("not ready: " + outputs());
+        }
+    }
+    for (auto &router : routers_) {
+        if (!eventually([&] { return isReady(router.listens) || !router.process->running(); })
+            || !router.process->running()) {
+            throw std::runtime_error("not ready: " + outputs());
+        }
+    }
+}
+
+auto Fleet::poolSettings(const std::string &pool, const std::vector<std::string> &without) const
+    -> json
+{
+    json settings = pool == enginePool ? json{{"kind", "model"}, {"models", {model}}}
+                                       : json{{"kind", "service"}, {"pathPrefix", "/jobs"}};
+    auto list = json::array();
+    for (const auto &member : members_) {
+        const auto left = std::find(without.begin(), without.end(), member.name) != without.end();
+        if (member.pool == pool && !left) {
+            list.push_back({{"name", member.name},
+                            {"dataCenter", member.dataCenter},
+                            {"slots", options_.slots},
+                            {"sidecar", text(front(member.linkRelay, member.links))},
+                            {"digest", text(member.digest)},
+                            {"upstream", text(member.upstreamAt)}});
+        }
+    }
+    settings["members"] = list;
+    settings.merge_patch(options_.pool);
+    return settings;
+}
+
+auto Fleet::publish(const std::vector<std::string> &without) -> void
+{
+    json settings = {
+        {"pools", json::object()},
+        {"customers", {{"branch-east", {{"weight", 1.0}}}, {"branch-west", {{"weight", 1.0}}}}}};
+    if (options_.engines > 0) {
+        settings["pools"][enginePool] = poolSettings(enginePool, without);
+    }
+    if (options_.services > 0) {
+        settings["pools"][servicePool] = poolSettings(servicePool, without);
+    }
+    platform_->putTeam(team, settings.dump(1));
+}
+
+auto Fleet::chat(const std::string &mark, std::size_t tokens, bool stream) const -> CallerRequest
+{
+    CallerRequest request;
+    request.headers = {{"Applehatch-Customer", std::string(team) + "/branch-east"},
+                       {"Content-Type", "application/json"}};
+    request.body = json{{"model", model},
+                        {"stream", stream},
+                        {"max_tokens", tokens},
+                        {"messages", {{{"role", "user"}, {"content", mark}}}}}
+                       .dump();
+    return request;
+}
+
+auto Fleet::job(const std::string &mark) const -> CallerRequest
+{
+    CallerRequest request;
+    request.path = "/jobs/new";
+    request.headers = {{"Applehatch-Customer", std::string(team) + "/branch-east"},
+                       {"Content-Type", "application/json"}};
+    request.body = json{{"repair", mark}}.dump();
+    return request;
+}
+
+auto Fleet::control(FleetMember &member, const json &orders) -> void
+{
+    const auto answer = call(member.upstreamAt, {"POST", "/control", {}, orders.dump()});
+    if (answer.status != 200) {
+        throw std::runtime_error(member.name + " did not take its orders");
+    }
+}
+
+auto Fleet::record(const FleetMember &member) const -> json
+{
+    return json::parse(get(member.upstreamAt, "/control/runs").body);
+}
+
+auto Fleet::runs() const -> std::vector<RunEntry>
+{
+    std::vector<RunEntry> entries;
+    for (const auto &member : members_) {
+        std::istringstream lines(member.runLog->read());
+        std::string line;
+        while (std::getline(lines, line)) {
+            const auto entry = json::parse(line);
+            const auto value = [&](const char *key) { return entry.value(key, std::string()); };
+            entries.push_back({member.name, value("op"), value("request"), value("key"),
+                               value("bodyHash"), value("outcome"),
+                               entry.value("atMs", std::int64_t{0})});
+        }
+    }
+    return entries;
+}
+
+auto Fleet::runsOf(const CallerRequest &request) const -> std::vector<RunEntry>
+{
+    auto entries = runs();
+    const auto hash = standin::hex(core::stableHash(request.body));
+    std::erase_if(entries, [&](const RunEntry &entry) {
+        return entry.operation != "start" || entry.bodyHash != hash;
+    });
+    return entries;
+}
+
+auto Fleet::outputs() const -> std::string
+{
+    std::string all;
+    for (const auto &member : members_) {
+        all += "== " + member.name + "\n" + (member.sidecar ? member.sidecar->output() : "");
+    }
+    for (const auto &router : routers_) {
+        all += "== " + router.name + "\n" + (router.process ? router.process->output() : "");
+    }
+    return all;
+}
+
+} // namespace applehatch::support
--- /dev/null
+++ b/test/support/fleet.h
@@ -0,0 +1,143 @@
+/// Routers, sidecars and stand-ins as real processes on loopback.
+#pragma once
+
+#include "standin/platform.h"
+#include "support/caller.h"
+#include "support/process.h"
+#include "support/relay.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace applehatch::support {
+
+/// What to start.
+struct FleetOptions
+{
+    std::size_t engines = 2;
+    std::size_t services = 0;
+    std::size_t routers = 1;
+    std::vector<std::string> dataCenters = {"bole"}; ///< Dealt out in turn.
+    std::uint32_t slots = 8;                         ///< Of each engine and service.
+    double tokensPerSecond = 100.0;
+    milliseconds coldPrefill{30};
+    bool relays = false; ///< A relay before each sidecar, upstream and router.
+    nlohmann::json pool = nlohmann::json::object(); ///< Merged into each pool's settings.
+    std::vector<std::string> engineFlags;           ///< Further ones for each engine.
+    std::string control = "{}";                     ///< Fault orders for each engine.
+};
+
+/// One upstream with its sidecar.
+struct FleetMember
+{
+    std::string pool;
+    std::string name;
+    std::string dataCenter;
+    std::string ip;
+    core::Address links; ///< Where the sidecar listens.
+    core::Address digest;
+    core::Address admin;
+    core::Address upstreamAt;             ///< Where the upstream listens.
+    std::unique_ptr<Relay> linkRelay;     ///< Between routers and the sidecar.
+    std::unique_ptr<Relay> upstreamRelay; ///< Between the sidecar and the upstream.
+    std::unique_ptr<TemporaryFile> runLog;
+    std::unique_ptr<TemporaryFile> config;
+    std::unique_ptr<Process> upstream;
+    std::unique_ptr<Process> sidecar;
+};
+
+/// One entry host.
+struct FleetRouter
+{
+    std::string name;
+    core::Address callers; ///< Where callers go: the relay where there is one.
+    core::Address listens;
+    core::Address admin;
+    std::unique_ptr<Relay> relay;
+    std::unique_ptr<TemporaryFile> config;
+    std::unique_ptr<Process> process;
+};
+
+/// One start or end of a run, as the upstream wrote it down.
+struct RunEntry
+{
+    std::string upstream;
+    std::string operation; ///< `start` or `end`.
+    std::string request;
+    std::string key;
+    std::string bodyHash;
+    std::string outcome;
+    std::int64_t atMs = 0;
+};
+
+/// A fleet that is stopped when it goes out of scope.
+class Fleet
+{
+public:
+    /// Starts everything and waits until each process is ready. Throws `std::runtime_error` with
+    /// the output of a process that is not ready in time.
+    explicit Fleet(FleetOptions options);
+    ~Fleet();
+    Fleet(const Fleet &) = delete;
+    auto operator=(const Fleet &) -> Fleet & = delete;
+
+    static constexpr auto team = "ledgerworks";
+    static constexpr auto enginePool = "drafting";
+    static constexpr auto servicePool = "jobs";
+    static constexpr auto model = "sheet-writer";
+
+    [[nodiscard]] auto router(std::size_t number = 0) -> FleetRouter &;
+    [[nodiscard]] auto engine(std::size_t number) -> FleetMember &;
+    [[nodiscard]] auto service(std::size_t number) -> FleetMember &;
+    [[nodiscard]] auto members() -> std::vector<FleetMember> & { return members_; }
+    [[nodiscard]] auto platform() -> standin::Platform & { return *platform_; }
+
+    /// A chat request of `tokens` tokens as a caller sends it; `mark` makes its body its own.
+    [[nodiscard]] auto chat(const std::string &mark, std::size_t tokens, bool stream = true) const
+        -> CallerRequest;
+
+    /// A call to the plain services.
+    [[nodiscard]] auto job(const std::string &mark) const -> CallerRequest;
+
+    auto startUpstream(FleetMember &member) -> void;
+    auto startSidecar(FleetMember &member) -> void;
+    auto startRouter(FleetRouter &router) -> void;
+    auto waitReady() -> void;
+
+    /// Publishes settings without the members named.
+    auto publish(const std::vector<std::string> &without = {}) -> void;
+
+    /// Gives fault orders to an upstream.
+    auto control(FleetMember &member, const nlohmann::json &orders) -> void;
+
+    /// Asks an upstream for its record.
+    [[nodiscard]] auto record(const FleetMember &member) const -> nlohmann::json;
+
+    /// All that upstreams wrote down, also those that crashed.
+    [[nodiscard]] auto runs() const -> std::vector<RunEntry>;
+
+    /// Runs begun of the body that `request` sends.
+    [[nodiscard]] auto runsOf(const CallerRequest &request) const -> std::vector<RunEntry>;
+
+    /// Output of every process, for a test that failed.
+    [[nodiscard]] auto outputs() const -> std::string;
+
+private:
+    auto addMember(const std::string &pool, std::size_t number) -> void;
+    auto addRouter(std::size_t number) -> void;
+    [[nodiscard]] auto poolSettings(const std::string &pool,
+                                    const std::vector<std::string> &without) const
+        -> nlohmann::json;
+    [[nodiscard]] auto peers() const -> nlohmann::json;
+
+    FleetOptions options_;
+    std::string network_; ///< The first two numbers of every address.
+    std::unique_ptr<standin::Platform> platform_;
+    std::vector<FleetMember> members_;
+    std::vector<FleetRouter> routers_;
+};
+
+} // namespace applehatch::support
--- a/test/support/socket.cc
+++ b/test/support/socket.cc
@@ -36,6 +36,8 @@
     return ::poll(&waited, 1, static_cast<int>(limit.count())) > 0;
 }
 
+} // namespace
+
 auto listenOn(core::Address &address) -> Socket
 {
     Socket listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
@@ -53,8 +55,6 @@
     return listener;
 }
 
-} // namespace
-
 auto Socket::operator=(Socket &&other) noexcept -> Socket &
 {
     if (this != &other) {
@@ -71,8 +71,7 @@
     if (::connect(socket.descriptor(), reinterpret_cast<sockaddr *>(&native), sizeof native) != 0) {
         return {};
     }
-    const int yes = 1;
-    (void)::setsockopt(socket.descriptor(), IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+    socket.setNoDelay();
     return socket;
 }
 
@@ -82,16 +81,24 @@
         if (!waitFor(descriptor_, POLLOUT, limit)) {
             return false;
         }
-        const auto sent =
-            ::send(descriptor_, data.data(), data.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-        if (sent < 0 && errno != EAGAIN) {
+        const auto sent = sendSome(data);
+        if (!sent) {
             return false;
         }
-        data.remove_prefix(sent < 0 ? 0 : static_cast<std::size_t>(sent));
+        data.remove_prefix(*sent);
     }
     return true;
 }
 
+auto Socket::sendSome(std::string_view data) -> std::optional<std::size_t>
+{
+    const auto sent = ::send(descriptor_, data.data(), data.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0 && errno != EAGAIN) {
+        return std::nullopt;
+    }
+    return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+}
+
 auto Socket::receive(milliseconds limit) -> std::optional<std::string>
 {
     if (!waitFor(descriptor_, POLLIN, limit)) {
@@ -108,6 +115,12 @@
     (void)::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
 }
 
+auto Socket::setNoDelay() -> void
+{
+    const int yes = 1;
+    (void)::setsockopt(descriptor_, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+}
+
 auto Socket::shutdown() -> void
 {
     (void)::shutdown(descriptor_, SHUT_RDWR);
--- a/test/support/socket.h
+++ b/test/support/socket.h
@@ -40,11 +40,15 @@
     /// False when the peer is gone or took nothing for `limit`.
     [[nodiscard]] auto sendAll(std::string_view data, milliseconds limit = patience) -> bool;
 
+    /// Hands over what the peer takes now; none when it is gone.
+    [[nodiscard]] auto sendSome(std::string_view data) -> std::optional<std::size_t>;
+
     /// What has arrived; empty once the peer closed or reset; none when nothing came in time.
     [[nodiscard]] auto receive(milliseconds limit = patience) -> std::optional<std::string>;
 
     /// A small receive buffer, so that a caller that stops reading is soon noticed.
     auto shrinkReceiveBuffer() -> void;
+    auto setNoDelay() -> void;
     auto shutdown() -> void;
     auto close() -> void;
     auto reset() -> void; ///< Closes so that the peer sees a reset.
@@ -55,6 +59,9 @@
     int descriptor_ = -1;
 };
 
+/// Listens on `address`; its port 0 is replaced by the one taken. Throws `std::runtime_error`.
+[[nodiscard]] auto listenOn(core::Address &address) -> Socket;
+
 /// A port on `ip` that nothing listened on a moment ago.
 [[nodiscard]] auto freePort(const std::string &ip) -> std::uint16_t;
 
