--- /dev/null
+++ b/test/system/stop-test.cc
@@ -0,0 +1,161 @@
+#include "system/expect.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <thread>
+
+namespace {
+
+using namespace applehatch;
+using namespace system_test;
+using namespace std::chrono_literals;
+using support::call;
+using support::CallerConnection;
+using support::eventually;
+
+/// After this long an upstream that leaves must get no new work.
+constexpr auto leaveLimit = 5000ms;
+constexpr auto streams = 6;
+
+auto stopFleet() -> support::FleetOptions
+{
+    support::FleetOptions options;
+    options.engines = 3;
+    options.routers = 2;
+    options.tokensPerSecond = 50;
+    return options;
+}
+
+/// Streams that are open and have brought their first events.
+class OpenStreams
+{
+public:
+    explicit OpenStreams(Fleet &fleet)
+    {
+        for (auto number = 0; number < streams; ++number) {
+            requests_.push_back(fleet.chat("open " + std::to_string(number), 100));
+            connections_.push_back(
+                std::make_unique<CallerConnection>(fleet.router(0).callers, requests_.back()));
+        }
+        for (auto &connection : connections_) {
+            connection->read([](const CallerAnswer &answer) { return answer.events().size() > 1; });
+        }
+    }
+
+    auto expectWhole(const Fleet &fleet) -> void
+    {
+        for (std::size_t number = 0; number < requests_.size(); ++number) {
+            const auto &answer = connections_[number]->read({}, 15000ms);
+            BOOST_TEST_CONTEXT(answer.problem().dump() << fleet.outputs())
+            {
+                BOOST_TEST(isWholeAndOwn(requests_[number], answer));
+            }
+        }
+    }
+
+private:
+    std::vector<CallerRequest> requests_;
+    std::vector<std::unique_ptr<CallerConnection>> connections_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(stopping)
+
+// Entry hosts are replaced every day with answers running through them. A caller that was cut off
+// would have to pay for its draft again.
+BOOST_AUTO_TEST_CASE(a_router_asked_to_stop_cuts_no_stream)
+{
+    Fleet fleet(stopFleet());
+    OpenStreams open(fleet);
+    auto &router = fleet.router(0);
+    router.process->terminate();
+    BOOST_TEST(
+        eventually([&] { return support::get(router.admin, "/health/ready").status == 503; }));
+    BOOST_TEST(router.process->running());
+    open.expectWhole(fleet);
+    BOOST_TEST((router.process->wait() == support::ExitStatus{false, 0}));
+    const auto next = fleet.chat("after the stop", 5);
+    BOOST_TEST(isWholeAndOwn(next, call(fleet.router(1).callers, next)));
+}
+
+BOOST_AUTO_TEST_CASE(sidecars_asked_to_stop_cut_no_stream)
+{
+    Fleet fleet(stopFleet());
+    OpenStreams open(fleet);
+    for (std::size_t number = 0; number < 2; ++number) {
+        fleet.engine(number).sidecar->terminate();
+    }
+    open.expectWhole(fleet);
+    for (std::size_t number = 0; number < 2; ++number) {
+        BOOST_TEST((fleet.engine(number).sidecar->wait() == support::ExitStatus{false, 0}));
+    }
+    const auto next = fleet.chat("after the stop", 5);
+    BOOST_TEST(isWholeAndOwn(next, call(fleet.router(0).callers, next)));
+}
+
+// An upstream is taken out of service. Work that still goes there after a few seconds is cut off
+// when its host goes.
+BOOST_AUTO_TEST_CASE(an_upstream_that_leaves_gets_no_new_work)
+{
+    struct Row
+    {
+        const char *name;
+        std::function<void(Fleet &, support::FleetMember &)> leave;
+    };
+    const auto rows = {
+        Row{"host list",
+            [](auto &fleet, auto &member) {
+                fleet.platform().setHost(member.ip, core::HostState::Leaving);
+            }},
+        Row{"asked to stop", [](auto &, auto &member) { member.sidecar->terminate(); }},
+        Row{"settings", [](auto &fleet, auto &member) { fleet.publish({member.name}); }},
+    };
+    for (const auto &row : rows) {
+        auto options = stopFleet();
+        options.tokensPerSecond = 500;
+        Fleet fleet(options);
+        auto &member = fleet.engine(0);
+        std::atomic<bool> done{false};
+        History history;
+        std::vector<std::jthread> callers;
+        for (auto caller = 0; caller < 4; ++caller) {
+            callers.emplace_back([&, caller] {
+                for (auto turn = 0; !done; ++turn) {
+                    const auto request = fleet.chat(
+                        row.name + std::to_string(caller) + "/" + std::to_string(turn), 5);
+                    history.add(request, call(fleet.router(turn % 2).callers, request));
+                }
+            });
+        }
+        const auto startsSince = [&](std::int64_t since, bool atMember) {
+            const auto runs = fleet.runs();
+            return std::count_if(runs.begin(), runs.end(), [&](const auto &run) {
+                return run.operation == "start" && run.atMs > since
+                    && (run.upstream == member.name) == atMember;
+            });
+        };
+        const auto now = [] {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(
+                       support::Clock::now().time_since_epoch())
+                .count();
+        };
+        BOOST_TEST(eventually([&] { return startsSince(0, true) > 3; }));
+        row.leave(fleet, member);
+        const auto limit = now() + leaveLimit.count();
+        BOOST_TEST(eventually([&] { return startsSince(limit, false) > 30; }, 15000ms));
+        done = true;
+        callers.clear();
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            BOOST_TEST(startsSince(limit, true) == 0);
+            BOOST_TEST(history.whole() == history.size());
+            for (const auto &violation : history.violations(fleet)) {
+                BOOST_ERROR(violation);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
