--- /dev/null
+++ b/include/applehatch/process/admin-server.h
@@ -0,0 +1,40 @@
+/// The HTTP server for operators and the balancer: metrics, health, administration.
+#pragma once
+
+#include "applehatch/admin/api.h"
+#include "applehatch/process/http-server.h"
+#include "applehatch/telemetry/metrics.h"
+
+#include <functional>
+
+namespace applehatch::process {
+
+/// What the balancer asks.
+struct Health
+{
+    std::function<bool()> ready;
+    std::function<bool()> draining;
+};
+
+/// Answers `/health/live`, `/health/ready` and `/health/draining`; false for another path.
+[[nodiscard]] auto answerHealth(HttpExchange &exchange, const Health &health) -> bool;
+
+/// Serves `/metrics`, `/health/...` and the administration API on their own address.
+class AdminServer
+{
+public:
+    AdminServer(telemetry::Metrics &metrics, Health health, admin::Source source);
+
+    [[nodiscard]] auto start(const core::Address &address, core::Address &bound) -> std::error_code;
+
+private:
+    auto serve(HttpExchange &exchange) -> void;
+    auto serveApi(HttpExchange &exchange) -> void;
+
+    telemetry::Metrics &metrics_;
+    Health health_;
+    admin::Source source_;
+    HttpServer server_;
+};
+
+} // namespace applehatch::process
--- a/include/applehatch/wire/codec.h
+++ b/include/applehatch/wire/codec.h
@@ -32,7 +32,7 @@
 [[nodiscard]] auto kindName(const core::Message &message) -> std::string_view;
 
 /// Whether a kind counts as control traffic. Payload is what a caller sent or receives: `submit`,
-/// `head`, `chunk`, `end` and `refusal`; all else is control.
-[[nodiscard]] auto isControl(const core::Message &message) -> bool;
+/// `head`, `chunk`, `end` and `refusal`; all else is control, digests too.
+[[nodiscard]] auto isControlKind(std::string_view kind) -> bool;
 
 } // namespace applehatch::wire
--- /dev/null
+++ b/src/process/http-server.cc
@@ -0,0 +1,192 @@
+#include "applehatch/process/http-server.h"
+
+#include <civetweb.h>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <utility>
+
+namespace applehatch::process {
+
+namespace {
+
+constexpr int handled = 1; // Tells the library that the answer was sent.
+constexpr std::size_t readBytes = 16384;
+
+auto startLine(int status) -> std::string
+{
+    // The reason phrase is for people; one word serves all.
+    return "HTTP/1.1 " + std::to_string(status) + (status < 400 ? " OK" : " Error")
+        + "\r\n"; // NOLINT
+}
+
+auto headText(int status, const core::Headers &headers) -> std::string
+{
+    auto text = startLine(status);
+    for (const auto &[name, value] : headers)
+        text.append(name).append(": ").append(value).append("\r\n");
+    text.append("Connection: close\r\n");
+    return text;
+}
+
+auto view(const char *text) -> std::string_view
+{
+    return text == nullptr ? std::string_view() : std::string_view(text);
+}
+
+auto writeAll(mg_connection *connection, std::string_view text) -> bool
+{
+    constexpr std::size_t largest = std::numeric_limits<int>::max();
+    while (!text.empty()) {
+        const auto count = std::min(text.size(), largest);
+        const auto written = mg_write(connection, text.data(), count);
+        if (written <= 0)
+            return false;
+        text.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(mg_connection *connection)
+    : connection_(connection)
+{
+    chunked_ = view(mg_get_request_info(connection)->http_version) != "1.0";
+}
+
+auto HttpExchange::method() const -> std::string_view
+{
+    return view(mg_get_request_info(connection_)->request_method);
+}
+
+auto HttpExchange::path() const -> std::string_view
+{
+    const auto *info = mg_get_request_info(connection_);
+    return view(info->local_uri_raw != nullptr ? info->local_uri_raw : info->request_uri);
+}
+
+auto HttpExchange::query() const -> std::string_view
+{
+    return view(mg_get_request_info(connection_)->query_string);
+}
+
+auto HttpExchange::header(const char *name) const -> std::string_view
+{
+    return view(mg_get_header(connection_, name));
+}
+
+auto HttpExchange::headers() const -> core::Headers
+{
+    const auto *info = mg_get_request_info(connection_);
+    core::Headers headers;
+    for (int index = 0; index < info->num_headers; ++index) {
+        const auto &held = info->http_headers[index]; // NOLINT: the library's array
+        headers.emplace_back(view(held.name), view(held.value));
+    }
+    return headers;
+}
+
+auto HttpExchange::remoteIp() const -> std::string_view
+{
+    return view(static_cast<const char *>(mg_get_request_info(connection_)->remote_addr));
+}
+
+auto HttpExchange::readBody(std::size_t limit, std::string &body) -> BodyRead
+{
+    const auto named = mg_get_request_info(connection_)->content_length;
+    if (named >= 0 && static_cast<std::size_t>(named) > limit)
+        return BodyRead::TooLarge;
+    std::array<char, readBytes> buffer{};
+    int count = 0;
+    while ((count = mg_read(connection_, buffer.data(), buffer.size())) > 0) {
+        body.append(buffer.data(), static_cast<std::size_t>(count));
+        if (body.size() > limit)
+            return BodyRead::TooLarge;
+    }
+    const auto cut = named >= 0 && body.size() != static_cast<std::size_t>(named);
+    return count < 0 || cut ? BodyRead::Broken : BodyRead::Whole;
+}
+
+auto HttpExchange::respond(int status, const core::Headers &headers, std::string_view body) -> bool
+{
+    auto text = headText(status, headers);
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    if (method() != "HEAD")
+        text += body;
+    return writeAll(connection_, text);
+}
+
+auto HttpExchange::beginStream(int status, const core::Headers &headers) -> bool
+{
+    auto text = headText(status, headers);
+    if (chunked_)
+        text += "Transfer-Encoding: chunked\r\n";
+    return writeAll(connection_, text + "\r\n");
+}
+
+auto HttpExchange::streamPart(std::string_view data) -> bool
+{
+    if (data.empty())
+        return true;
+    if (!chunked_)
+        return writeAll(connection_, data);
+    return mg_send_chunk(connection_, data.data(), static_cast<unsigned>(data.size())) > 0;
+}
+
+auto HttpExchange::endStream() -> bool
+{
+    return !chunked_ || mg_send_chunk(connection_, "", 0) > 0;
+}
+
+struct HttpServer::State
+{
+    Handler handler;
+    mg_context *context = nullptr;
+};
+
+HttpServer::HttpServer()
+    : state_(std::make_unique<State>())
+{ }
+
+HttpServer::~HttpServer()
+{
+    if (state_->context != nullptr)
+        mg_stop(state_->context);
+}
+
+auto HttpServer::start(const HttpServerOptions &options, Handler handler, core::Address &bound)
+    -> std::error_code
+{
+    using std::chrono::milliseconds;
+    mg_init_library(0);
+    state_->handler = std::move(handler);
+    const auto ports = options.address.ip + ':' + std::to_string(options.address.port);
+    const auto threads = std::to_string(options.threads);
+    const auto timeout = std::to_string(std::chrono::ceil<milliseconds>(options.ioTimeout).count());
+    std::array<const char *, 13> settings{
+        "listening_ports", ports.c_str(), "num_threads",        threads.c_str(),
+        "decode_url",      "no",          "request_timeout_ms", timeout.c_str(),
+        "tcp_nodelay",     "1",           "listen_backlog",     "1024",
+        nullptr,
+    };
+    mg_callbacks callbacks{};
+    callbacks.begin_request = [](mg_connection *connection) -> int {
+        auto *state = static_cast<State *>(mg_get_request_info(connection)->user_data);
+        HttpExchange exchange(connection);
+        state->handler(exchange);
+        return handled;
+    };
+    callbacks.log_message = [](const mg_connection *, const char *) -> int { return handled; };
+    state_->context = mg_start(&callbacks, state_.get(), settings.data());
+    if (state_->context == nullptr)
+        return std::make_error_code(std::errc::address_not_available);
+    std::array<mg_server_port, 1> port{};
+    if (mg_get_server_ports(state_->context, port.size(), port.data()) < 1)
+        return std::make_error_code(std::errc::address_not_available);
+    bound = {options.address.ip, static_cast<std::uint16_t>(port[0].port)};
+    return {};
+}
+
+} // namespace applehatch::process
--- /dev/null
+++ b/src/process/signals.cc
@@ -0,0 +1,50 @@
+#include "applehatch/process/signals.h"
+
+#include <csignal>
+#include <pthread.h>
+#include <utility>
+
+namespace applehatch::process {
+
+namespace {
+
+// Sent to the thread alone, to end it.
+constexpr int endThread = SIGUSR1;
+
+auto waitedFor() -> sigset_t
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const auto signal : {SIGTERM, SIGINT, endThread})
+        sigaddset(&signals, signal);
+    return signals;
+}
+
+auto waitForSignals(const std::function<void()> &onStop) -> void
+{
+    const auto signals = waitedFor();
+    int signal = 0;
+    while (sigwait(&signals, &signal) == 0 && signal != endThread)
+        onStop();
+}
+
+} // namespace
+
+auto prepareSignals() -> void
+{
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-unused-return-value): cannot fail
+    const auto signals = waitedFor();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+SignalThread::SignalThread(std::function<void()> onStop)
+    : thread_([held = std::move(onStop)] { waitForSignals(held); })
+{ }
+
+SignalThread::~SignalThread()
+{
+    pthread_kill(thread_.native_handle(), endThread);
+    thread_.join();
+}
+
+} // namespace applehatch::process
--- /dev/null
+++ b/src/router/caller-answer.cc
@@ -0,0 +1,154 @@
+#include "caller-answer.h"
+
+#include "problem.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <strings.h>
+#include <utility>
+
+namespace applehatch::router {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int ok = 200;
+constexpr std::string_view streamType = "text/event-stream";
+
+// Progress is reported in steps: a report for each token would double the node's work.
+constexpr std::uint64_t consumedStep = 32U << 10U;
+
+auto sameName(const std::string &left, const char *right) -> bool
+{
+    return strcasecmp(left.c_str(), right) == 0;
+}
+
+auto isEventStream(const core::Headers &headers) -> bool
+{
+    return std::any_of(headers.begin(), headers.end(), [](const auto &header) {
+        return sameName(header.first, "Content-Type")
+            && std::string_view(header.second).substr(0, streamType.size()) == streamType;
+    });
+}
+
+// The length and framing are those of our own connection to the caller.
+auto withoutFraming(core::Headers headers) -> core::Headers
+{
+    std::erase_if(headers, [](const auto &header) {
+        return sameName(header.first, "Content-Length") || sameName(header.first, "Connection")
+            || sameName(header.first, "Transfer-Encoding") || sameName(header.first, "Keep-Alive");
+    });
+    return headers;
+}
+
+} // namespace
+
+CallerAnswer::CallerAnswer(process::HttpExchange &exchange, core::RequestId request,
+                           std::function<void(std::uint64_t)> onConsumed)
+    : exchange_(exchange)
+    , request_(std::move(request))
+    , onConsumed_(std::move(onConsumed))
+{ }
+
+auto CallerAnswer::serve(CallerQueue &queue) -> AnswerOutcome
+{
+    while (!outcome_) {
+        auto items = queue.take();
+        if (items.empty())
+            return AnswerOutcome::CallerLeft;
+        for (auto &item : items) {
+            const auto reached = std::visit([this](auto &held) { return take(held); }, item);
+            if (!reached)
+                return AnswerOutcome::CallerLeft;
+            if (outcome_)
+                return *outcome_;
+        }
+        if (!flush())
+            return AnswerOutcome::CallerLeft;
+    }
+    return *outcome_;
+}
+
+auto CallerAnswer::take(core::AnswerHead &head) -> bool
+{
+    head_ = std::move(head);
+    head_->headers = withoutFraming(std::move(head_->headers));
+    stream_ = isEventStream(head_->headers);
+    return !stream_ || exchange_.beginStream(head_->status, head_->headers);
+}
+
+auto CallerAnswer::take(core::AnswerChunk &chunk) -> bool
+{
+    if (stream_)
+        pending_.append("id: ").append(chunk.position).append("\n");
+    pending_ += chunk.data;
+    offset_ = chunk.offset + chunk.data.size();
+    if (stream_ || pending_.size() <= maxBufferedAnswer)
+        return true;
+    outcome_ = AnswerOutcome::TooLarge;
+    return sendProblem({core::ErrorKind::UpstreamFailed, core::Run::Ran,
+                        "the answer is larger than this router holds", std::nullopt});
+}
+
+// One write for all events that arrived together.
+auto CallerAnswer::flush() -> bool
+{
+    if (!stream_) {
+        reportConsumed();
+        return true;
+    }
+    if (!exchange_.streamPart(std::exchange(pending_, {})))
+        return false;
+    reportConsumed();
+    return true;
+}
+
+auto CallerAnswer::reportConsumed() -> void
+{
+    if (offset_ - reported_ < consumedStep)
+        return;
+    reported_ = offset_;
+    onConsumed_(offset_);
+}
+
+auto CallerAnswer::take(core::AnswerEnd & /*end*/) -> bool
+{
+    outcome_ = AnswerOutcome::Sent;
+    auto reached = false;
+    if (stream_)
+        reached = flush() && exchange_.endStream();
+    else
+        reached = head_ && exchange_.respond(head_->status, head_->headers, pending_);
+    if (reached)
+        onConsumed_(offset_);
+    return reached;
+}
+
+auto CallerAnswer::take(core::AnswerFailure &failure) -> bool
+{
+    outcome_ = AnswerOutcome::Sent;
+    return sendProblem(failure.failure);
+}
+
+auto CallerAnswer::sendProblem(const core::Failure &failure) -> bool
+{
+    if (stream_) {
+        pending_ += problemEvent(failure, request_);
+        return flush() && exchange_.endStream();
+    }
+    const auto problem = problemAnswer(failure, request_);
+    return exchange_.respond(problem.status, problem.headers, problem.body);
+}
+
+auto CallerAnswer::take(core::AnswerTicket &ticket) -> bool
+{
+    outcome_ = AnswerOutcome::Sent;
+    nlohmann::ordered_json json;
+    json["ticket"] = ticket.ticket;
+    json["expiresInMs"] = std::chrono::floor<milliseconds>(ticket.lifetime).count();
+    return exchange_.respond(
+        ok, {{"Content-Type", "application/json"}, {"Applehatch-Request", request_}}, json.dump());
+}
+
+} // namespace applehatch::router
--- /dev/null
+++ b/src/router/caller-queue.cc
@@ -0,0 +1,35 @@
+#include "caller-queue.h"
+
+#include <utility>
+
+namespace applehatch::router {
+
+CallerQueue::CallerQueue(std::size_t maxBytes)
+    : maxBytes_(maxBytes)
+{ }
+
+auto CallerQueue::push(CallerItem item) -> void
+{
+    const std::lock_guard lock(mutex_);
+    if (overflowed_)
+        return;
+    if (const auto *chunk = std::get_if<core::AnswerChunk>(&item))
+        bytes_ += chunk->data.size();
+    if (bytes_ > maxBytes_) {
+        overflowed_ = true;
+        items_.clear();
+    } else {
+        items_.push_back(std::move(item));
+    }
+    changed_.notify_one();
+}
+
+auto CallerQueue::take() -> std::vector<CallerItem>
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return overflowed_ || !items_.empty(); });
+    bytes_ = 0;
+    return std::exchange(items_, {});
+}
+
+} // namespace applehatch::router
--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -1,4 +1,48 @@
-auto main() -> int
+#include "applehatch/process/program.h"
+
+#include "router-host.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+#include <map>
+
+DEFINE_string(placement, "default", "order of candidates, for experiments");
+DEFINE_int32(caller_threads, 512, "most callers served at once");
+
+namespace {
+
+using namespace applehatch; // NOLINT(google-build-using-namespace)
+
+auto placements() -> const std::map<std::string, core::Placement> &
 {
-    return 0;
+    static const std::map<std::string, core::Placement> named{
+        {"default", core::placeByContext},
+        {"random", core::placeRandom},
+        {"least-of-two", core::placeLeastOfTwo},
+        {"rendezvous-live", core::placeRendezvousLive},
+        {"consistent-bounded", core::placeConsistentBounded},
+    };
+    return named;
+}
+
+auto run(const std::shared_ptr<const settings::ProcessFile> &file) -> process::ExitCode
+{
+    const auto placement = placements().find(FLAGS_placement);
+    if (placement == placements().end() || FLAGS_caller_threads < 1) {
+        std::cerr << "applehatch-router: bad --placement or --caller_threads; see --help\n";
+        return process::ExitCode::Usage;
+    }
+    process::prepareSignals();
+    telemetry::startLog();
+    router::RouterHost host({file, placement->second, FLAGS_caller_threads});
+    return process::runHost(host, *file);
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    const auto line = process::readCommandLine(argc, argv, settings::Role::Router);
+    return static_cast<int>(line.file ? run(line.file) : line.exit);
 }
--- /dev/null
+++ b/src/router/router-callers.cc
@@ -0,0 +1,82 @@
+// Serving callers: from an HTTP exchange to the node and back.
+#include "router-host.h"
+
+#include "applehatch/telemetry/logger.h"
+
+#include "caller-answer.h"
+#include "problem.h"
+#include "request-reader.h"
+
+#include <array>
+#include <charconv>
+
+namespace applehatch::router {
+
+namespace {
+
+constexpr int hexBase = 16;
+
+auto hex(std::uint64_t value) -> std::string
+{
+    std::array<char, 2 * sizeof(value)> digits{};
+    auto *first = digits.data();
+    return {first, std::to_chars(first, first + digits.size(), value, hexBase).ptr};
+}
+
+auto logCaller(const core::RequestId &request, std::string_view outcome) -> void
+{
+    telemetry::writeLog(
+        telemetry::LogLevel::Info,
+        core::LogLine("caller-lost").add("request", request).add("outcome", outcome).text());
+}
+
+} // namespace
+
+auto RouterHost::nextRequest() -> core::RequestId
+{
+    return requestPrefix_ + hex(++requests_);
+}
+
+auto RouterHost::serveCaller(process::HttpExchange &exchange) -> void
+{
+    if (process::answerHealth(exchange, health()))
+        return;
+    const auto request = nextRequest();
+    if (exchange.path() == answersPath)
+        serveEvent(exchange, request, readResume(exchange, request));
+    else if (exchange.path() == ticketsPath)
+        serveEvent(exchange, request, readTicketRequest(exchange, request));
+    else
+        serveEvent(exchange, request, readCall(exchange, request));
+}
+
+template <typename Event>
+auto RouterHost::serveEvent(process::HttpExchange &exchange, const core::RequestId &request,
+                            std::variant<Event, core::Failure> read) -> void
+{
+    if (const auto *failure = std::get_if<core::Failure>(&read)) {
+        const auto problem = problemAnswer(*failure, request);
+        (void)exchange.respond(problem.status, problem.headers, problem.body);
+        return;
+    }
+    const auto queue = std::make_shared<CallerQueue>(maxBufferedAnswer);
+    {
+        const std::lock_guard lock(callersMutex_);
+        callers_.emplace(request, queue);
+    }
+    node_.handle(std::get<Event>(std::move(read)));
+    CallerAnswer answer(exchange, request, [this, &request](std::uint64_t offset) {
+        node_.handle(core::CallerConsumed{request, offset});
+    });
+    const auto outcome = answer.serve(*queue);
+    {
+        const std::lock_guard lock(callersMutex_);
+        callers_.erase(request);
+    }
+    if (outcome != AnswerOutcome::Sent) {
+        logCaller(request, outcome == AnswerOutcome::TooLarge ? "answer-too-large" : "left");
+        node_.handle(core::CallerGone{request});
+    }
+}
+
+} // namespace applehatch::router
--- /dev/null
+++ b/src/router/router-host.cc
@@ -0,0 +1,253 @@
+#include "router-host.h"
+
+#include "applehatch/core/token.h"
+#include "applehatch/process/clock.h"
+#include "applehatch/telemetry/logger.h"
+
+#include <utility>
+
+namespace applehatch::router {
+
+namespace {
+
+using process::steadyNow;
+
+constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
+constexpr core::Duration hostListPeriod = std::chrono::seconds(1);
+
+auto identityOf(const settings::ProcessFile &file) -> core::RouterIdentity
+{
+    const auto seed = core::stableHash(file.name, process::wallMicroseconds());
+    return {file.name, file.dataCenter, seed};
+}
+
+auto replicaIdentityOf(const settings::ProcessFile &file) -> core::ReplicaIdentity
+{
+    core::ReplicaIdentity identity;
+    identity.dataCenter = file.dataCenter;
+    identity.seed = core::stableHash(file.name, process::wallMicroseconds());
+    return identity;
+}
+
+// Names this life of this router, so that no two requests in the fleet share an id.
+auto requestPrefix(const settings::ProcessFile &file) -> std::string
+{
+    return core::formatContext({core::stableHash(file.name), process::wallMicroseconds()}) + '.';
+}
+
+} // namespace
+
+RouterHost::RouterHost(RouterOptions options)
+    : options_(std::move(options))
+    , traffic_(metrics_)
+    , requestPrefix_(requestPrefix(*options_.file))
+    , node_([this](core::RouterAction &action) { act(action); }, identityOf(*options_.file),
+            options_.placement)
+    , loop_(linkHooks(), traffic_.linkHooks())
+    , links_(loop_)
+    , digests_(digestHooks())
+    , feed_(replicaIdentityOf(*options_.file), options_.file->settings, feedHooks())
+    , hostList_(options_.file->hostList)
+    , admin_(metrics_, health(), adminSource())
+{
+    addMetrics();
+}
+
+RouterHost::~RouterHost() = default;
+
+auto RouterHost::start() -> std::error_code
+{
+    core::Address bound;
+    if (const auto error = digests_.bind(options_.file->digest, bound))
+        return error;
+    if (const auto error = admin_.start(options_.file->admin, bound))
+        return error;
+    process::HttpServerOptions callers;
+    callers.address = options_.file->callers;
+    callers.threads = options_.callerThreads;
+    const auto serve = [this](process::HttpExchange &exchange) { serveCaller(exchange); };
+    if (const auto error = server_.start(callers, serve, bound))
+        return error;
+    feed_.start();
+    ticks_ =
+        std::make_unique<process::Periodic>(tickPeriod, [this] { node_.handle(core::Tick{}); });
+    hostListPolls_ =
+        std::make_unique<process::Periodic>(hostListPeriod, [this] { pollHostList(); });
+    return {};
+}
+
+auto RouterHost::requestDrain() -> void
+{
+    node_.handle(core::DrainRequested{});
+}
+
+auto RouterHost::inFlight() const -> std::uint64_t
+{
+    return node_.read([](const core::RouterNode &node) { return node.counts().inFlight; });
+}
+
+// Called by whichever thread acts; none of these may block.
+auto RouterHost::act(core::RouterAction &action) -> void
+{
+    std::visit([this](auto &held) { carry(held); }, action);
+}
+
+auto RouterHost::carry(core::SendToSidecar &send) -> void
+{
+    if (const auto address = addresses_.sidecar(send.upstream))
+        links_.send(*address, std::move(send.message));
+}
+
+auto RouterHost::carry(core::OpenLink &open) -> void
+{
+    if (const auto address = addresses_.sidecar(open.upstream))
+        links_.open(*address);
+    else
+        node_.handle(core::LinkDown{open.upstream});
+}
+
+auto RouterHost::carry(core::DropLink &drop) -> void
+{
+    if (const auto address = addresses_.sidecar(drop.upstream))
+        links_.drop(*address);
+}
+
+auto RouterHost::carry(core::SendDigest &digest) -> void
+{
+    if (const auto address = addresses_.digest(digest.upstream))
+        digests_.send(*address, digest.digest);
+}
+
+auto RouterHost::carry(core::WriteLog &log) -> void
+{
+    telemetry::writeLog(telemetry::LogLevel::Info, log.line.text());
+}
+
+auto RouterHost::carry(core::Drained & /*drained*/) -> void
+{
+    drain_.done();
+}
+
+// Answers for callers only go to their queues: the thread here may be the link loop's.
+template <typename Answer>
+auto RouterHost::carry(Answer &answer) -> void
+{
+    std::shared_ptr<CallerQueue> queue;
+    {
+        const std::lock_guard lock(callersMutex_);
+        const auto found = callers_.find(answer.request);
+        if (found != callers_.end())
+            queue = found->second;
+    }
+    if (queue)
+        queue->push(std::move(answer));
+}
+
+auto RouterHost::linkHooks() -> wire::LinkHooks
+{
+    wire::LinkHooks hooks;
+    // A link counts as up with its first heartbeat, which carries the sidecar's clock.
+    hooks.onUp = [](wire::LinkId) {};
+    hooks.onMessage = [this](wire::LinkId link, core::Message message) {
+        onMessage(link, std::move(message));
+    };
+    hooks.onDown = [this](wire::LinkId link) {
+        const auto peer = links_.takeDown(link);
+        const auto upstream = peer ? addresses_.upstreamAt(*peer) : 0;
+        if (upstream != 0)
+            node_.handle(core::LinkDown{upstream});
+    };
+    return hooks;
+}
+
+auto RouterHost::onMessage(wire::LinkId link, core::Message message) -> void
+{
+    if (auto *reply = std::get_if<core::SettingsReply>(&message)) {
+        feed_.onReply(std::move(*reply));
+        return;
+    }
+    if (const auto *pull = std::get_if<core::SettingsPull>(&message)) {
+        feed_.onPull(*pull, [this, link](core::SettingsReply answer) {
+            loop_.send(link, std::move(answer));
+        });
+        return;
+    }
+    const auto peer = links_.peerOf(link);
+    const auto upstream = peer ? addresses_.upstreamAt(*peer) : 0;
+    if (upstream == 0)
+        return;
+    const auto *heartbeat = std::get_if<core::Heartbeat>(&message);
+    if (heartbeat != nullptr && onHeartbeat(link, upstream, *heartbeat))
+        return;
+    node_.handle(core::FromSidecar{upstream, std::move(message)});
+}
+
+auto RouterHost::onHeartbeat(wire::LinkId link, core::UpstreamId upstream,
+                             const core::Heartbeat &heartbeat) -> bool
+{
+    if (!links_.firstHeartbeat(link))
+        return false;
+    node_.handle(core::LinkUp{upstream, heartbeat.incarnation, heartbeat.clock});
+    return true;
+}
+
+auto RouterHost::digestHooks() -> wire::DigestHooks
+{
+    wire::DigestHooks hooks;
+    traffic_.addTo(hooks);
+    hooks.onDigest = [this](core::Digest digest, const core::Address & /*from*/) {
+        feed_.onIndexHeard(digest.settingsIndex);
+        node_.handle(core::DigestReceived{std::move(digest)});
+    };
+    return hooks;
+}
+
+auto RouterHost::feedHooks() -> process::SettingsFeedHooks
+{
+    process::SettingsFeedHooks hooks;
+    hooks.inForce = [this](core::SettingsPtr settings) { onSettings(std::move(settings)); };
+    hooks.pull = [this](core::UpstreamId peer, core::SettingsPull pull) {
+        pullSettings(peer, std::move(pull));
+    };
+    hooks.log = [](const core::LogLine &line) {
+        telemetry::writeLog(telemetry::LogLevel::Info, line.text());
+    };
+    return hooks;
+}
+
+auto RouterHost::onSettings(core::SettingsPtr settings) -> void
+{
+    const auto unused = addresses_.update(*settings);
+    node_.handle(core::SettingsInForce{std::move(settings)});
+    for (const auto &address : unused)
+        links_.drop(address);
+}
+
+auto RouterHost::pullSettings(core::UpstreamId peer, core::SettingsPull pull) -> void
+{
+    auto address = addresses_.sidecar(peer);
+    const auto &bootstrap = options_.file->bootstrapPeers;
+    if (!address && !bootstrap.empty())
+        address = bootstrap[bootstrapTurn_++ % bootstrap.size()];
+    if (address)
+        links_.send(*address, std::move(pull));
+}
+
+auto RouterHost::pollHostList() -> void
+{
+    core::HostList list;
+    if (hostList_.read(hostListPeriod, list))
+        return;
+    feed_.onHostList(list);
+    node_.handle(core::HostListRead{std::move(list)});
+}
+
+auto RouterHost::health() -> process::Health
+{
+    return {
+        [this] { return node_.read([](const core::RouterNode &node) { return node.ready(); }); },
+        [this] { return node_.read([](const core::RouterNode &node) { return node.draining(); }); },
+    };
+}
+
+} // namespace applehatch::router
--- /dev/null
+++ b/src/router/router-host.h
@@ -0,0 +1,112 @@
+/// The router process round its node: callers, links, settings, digests, time.
+#pragma once
+
+#include "applehatch/admin/api.h"
+#include "applehatch/core/placement.h"
+#include "applehatch/core/router-node.h"
+#include "applehatch/platform/settings-client.h"
+#include "applehatch/process/address-book.h"
+#include "applehatch/process/admin-server.h"
+#include "applehatch/process/drain.h"
+#include "applehatch/process/http-server.h"
+#include "applehatch/process/node-runner.h"
+#include "applehatch/process/peer-links.h"
+#include "applehatch/process/periodic.h"
+#include "applehatch/process/settings-feed.h"
+#include "applehatch/process/traffic.h"
+#include "applehatch/settings/process-file.h"
+#include "applehatch/wire/datagram.h"
+
+#include "caller-queue.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <unordered_map>
+
+namespace applehatch::router {
+
+struct RouterOptions
+{
+    std::shared_ptr<const settings::ProcessFile> file;
+    core::Placement placement; ///< Empty for the default.
+    int callerThreads = 512;
+};
+
+class RouterHost
+{
+public:
+    explicit RouterHost(RouterOptions options);
+    ~RouterHost();
+    RouterHost(const RouterHost &) = delete;
+    auto operator=(const RouterHost &) -> RouterHost & = delete;
+
+    /// Binds every address and starts. The error names the first that cannot be had.
+    [[nodiscard]] auto start() -> std::error_code;
+
+    /// Asks the node to drain; `drain` tells when it is done.
+    auto requestDrain() -> void;
+
+    /// Requests in flight.
+    [[nodiscard]] auto inFlight() const -> std::uint64_t;
+
+    [[nodiscard]] auto drain() -> process::Drain & { return drain_; }
+
+private:
+    using Runner = process::NodeRunner<core::RouterNode, core::RouterEvent, core::RouterAction>;
+
+    auto act(core::RouterAction &action) -> void;
+    auto carry(core::SendToSidecar &send) -> void;
+    auto carry(core::OpenLink &open) -> void;
+    auto carry(core::DropLink &drop) -> void;
+    auto carry(core::SendDigest &digest) -> void;
+    auto carry(core::WriteLog &log) -> void;
+    auto carry(core::Drained &drained) -> void;
+    template <typename Answer>
+    auto carry(Answer &answer) -> void;
+
+    auto linkHooks() -> wire::LinkHooks;
+    auto digestHooks() -> wire::DigestHooks;
+    auto feedHooks() -> process::SettingsFeedHooks;
+    auto adminSource() -> admin::Source;
+    auto health() -> process::Health;
+    auto onMessage(wire::LinkId link, core::Message message) -> void;
+    auto onHeartbeat(wire::LinkId link, core::UpstreamId upstream, const core::Heartbeat &heartbeat)
+        -> bool;
+    auto onSettings(core::SettingsPtr settings) -> void;
+    auto pullSettings(core::UpstreamId peer, core::SettingsPull pull) -> void;
+    auto pollHostList() -> void;
+    auto addMetrics() -> void;
+
+    auto serveCaller(process::HttpExchange &exchange) -> void;
+    template <typename Event>
+    auto serveEvent(process::HttpExchange &exchange, const core::RequestId &request,
+                    std::variant<Event, core::Failure> read) -> void;
+    auto nextRequest() -> core::RequestId;
+
+    RouterOptions options_;
+    telemetry::Metrics metrics_;
+    process::Traffic traffic_;
+    process::Drain drain_;
+    process::AddressBook addresses_;
+    std::string requestPrefix_;
+    std::atomic<std::uint64_t> requests_{0};
+    std::atomic<std::size_t> bootstrapTurn_{0};
+
+    std::mutex callersMutex_; ///< Guards `callers_`; the queues have their own locks.
+    std::unordered_map<core::RequestId, std::shared_ptr<CallerQueue>> callers_;
+
+    Runner node_;
+    wire::LinkLoop loop_;
+    process::PeerLinks links_;
+    wire::DigestSocket digests_;
+    process::SettingsFeed feed_;
+    platform::HostListClient hostList_;
+    std::unique_ptr<process::Periodic> ticks_;
+    std::unique_ptr<process::Periodic> hostListPolls_;
+    process::AdminServer admin_;
+    process::HttpServer server_; ///< Last: stops first, while all that its callers need still runs.
+};
+
+} // namespace applehatch::router
--- /dev/null
+++ b/src/telemetry/logger.cc
@@ -0,0 +1,69 @@
+#include "applehatch/telemetry/logger.h"
+
+#include <easylogging++.h>
+
+#include <array>
+#include <chrono>
+#include <ctime>
+#include <string>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace applehatch::telemetry {
+
+namespace {
+
+constexpr const char *loggerId = "applehatch";
+constexpr auto millisecondsEach = std::chrono::milliseconds(std::chrono::seconds(1)).count();
+
+// UTC, so that lines of hosts in different places compare.
+auto timeText() -> std::string
+{
+    using std::chrono::milliseconds;
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto sinceEpoch = std::chrono::duration_cast<milliseconds>(now).count();
+    const auto seconds = static_cast<std::time_t>(sinceEpoch / millisecondsEach);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, sizeof("2026-01-01T00:00:00")> date{};
+    std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    const auto fraction = std::to_string(millisecondsEach + sinceEpoch % millisecondsEach);
+    return std::string(date.data()) + '.' + fraction.substr(1) + 'Z';
+}
+
+auto line(std::string_view level, std::string_view text) -> std::string
+{
+    auto whole = "time=" + timeText() + " level=";
+    whole.append(level).append(" ").append(text);
+    return whole;
+}
+
+} // namespace
+
+auto startLog() -> void
+{
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    el::Loggers::getLogger(loggerId);
+    el::Loggers::reconfigureLogger(loggerId, configuration);
+}
+
+auto writeLog(LogLevel level, std::string_view text) -> void
+{
+    switch (level) {
+    case LogLevel::Info:
+        CLOG(INFO, loggerId) << line("info", text);
+        return;
+    case LogLevel::Warning:
+        CLOG(WARNING, loggerId) << line("warning", text);
+        return;
+    case LogLevel::Error:
+        CLOG(ERROR, loggerId) << line("error", text);
+        return;
+    }
+}
+
+} // namespace applehatch::telemetry
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -2,6 +2,7 @@
 
 #include "schema-codec.h"
 
+#include <algorithm>
 #include <array>
 #include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
@@ -27,6 +28,10 @@
     std::string_view("moved"),          std::string_view("settings-pull"),
     std::string_view("settings-reply"),
 };
+constexpr std::array payloadKinds{
+    std::string_view("submit"), std::string_view("head"),    std::string_view("chunk"),
+    std::string_view("end"),    std::string_view("refusal"),
+};
 static_assert(kindNames.size() == std::variant_size_v<core::Message>);
 
 auto limits(std::size_t words) -> capnp::ReaderOptions
@@ -92,13 +97,9 @@
     return kindNames[message.index()];
 }
 
-auto isControl(const core::Message &message) -> bool
+auto isControlKind(std::string_view kind) -> bool
 {
-    return !(std::holds_alternative<core::Submit>(message)
-             || std::holds_alternative<core::Head>(message)
-             || std::holds_alternative<core::Chunk>(message)
-             || std::holds_alternative<core::End>(message)
-             || std::holds_alternative<core::Refusal>(message));
+    return std::find(payloadKinds.begin(), payloadKinds.end(), kind) == payloadKinds.end();
 }
 
 } // namespace applehatch::wire
--- a/src/wire/link-loop.cc
+++ b/src/wire/link-loop.cc
@@ -1,14 +1,12 @@
 #include "applehatch/wire/link-loop.h"
 
 #include "connection.h"
+#include "socket-address.h"
 
-#include <arpa/inet.h>
 #include <atomic>
 #include <future>
 #include <mutex>
-#include <netinet/in.h>
 #include <optional>
-#include <sys/socket.h>
 #include <thread>
 #include <unordered_map>
 #include <unordered_set>
@@ -31,16 +29,6 @@
     std::function<void()> task;
 };
 
-auto socketAddress(const core::Address &from) -> std::optional<sockaddr_in>
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(from.port);
-    if (inet_pton(AF_INET, from.ip.c_str(), &address.sin_addr) != 1)
-        return std::nullopt;
-    return address;
-}
-
 } // namespace
 
 struct LinkLoop::State final : public kj::TaskSet::ErrorHandler
