--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -73,8 +73,10 @@
 auto RouterNode::State::onMessage(UpstreamId upstream, Head &head) -> void
 {
     auto *exchange = findAt(upstream, head.request);
+    // A sidecar that restarted goes on with a stream without knowing the attempt.
     const auto isOurs = exchange != nullptr
-        && (exchange->kind == ExchangeKind::Resume || exchange->attempt == head.attempt);
+        && (exchange->kind == ExchangeKind::Resume || exchange->attempt == head.attempt
+            || (head.attempt == 0 && exchange->askedAt));
     if (!isOurs) {
         const auto named = byOrigin_.find(head.request);
         const auto *other = named == byOrigin_.end() ? nullptr : find(named->second);
@@ -84,7 +86,8 @@
     }
     exchange->heardAt = now_;
     exchange->lostAt.reset();
-    exchange->attempt = head.attempt;
+    if (head.attempt != 0)
+        exchange->attempt = head.attempt;
     auto &answer = exchange->answer;
     if (answer.headSent || exchange->phase == ExchangePhase::Detached)
         return;
@@ -236,9 +239,15 @@
 {
     auto failure = std::move(refusal.failure);
     const auto bound = exchange.boundTo != 0;
-    if (exchange.terms.runOnce && failure.kind == ErrorKind::StaleIncarnation) {
+    if (failure.kind == ErrorKind::StaleIncarnation) {
         // The life that this was addressed to may have run it before it ended.
-        failure = {ErrorKind::OutcomeUnknown, Run::Unknown, "the sidecar restarted", std::nullopt};
+        failure.run = Run::Unknown;
+        if (exchange.terms.runOnce)
+            failure.kind = ErrorKind::OutcomeUnknown;
+    }
+    if (refusal.attempt == 0 && exchange.resubmitted) {
+        // Said of the first submit perhaps; the second may run.
+        failure.run = worse(failure.run, Run::Unknown);
     }
     if (exchange.terms.runOnce)
         exchange.run = failure.run; // All sends of a key meet at this sidecar.
@@ -252,7 +261,8 @@
         return;
     if (exchange.answer.headSent)
         failure.run = Run::Ran;
-    const auto mayRetry = answerFor(failure.kind).retryElsewhere && !bound
+    const auto lost = failure.kind == ErrorKind::AnswerLost && exchange.mayRunAgain();
+    const auto mayRetry = (lost || answerFor(failure.kind).retryElsewhere) && !bound
         && !exchange.answer.headSent && (failure.run == Run::NotRun || exchange.mayRunAgain());
     if (!mayRetry) {
         fail(exchange, std::move(failure));
--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -105,10 +105,11 @@
 
 auto RouterNode::State::resubmit(Exchange &exchange) -> void
 {
-    if (exchange.attempt >= limits::attempts) {
+    if (exchange.resubmitted || exchange.attempt >= limits::attempts) {
         giveUp(exchange, ErrorKind::NoUpstream, "it was not delivered");
         return;
     }
+    exchange.resubmitted = true;
     exchange.phase = ExchangePhase::Waiting;
     exchange.askedAt.reset();
     serve(exchange);
@@ -170,6 +171,7 @@
     exchange.tried.push_back(exchange.upstream);
     exchange.passedOver.push_back({exchange.upstream, std::move(reason)});
     exchange.upstream = 0;
+    exchange.resubmitted = false;
 }
 
 auto RouterNode::State::revoke(Exchange &exchange) -> void
