--- a/test/core/router-random-test.cc
+++ b/test/core/router-random-test.cc
@@ -63,8 +63,8 @@
 {
 public:
     World(std::uint64_t worldSeed, Faults &faults)
-        : random(worldSeed)
-        , seen(faults)
+        : random_(worldSeed)
+        , seen_(faults)
     { }
 
     auto run() -> void
@@ -127,7 +127,8 @@
         }
     }
 
-    auto post(bool toRouter, UpstreamId upstream, RouterEvent event, bool mayFail = true) -> void
+    auto post(bool toRouter, UpstreamId upstream, const RouterEvent &event, bool mayFail = true)
+        -> void
     {
         if (mayFail && chance(3)) {
             ++seen_.lost;
@@ -162,10 +163,8 @@
         post(true, broken->first, LinkDown{broken->first}, false);
     }
 
-    // Copied, since what is done may lead to more.
-    auto act(const std::vector<RouterAction> &done) -> void
+    auto act(const std::vector<RouterAction> &actions) -> void
     {
-        const auto actions = done;
         for (const auto &action : actions) {
             if (const auto *sending = std::get_if<SendToSidecar>(&action))
                 post(false, sending->upstream, FromSidecar{sending->upstream, sending->message});
