Call a sidecar ready only with settings in force

The system tests' fleet took requests while its sidecars still refused all of them as not ready: the health answer looked at the upstream alone.

--- a/src/sidecar/sidecar-host.cc
+++ b/src/sidecar/sidecar-host.cc
@@ -285,13 +285,19 @@
 
 auto SidecarHost::health() -> process::Health
 {
-    const auto isState = [this](core::UpstreamState wanted) {
-        return node_.read(
-            [wanted](const core::SidecarNode &node) { return node.state() == wanted; });
-    };
+    using core::UpstreamState;
     return {
-        [isState] { return isState(core::UpstreamState::Serving); },
-        [isState] { return isState(core::UpstreamState::Leaving); },
+        // Without settings the node refuses every request.
+        [this] {
+            return node_.read([](const core::SidecarNode &node) {
+                return node.state() == UpstreamState::Serving && node.settings() != nullptr;
+            });
+        },
+        [this] {
+            return node_.read([](const core::SidecarNode &node) {
+                return node.state() == UpstreamState::Leaving;
+            });
+        },
     };
 }
 
