--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -55,7 +55,7 @@
     if (named == byOrigin_.end())
         return nullptr;
     auto *exchange = find(named->second);
-    if (exchange == nullptr || exchange->upstream != upstream)
+    if (exchange == nullptr || upstream != exchange->upstream)
         return nullptr;
     if (exchange->phase == ExchangePhase::Waiting || exchange->phase == ExchangePhase::Finished)
         return nullptr;
@@ -81,7 +81,7 @@
         const auto named = byOrigin_.find(head.request);
         const auto *other = named == byOrigin_.end() ? nullptr : find(named->second);
         if (other == nullptr || other->phase != ExchangePhase::Finished)
-            send(upstream, Revoke{head.request, head.attempt});
+            send(upstream, Revoke{head.request, head.attempt, links_[upstream].incarnation});
         return;
     }
     exchange->heardAt = now_;
--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -181,7 +181,7 @@
     if (exchange.attempt == 0)
         return;
     auto &link = links_[exchange.upstream];
-    const Revoke message{exchange.origin, exchange.attempt};
+    const Revoke message{exchange.origin, exchange.attempt, exchange.submittedTo};
     if (link.phase == LinkPhase::Open)
         send(exchange.upstream, message);
     else if (link.unwanted.size() < links::unwantedLimit)
--- a/test/core/router-links-test.cc
+++ b/test/core/router-links-test.cc
@@ -168,6 +168,7 @@
     const auto revokes = Bench::sent<Revoke>(bench.last);
     BOOST_REQUIRE(revokes.size() == 1U);
     BOOST_TEST(revokes[0].attempt == 1U);
+    BOOST_TEST(revokes[0].target == life);
     // Its late answer is not taken for that of the second attempt.
     bench.from(first, streamHead("r1", 1));
     BOOST_TEST(Bench::of<AnswerHead>(bench.last).empty());
