--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -270,6 +270,11 @@
     }
     exchange.run = worse(exchange.run, failure.run);
     exchange.lastKind = failure.kind;
+    if (failure.kind == ErrorKind::UpstreamLeaving) {
+        // Without this each of its chats would cost a refusal and a retry until digests tell.
+        links_[exchange.upstream].leavingAt = now_;
+        views_.clear();
+    }
     if (failure.retryAfter)
         exchange.retryAfter =
             std::min(*failure.retryAfter, exchange.retryAfter.value_or(*failure.retryAfter));
--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -213,6 +213,9 @@
 {
     ++counts_.failures;
     failure.run = worse(failure.run, exchange.run);
+    const auto mayComeBack = answerFor(failure.kind).mayRepeat && failure.run == Run::NotRun;
+    if (mayComeBack && !failure.retryAfter)
+        failure.retryAfter = exchange.retryAfter.value_or(limits::retryEstimate);
     LogLine line("answer-failed");
     line.add("request", exchange.request)
         .add("kind", answerFor(failure.kind).name)
--- a/src/core/router-choice.cc
+++ b/src/core/router-choice.cc
@@ -157,6 +157,10 @@
     const auto host = hosts_.find(member.sidecar.ip);
     if (host != hosts_.end() && host->second == HostState::Leaving)
         return "leaving-host";
+    const auto link = links_.find(member.id);
+    if (link != links_.end() && link->second.leavingAt
+        && now - *link->second.leavingAt < links::leavingMemory)
+        return "leaving";
     const auto entry = loads_.find(member.id, now);
     if (entry && entry->state != UpstreamState::Serving) {
         if (entry->state == UpstreamState::Leaving)
@@ -169,7 +173,6 @@
         return {};
     if (!hosts_.empty() && host == hosts_.end())
         return "not-listed";
-    const auto link = links_.find(member.id);
     if (link != links_.end() && link->second.failedAt
         && now - *link->second.failedAt < links::failureMemory)
         return "link-down";
--- a/src/core/router-links.h
+++ b/src/core/router-links.h
@@ -28,6 +28,7 @@
     Instant quietSince;   ///< Last message, or when something became outstanding.
     Instant heartbeatAt;  ///< Last heartbeat sent.
     std::optional<Instant> failedAt;
+    std::optional<Instant> leavingAt; ///< When it last refused because it is leaving.
     std::set<RequestId> exchanges;
     std::vector<Revoke> unwanted; ///< Attempts given up while the link was down.
 
@@ -52,6 +53,7 @@
 inline constexpr Duration silence = 4s;       ///< Without a message this long, a link is dead.
 inline constexpr Duration openTimeout = 2s;   ///< An answer to a connection attempt.
 inline constexpr Duration failureMemory = 3s; ///< How long a failed link is passed over.
+inline constexpr Duration leavingMemory = 5s; ///< Until digests say so as well.
 inline constexpr Duration lateTick = 1s;      ///< A longer gap between ticks is a pause of ours.
 inline constexpr std::size_t unwantedLimit = 1000;
 
--- a/src/core/router-node.cc
+++ b/src/core/router-node.cc
@@ -112,7 +112,7 @@
 
 auto RouterNode::ready() const -> bool
 {
-    return state_->settings_ != nullptr && !state_->settings_->teams.empty() && !state_->draining_;
+    return state_->settings_ != nullptr && !state_->draining_;
 }
 
 auto RouterNode::draining() const -> bool
--- a/src/core/router-tick.cc
+++ b/src/core/router-tick.cc
@@ -21,8 +21,10 @@
     }
     std::vector<UpstreamId> upstreams;
     for (auto &[upstream, link] : links_) {
-        if (wasPaused)
+        if (wasPaused) {
             link.quietSince = now_;
+            link.openedAt = now_;
+        }
         if (link.phase == LinkPhase::Opening || !link.exchanges.empty())
             upstreams.push_back(upstream);
     }
--- a/test/bench/placement-bench.cc
+++ b/test/bench/placement-bench.cc
@@ -52,6 +52,35 @@
                 microseconds(Clock::now() - begin), static_cast<unsigned long long>(sum));
 }
 
+// Chats return while each time another twentieth of the pool is out of this router's list.
+auto measureChurn(const char *name, const Placement &placement, const Pool &pool,
+                  const LoadTable &loads, bool echoesToken) -> void
+{
+    constexpr std::uint32_t chats = 14600;
+    constexpr std::uint32_t returns = 4;
+    constexpr std::uint32_t oneInOut = 20;
+    const auto load = loads.poolLoad(pool, Instant{});
+    Random random(7);
+    std::vector<UpstreamId> holder(chats);
+    std::uint32_t warm = 0;
+    for (std::uint32_t turn = 0; turn <= returns; ++turn) {
+        std::vector<UpstreamId> usable;
+        for (const auto &member : pool.members) {
+            if (random() % oneInOut != 0)
+                usable.push_back(member.id);
+        }
+        for (std::uint32_t chat = 0; chat < chats; ++chat) {
+            const PlacementView view{pool,   loads,  chat + 1,  echoesToken ? holder[chat] : 0,
+                                     usable, "bole", Instant{}, load};
+            const auto chosen = placement(view, random).front();
+            warm += turn > 0 && chosen == holder[chat] ? 1 : 0;
+            holder[chat] = chosen;
+        }
+    }
+    std::printf("churn=%s token=%d returns_to_last_holder=%.4f\n", name, echoesToken ? 1 : 0,
+                static_cast<double>(warm) / (returns * chats));
+}
+
 // Through the node: pool lookup, placement, log line and submit, over links that are open.
 auto measureNode(const char *name, const Pool &pool, const LoadTable &loads, ChatKey firstChat)
     -> void
@@ -107,6 +136,12 @@
     measurePlacement("least-of-two", placeLeastOfTwo, pool, loads, 1);
     measurePlacement("rendezvous-live", placeRendezvousLive, pool, loads, 1);
     measurePlacement("consistent-bounded", placeConsistentBounded, pool, loads, 1);
+    measureChurn("context", placeByContext, pool, loads, true);
+    measureChurn("context", placeByContext, pool, loads, false);
+    measureChurn("random", placeRandom, pool, loads, false);
+    measureChurn("least-of-two", placeLeastOfTwo, pool, loads, false);
+    measureChurn("rendezvous-live", placeRendezvousLive, pool, loads, false);
+    measureChurn("consistent-bounded", placeConsistentBounded, pool, loads, false);
     measureNode("chat", pool, loads, 1);
     measureNode("without-chat", pool, loads, 0);
 }
--- a/test/core/router-refusals-test.cc
+++ b/test/core/router-refusals-test.cc
@@ -88,6 +88,24 @@
     BOOST_TEST(Bench::of<OpenLink>(bench.last).at(0).upstream == home);
 }
 
+// An upstream stops. Until digests say so, every chat that lives there would be sent to it first
+// and pay a retry for the refusal.
+BOOST_AUTO_TEST_CASE(a_refusal_for_leaving_is_remembered)
+{
+    Bench bench;
+    bench.upAll();
+    bench.feed(chatRequest("r1", 5));
+    const auto home = Bench::of<SendToSidecar>(bench.last).at(0).upstream;
+    bench.from(home, refusal("r1", 1, ErrorKind::UpstreamLeaving, Run::NotRun));
+    const auto next = Bench::of<SendToSidecar>(bench.last).at(0).upstream;
+    BOOST_TEST(next != home);
+    bench.feed(chatRequest("r2", 5));
+    BOOST_TEST(Bench::of<SendToSidecar>(bench.last).at(0).upstream == next);
+    bench.now += 5s;
+    bench.feed(chatRequest("r3", 5));
+    BOOST_TEST(Bench::of<SendToSidecar>(bench.last).at(0).upstream == home);
+}
+
 BOOST_AUTO_TEST_CASE(a_link_that_never_answers_counts_as_never_sent)
 {
     Bench bench;
