Never call an attempt not run that ran, in late and shared copies too

Ruled out: longer memories only; the order of the checks and the names were wrong. Change: joining a failed request leaves a tombstone, whether it ran is checked first, and a resume names its own attempt. Each has its own test.

--- a/src/core/sidecar-answers.cc
+++ b/src/core/sidecar-answers.cc
@@ -5,6 +5,21 @@
 
 namespace applehatch::core {
 
+namespace {
+
+// A job may be known by several requests; a refusal must not name another one's attempt.
+auto lastAttempt(const Job &job, const RequestId &request) -> std::uint32_t
+{
+    std::uint32_t last = 0;
+    for (const auto &[name, attempt] : job.attempts) {
+        if (name == request)
+            last = std::max(last, attempt);
+    }
+    return last;
+}
+
+} // namespace
+
 auto SidecarNode::State::findJob(const RequestId &request) -> Job *
 {
     const auto found = byRequest.find(request);
@@ -76,9 +91,7 @@
     if (job != nullptr && fullCustomer(job->terms) == message.customer) {
         logJob("resume", message.request, job->terms, "asked");
         answers.acknowledge(job->run, message.offset);
-        read(*job,
-             {link, message.request, job->attempts.empty() ? 0 : job->attempts.back().second,
-              message.offset});
+        read(*job, {link, message.request, lastAttempt(*job, message.request), message.offset});
         return;
     }
     const auto isGone =
--- a/src/core/sidecar-keys.cc
+++ b/src/core/sidecar-keys.cc
@@ -40,14 +40,12 @@
     }
     auto &job = found->second;
     job.names.push_back(message.request);
-    job.attempts.emplace_back(message.request, message.attempt);
     byRequest[message.request] = job.run;
+    if (job.phase != JobPhase::Waiting)
+        startedBefore.put(stableHash(message.request), true, attemptMemory());
     if (!job.isActive())
         ++counted.replays;
-    logJob("attach", message.request, message.terms, "key");
-    Reader reader{link, message.request, message.attempt};
-    reader.replayed = !job.isActive();
-    read(job, std::move(reader));
+    attach(link, message, job, "key");
     return true;
 }
 
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -213,6 +213,7 @@
     auto applyEntries(std::vector<DigestEntry> entries) -> void;
     [[nodiscard]] auto asWaiting(const Terms &terms, Instant notAfter) const -> Waiting;
     [[nodiscard]] auto attachKnown(LinkId link, const Submit &message) -> bool;
+    auto attach(LinkId link, const Submit &message, Job &job, std::string_view cause) -> void;
     auto accept(LinkId link, Submit &&message) -> void;
     auto reject(LinkId link, const Submit &message, const Rejection &rejection) -> void;
     auto countRefusal(ErrorKind kind) -> void;
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -20,9 +20,11 @@
     applyEntries(std::move(message.loads));
     if (attachKnown(link, message) || submitKey(link, message))
         return;
-    auto rejection = checkAddress(message);
+    // Whether it ran comes first: a late duplicate of what ran must not be called "not run" for
+    // being late.
+    auto rejection = checkHistory(message);
     if (!rejection)
-        rejection = checkHistory(message);
+        rejection = checkAddress(message);
     if (!rejection)
         rejection = checkKeyOwner(message);
     if (!rejection)
@@ -60,12 +62,24 @@
         startedBefore.erase(stableHash(message.request));
         return false;
     }
-    job->attempts.emplace_back(message.request, message.attempt);
-    logJob("attach", message.request, message.terms, "duplicate");
-    read(*job, {link, message.request, message.attempt});
+    attach(link, message, *job, "duplicate");
     return true;
 }
 
+auto SidecarNode::State::attach(LinkId link, const Submit &message, Job &job,
+                                std::string_view cause) -> void
+{
+    job.attempts.emplace_back(message.request, message.attempt);
+    // It is told the failure of the attempt that it joins, so it must be as final.
+    if (job.phase == JobPhase::Failed)
+        endedAttempts.put(attemptHash(message.request, message.attempt), job.failure.run,
+                          attemptMemory());
+    logJob("attach", message.request, message.terms, cause);
+    Reader reader{link, message.request, message.attempt};
+    reader.replayed = !job.isActive();
+    read(job, std::move(reader));
+}
+
 auto SidecarNode::State::checkAddress(const Submit &message) const -> std::optional<Rejection>
 {
     if (message.target != 0 && message.target != identity.incarnation) {
--- a/test/core/sidecar-crash-test.cc
+++ b/test/core/sidecar-crash-test.cc
@@ -1,7 +1,7 @@
 #include "core/sidecar-fixture.h"
 
 using namespace applehatch::core;
-using namespace applehatch::core::test;
+using namespace applehatch::core::test::sidecar;
 
 namespace {
 
--- a/test/core/sidecar-fixture.h
+++ b/test/core/sidecar-fixture.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace applehatch::core::test {
+namespace applehatch::core::test::sidecar {
 
 using namespace std::chrono_literals;
 
@@ -226,4 +226,4 @@
         + std::string(runName(refusal.failure.run));
 }
 
-} // namespace applehatch::core::test
+} // namespace applehatch::core::test::sidecar
--- a/test/core/sidecar-life-test.cc
+++ b/test/core/sidecar-life-test.cc
@@ -1,7 +1,7 @@
 #include "core/sidecar-fixture.h"
 
 using namespace applehatch::core;
-using namespace applehatch::core::test;
+using namespace applehatch::core::test::sidecar;
 
 BOOST_AUTO_TEST_SUITE(sidecar_life)
 
@@ -176,4 +176,47 @@
     }
 }
 
+// A late copy of an earlier attempt meets a request that was refused while waiting, and is told
+// that failure too. Another copy of it, arriving once all is forgotten, must not run after that.
+BOOST_AUTO_TEST_CASE(joining_a_refused_request_is_final)
+{
+    Sidecar sidecar(poolOf(1, 1));
+    sidecar.run(sidecar.request("other"));
+    sidecar.from(sidecar.request("r1", 2)).passAlive(6s);
+    const auto earlier = sidecar.request("r1", 1);
+    sidecar.from(earlier);
+    BOOST_TEST(told(sidecar.refusal()) == "overloaded/not-run");
+    sidecar.from(Acknowledge{"r1", 0, true}).passAlive(54s);
+    BOOST_TEST(sidecar.node().counts().running == 0U);
+    sidecar.from(earlier);
+    BOOST_TEST(told(sidecar.refusal()) == "revoked/not-run");
+}
+
+// A copy of a submit is so late that its deadline has passed. It ran, long before; for being late
+// it must not be called "not run".
+BOOST_AUTO_TEST_CASE(late_copy_of_what_ran_is_not_called_not_run)
+{
+    Sidecar sidecar(poolOf(1, 1));
+    const auto submit = sidecar.request("r1");
+    sidecar.answer(sidecar.run(submit), "abc");
+    sidecar.from(Acknowledge{"r1", 3, true}).pass(61s);
+    BOOST_TEST((submit.notAfter <= sidecar.now));
+    sidecar.from(submit);
+    BOOST_TEST(told(sidecar.refusal()) == "answer-lost/ran");
+}
+
+// Two requests share a key and its run never began. Each hears of its own attempt only: named
+// after the other's, the refusal would call an attempt "not run" that may still come and run.
+BOOST_AUTO_TEST_CASE(resume_hears_of_its_own_attempt)
+{
+    Sidecar sidecar(poolOf(1, 1));
+    const auto run = sidecar.run(sidecar.keyed("r1", "k"));
+    auto second = sidecar.keyed("r2", "k");
+    second.attempt = 5;
+    sidecar.from(second).give(RunBroken{run, RunBreak::NeverSent});
+    sidecar.from(Resume{"r1", "tai/c1", 0});
+    BOOST_TEST(sidecar.refusal().attempt == 1U);
+    BOOST_TEST(told(sidecar.refusal()) == "upstream-failed/not-run");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/core/sidecar-parts-test.cc
+++ b/test/core/sidecar-parts-test.cc
@@ -7,7 +7,7 @@
 #include "core/sidecar-fixture.h"
 
 using namespace applehatch::core;
-using namespace applehatch::core::test;
+using namespace applehatch::core::test::sidecar;
 
 BOOST_AUTO_TEST_SUITE(sidecar_parts)
 
