--- a/include/applehatch/core/gossip.h
+++ b/include/applehatch/core/gossip.h
@@ -56,6 +56,28 @@
 [[nodiscard]] auto wholePoolLoad(const GossipView &view, const LoadTable &loads,
                                  const PoolSums &sums, Instant now) -> PoolLoad;
 
+/// Upper limit of a digest's packed bytes.
+[[nodiscard]] auto digestSize(const Digest &digest) -> std::size_t;
+
+/// Bytes a second that replies to digests may take.
+///
+/// Every router asks a random sidecar each second. With many routers before few upstreams the
+/// replies would grow with the routers' number; those beyond the budget are left out, and the
+/// asker hears from another member or asks again.
+class ReplyBudget
+{
+public:
+    explicit ReplyBudget(std::size_t bytesPerSecond);
+
+    /// False when the budget does not hold `bytes` more now.
+    [[nodiscard]] auto spend(std::size_t bytes, Instant now) -> bool;
+
+private:
+    double perSecond_;
+    double left_;
+    Instant filledAt_;
+};
+
 /// Own entry first, then the freshest others.
 [[nodiscard]] auto freshestFrom(UpstreamId self, const LoadTable &loads, std::size_t count,
                                 Instant now) -> std::vector<DigestEntry>;
--- a/include/applehatch/core/sidecar-node.h
+++ b/include/applehatch/core/sidecar-node.h
@@ -194,7 +194,8 @@
     std::size_t tombstones = 100000;                    ///< Revoked attempts.
     Duration answerLifetime = std::chrono::seconds(60); ///< After the end, until acknowledged.
     Duration digestPeriod = std::chrono::seconds(1);
-    std::size_t digestBytes = 1000; ///< Largest digest datagram.
+    std::size_t digestBytes = 1000;         ///< Largest digest datagram.
+    std::size_t replyBytesPerSecond = 1500; ///< Digests sent in reply.
     Duration heartbeatPeriod = std::chrono::seconds(1);
     Duration silence = std::chrono::seconds(4); ///< A link without a heartbeat this long is dead.
     Duration linkGrace = std::chrono::seconds(15); ///< A run without any link is kept this long.
--- a/src/core/gossip.cc
+++ b/src/core/gossip.cc
@@ -118,6 +118,28 @@
     return load;
 }
 
+auto digestSize(const Digest &digest) -> std::size_t
+{
+    return headerBytes + digest.entries.size() * entryBytes + digest.sums.size() * sumBytes
+        + digest.crashes.size() * noticeBytes;
+}
+
+ReplyBudget::ReplyBudget(std::size_t bytesPerSecond)
+    : perSecond_(static_cast<double>(bytesPerSecond))
+    , left_(perSecond_)
+{ }
+
+auto ReplyBudget::spend(std::size_t bytes, Instant now) -> bool
+{
+    const std::chrono::duration<double> passed = now - filledAt_;
+    left_ = std::min(perSecond_, left_ + passed.count() * perSecond_);
+    filledAt_ = now;
+    if (left_ < static_cast<double>(bytes))
+        return false;
+    left_ -= static_cast<double>(bytes);
+    return true;
+}
+
 auto freshestFrom(UpstreamId self, const LoadTable &loads, std::size_t count, Instant now)
     -> std::vector<DigestEntry>
 {
--- a/src/core/sidecar-plane.cc
+++ b/src/core/sidecar-plane.cc
@@ -40,7 +40,8 @@
     const auto isFromAfar = digest.entries.empty() && !digest.sums.empty();
     auto reply = digestFor(!isFromAfar);
     reply.wantsReply = false;
-    out.emplace_back(SendDigest{0, std::move(reply)});
+    if (replies.spend(digestSize(reply), now))
+        out.emplace_back(SendDigest{0, std::move(reply)});
 }
 
 auto SidecarNode::State::on(const SettingsInForce &event) -> void
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -151,6 +151,7 @@
     std::map<LinkId, PeerLink> links;
     LoadTable loads;
     PoolSums sums;
+    ReplyBudget replies;
     CrashBook crashes;
     ChatPointers chats;
     DigestEntry own;
--- a/test/core/sidecar-load-test.cc
+++ b/test/core/sidecar-load-test.cc
@@ -1,3 +1,4 @@
+#include "applehatch/core/gossip.h"
 #include "core/sidecar-fixture.h"
 
 using namespace applehatch::core;
@@ -166,6 +167,34 @@
     BOOST_TEST(!sidecar.did<SendDigest>().at(0).digest.wantsReply);
 }
 
+// Hundreds of routers stand before a few upstreams and each asks one of them every second. What a
+// sidecar sends must not grow with their number.
+BOOST_AUTO_TEST_CASE(digest_traffic_is_bounded)
+{
+    for (const auto routers : {1U, 40U}) {
+        Sidecar sidecar(poolOf(18, 8));
+        Digest question;
+        question.wantsReply = true;
+        for (int second = 0; second < 60; ++second) {
+            for (std::size_t at = 1; at < 18; ++at)
+                sidecar.hear(at, 4);
+            for (std::uint32_t router = 0; router < routers; ++router) {
+                sidecar.give(DigestReceived{question});
+                sidecar.passAlive(Duration(1s) / routers);
+            }
+        }
+        std::size_t bytes = 0;
+        std::size_t replies = 0;
+        for (const auto &digest : Sidecar::pick<SendDigest>(sidecar.all)) {
+            bytes += digestSize(digest.digest);
+            replies += digest.upstream == 0 ? 1 : 0;
+        }
+        BOOST_TEST_MESSAGE(routers << " routers: " << bytes / 60 << " bytes a second");
+        BOOST_TEST(replies >= 60U);
+        BOOST_TEST(bytes / 60 <= 2600U);
+    }
+}
+
 // A lost or later entry about this very upstream comes back by gossip; its own count is the truth.
 BOOST_AUTO_TEST_CASE(gossip_about_itself_is_ignored)
 {
