--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -91,7 +91,7 @@
     std::string cause; ///< For the log line.
 };
 
-struct Link
+struct PeerLink
 {
     Instant heardAt;
     Instant heartbeatAt;
@@ -148,9 +148,10 @@
     ServiceTime serviceTime;
 
     // Peers and the load plane.
-    std::map<LinkId, Link> links;
+    std::map<LinkId, PeerLink> links;
     LoadTable loads;
     PoolSums sums;
+    ReplyBudget replies;
     CrashBook crashes;
     ChatPointers chats;
     DigestEntry own;
@@ -168,6 +169,8 @@
     std::optional<std::uint64_t> outstandingOrder;
     Instant orderGivenAt;
     Instant orderNotBefore;
+    Instant reportAt;
+    Instant reportWantedAfter; ///< Older reports may not show the last order's effect.
     std::uint32_t orderFailures = 0;
     std::uint32_t reportsSincePause = 0;
     bool ordersStopped = false;
@@ -211,6 +214,7 @@
     auto applyEntries(std::vector<DigestEntry> entries) -> void;
     [[nodiscard]] auto asWaiting(const Terms &terms, Instant notAfter) const -> Waiting;
     [[nodiscard]] auto attachKnown(LinkId link, const Submit &message) -> bool;
+    auto attach(LinkId link, const Submit &message, Job &job, std::string_view cause) -> void;
     auto accept(LinkId link, Submit &&message) -> void;
     auto reject(LinkId link, const Submit &message, const Rejection &rejection) -> void;
     auto countRefusal(ErrorKind kind) -> void;
@@ -242,7 +246,7 @@
     auto read(Job &job, Reader reader) -> void;
     auto serve(Job &job) -> void;
     auto serveReader(Job &job, Reader &reader) -> bool;
-    auto sendBytes(const Answer &answer, Reader &reader) -> void;
+    auto sendBytes(const StoredAnswer &answer, Reader &reader) -> void;
     auto resume(LinkId link, const Resume &message) -> void;
     auto continueStream(LinkId link, const Resume &message) -> void;
     auto acknowledge(const Acknowledge &message) -> void;
--- a/test/core/sidecar-fixture.h
+++ b/test/core/sidecar-fixture.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace applehatch::core::test {
+namespace applehatch::core::test::sidecar {
 
 using namespace std::chrono_literals;
 
@@ -82,6 +82,19 @@
         return *this;
     }
 
+    /// Lets time pass with a router that sends its heartbeats.
+    auto passAlive(Duration time) -> Sidecar &
+    {
+        std::vector<SidecarAction> seen;
+        for (const auto end = now + time; now < end;) {
+            pass(std::min<Duration>(1s, end - now));
+            seen.insert(seen.end(), last.begin(), last.end());
+            from(Heartbeat{});
+        }
+        last = seen;
+        return *this;
+    }
+
     auto report(const std::string &epoch, std::vector<std::string> models = {},
                 std::uint64_t fence = 0) -> Sidecar &
     {
@@ -213,4 +226,4 @@
         + std::string(runName(refusal.failure.run));
 }
 
-} // namespace applehatch::core::test
+} // namespace applehatch::core::test::sidecar
