--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -55,7 +55,7 @@
     if (named == byOrigin_.end())
         return nullptr;
     auto *exchange = find(named->second);
-    if (exchange == nullptr || exchange->upstream != upstream)
+    if (exchange == nullptr || upstream != exchange->upstream)
         return nullptr;
     if (exchange->phase == ExchangePhase::Waiting || exchange->phase == ExchangePhase::Finished)
         return nullptr;
@@ -270,6 +270,11 @@
     }
     exchange.run = worse(exchange.run, failure.run);
     exchange.lastKind = failure.kind;
+    if (failure.kind == ErrorKind::UpstreamLeaving) {
+        // Without this each of its chats would cost a refusal and a retry until digests tell.
+        links_[exchange.upstream].leavingAt = now_;
+        views_.clear();
+    }
     if (failure.retryAfter)
         exchange.retryAfter =
             std::min(*failure.retryAfter, exchange.retryAfter.value_or(*failure.retryAfter));
