Ignore messages of closed links; let rollouts pass gone hosts

Cause: a message that crossed its link's closing brought the link back, without end; a dead host held each rollout of its pool. Ruled out: counting unheard members as serving; both sides of a partition would begin. Change: such messages are lost, as their routers assume; a member whose host is not listed any more does not count as out; time never runs backwards within the node.

--- a/src/core/sidecar-node.cc
+++ b/src/core/sidecar-node.cc
@@ -47,13 +47,17 @@
             link.heardAt = to;
         log(LogLine("woke").add("slept_us", Duration(to - now).count()));
     }
-    now = to;
+    // Two of the host's threads may read the clock in one order and get here in the other.
+    now = std::max(now, to);
 }
 
 auto SidecarNode::State::on(FromPeer &event) -> void
 {
-    auto &link = links[event.link];
-    link.heardAt = now;
+    // A message that crossed the closing of its link: its router takes it as lost, so it must be.
+    const auto link = links.find(event.link);
+    if (link == links.end())
+        return;
+    link->second.heardAt = now;
     auto &message = event.message;
     if (auto *toSubmit = std::get_if<Submit>(&message))
         submit(event.link, std::move(*toSubmit));
--- a/src/core/sidecar-orders.cc
+++ b/src/core/sidecar-orders.cc
@@ -86,7 +86,8 @@
             continue;
         rollout.rank += member.id < self ? 1 : 0;
         const auto entry = loads.find(member.id, now);
-        rollout.out += !entry || entry->state != UpstreamState::Serving ? 1 : 0;
+        const auto serves = entry && entry->state == UpstreamState::Serving;
+        rollout.out += !serves && !isGone(member) ? 1 : 0;
     }
     if (rollout.out >= rollout.width) {
         quietSince.reset();
@@ -97,6 +98,14 @@
     return mayBeginRollout(rollout);
 }
 
+// A host that the platform no longer lists. Counted as out, it would hold every rollout of its pool
+// until somebody takes the member out of the settings.
+auto SidecarNode::State::isGone(const settings::Member &member) const -> bool
+{
+    const auto isIts = [&](const Host &host) { return host.ip == member.sidecar.ip; };
+    return hostList && std::none_of(hostList->hosts.begin(), hostList->hosts.end(), isIts);
+}
+
 auto SidecarNode::State::giveOrder(const PlannedChange &change) -> void
 {
     const auto fence = fencing.next(teamIndex);
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -298,6 +298,7 @@
     auto considerOrder() -> void;
     auto giveOrder(const PlannedChange &change) -> void;
     [[nodiscard]] auto hasTurn() -> bool;
+    [[nodiscard]] auto isGone(const settings::Member &member) const -> bool;
     [[nodiscard]] auto mayOrder() const -> bool;
     [[nodiscard]] auto holdsAnyModel() const -> bool;
 };
--- a/test/core/sidecar-answers-test.cc
+++ b/test/core/sidecar-answers-test.cc
@@ -157,6 +157,15 @@
     BOOST_TEST(sidecar.did<CancelRun>().empty());
 }
 
+// A submit crosses the closing of its link. Its router takes it as never sent and tries elsewhere.
+BOOST_AUTO_TEST_CASE(messages_of_closed_links_are_lost)
+{
+    Sidecar sidecar(modelPool());
+    sidecar.give(PeerLinkDown{routerLink}).from(sidecar.request("r1"));
+    BOOST_TEST(sidecar.last.empty());
+    BOOST_TEST(sidecar.node().counts().running == 0U);
+}
+
 // The sidecar itself slept. It was deaf, the links were not silent.
 BOOST_AUTO_TEST_CASE(own_sleep_closes_no_link)
 {
--- a/test/core/sidecar-history-test.cc
+++ b/test/core/sidecar-history-test.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <map>
 #include <set>
+#include <utility>
 
 using namespace applehatch::core;
 using namespace applehatch::core::test::sidecar;
@@ -43,6 +44,10 @@
 
     auto apply(const Step &step) -> void
     {
+        for (const auto link : std::exchange(closed_, {})) {
+            received_.erase(link);
+            sidecar_.give(PeerLinkUp{link});
+        }
         const auto request = "r" + std::to_string(step.subject);
         const auto attempt = static_cast<std::uint32_t>(1 + step.what % 2);
         switch (step.what / 2) {
@@ -183,6 +188,8 @@
                 checkStart(*start);
             else if (const auto *send = std::get_if<SendToPeer>(&action))
                 checkSent(*send);
+            else if (const auto *close = std::get_if<ClosePeer>(&action))
+                closed_.insert(close->link);
         }
         RC_ASSERT(sidecar_.node().counts().running <= 2U);
     }
@@ -248,6 +255,7 @@
     std::map<RunId, Started> started_;
     std::set<Attempt> toldNotRun_;
     std::map<LinkId, std::map<RequestId, std::string>> received_;
+    std::set<LinkId> closed_; // By the node; opened again before the next step.
     std::size_t ends_ = 0;
 };
 
--- a/test/core/sidecar-keys-test.cc
+++ b/test/core/sidecar-keys-test.cc
@@ -185,7 +185,7 @@
     BOOST_TEST(told(sidecar.refusal()) == "overloaded/not-run");
     sidecar.from(sidecar.keyed("r4", "k1"));
     BOOST_TEST(sidecar.sent<End>().size() == 1U);
-    sidecar.pass(601s, 1s);
+    sidecar.passAlive(601s);
     sidecar.run(sidecar.keyed("r5", "k5"));
 }
 
--- a/test/core/sidecar-orders-test.cc
+++ b/test/core/sidecar-orders-test.cc
@@ -116,6 +116,24 @@
     BOOST_TEST(Sidecar::pick<GiveOrder>(sidecar.all).size() == 2U);
 }
 
+// A host died for good and nobody has taken its member out of the settings yet. It must not hold
+// every rollout of its pool, once the platform no longer lists it.
+BOOST_AUTO_TEST_CASE(gone_hosts_do_not_hold_a_rollout)
+{
+    for (const auto isListed : {true, false}) {
+        auto pool = enginePool({"old"}, 2);
+        Sidecar sidecar(pool);
+        settle(sidecar);
+        HostList list{1, {{"127.0.1.1", HostState::Live}}};
+        if (isListed)
+            list.hosts.push_back({"127.0.1.2", HostState::Live});
+        sidecar.report("epoch-1", {"old"}).give(HostListRead{list});
+        pool.models = {"old", "new"};
+        sidecar.give(SettingsInForce{settingsOf(pool, 2)}).passAlive(10s);
+        BOOST_TEST(sidecar.did<GiveOrder>().size() == (isListed ? 0U : 1U));
+    }
+}
+
 // All engines of a pool change their model. Did all begin at once, the pool would serve nobody.
 BOOST_AUTO_TEST_CASE(rollout_goes_by_turn)
 {
