--- /dev/null
+++ b/test/core/settings-replica-test.cc
@@ -0,0 +1,399 @@
+#include "applehatch/core/settings-replica.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace {
+
+using namespace applehatch::core;
+using namespace std::chrono_literals;
+
+const Instant begin{};
+
+auto good(std::uint32_t queueLimit, const std::string &dataCenter = "a") -> std::string
+{
+    std::string members;
+    for (const auto *name : {"e1", "e2", "e3", "e4", "e5"}) {
+        const auto ip = std::string("10.0.0.") + name[1];
+        members += std::string(members.empty() ? "" : ",") + R"({"name": ")" + name
+            + R"(", "dataCenter": ")" + dataCenter + R"(", "sidecar": ")" + ip
+            + R"(:1", "digest": ")" + ip + R"(:2", "upstream": ")" + ip + ":3\"}";
+    }
+    return R"({"pools": {"p": {"kind": "model", "models": ["m"], "queueLimit": )"
+        + std::to_string(queueLimit) + R"(, "members": [)" + members + "]}}}";
+}
+
+const std::string bad = R"({"pools": 7})";
+
+auto text(const std::string &team, SettingsIndex index, const std::string &body) -> SettingsText
+{
+    return {team, index, std::make_shared<const std::string>(body)};
+}
+
+auto idOf(const std::string &member) -> UpstreamId
+{
+    return applehatch::settings::upstreamId("t", "p", member);
+}
+
+template <typename Action>
+auto countOf(const std::vector<SettingsAction> &actions) -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(actions.begin(), actions.end(),
+                      [](const auto &action) { return std::holds_alternative<Action>(action); }));
+}
+
+/// A replica with its own time.
+struct Bench
+{
+    explicit Bench(UpstreamId self = 0, std::vector<UpstreamId> peers = {})
+        : replica(identityOf(self, std::move(peers)))
+    { }
+
+    static auto identityOf(UpstreamId self, std::vector<UpstreamId> peers) -> ReplicaIdentity
+    {
+        ReplicaIdentity identity;
+        identity.self = self;
+        identity.dataCenter = "a";
+        identity.seed = 5;
+        identity.peers = std::move(peers);
+        return identity;
+    }
+
+    auto give(SettingsEvent event) -> std::vector<SettingsAction>
+    {
+        return replica.handle(std::move(event), now);
+    }
+
+    /// Ticks for `time` and gives all actions.
+    auto pass(Duration time) -> std::vector<SettingsAction>
+    {
+        std::vector<SettingsAction> all;
+        for (const auto until = now + time; now < until;) {
+            now += 50ms;
+            for (auto &action : give(SettingsTick{})) {
+                all.push_back(std::move(action));
+            }
+        }
+        return all;
+    }
+
+    /// In force with what a first read gave.
+    auto start(SettingsRead read) -> void
+    {
+        pass(1s);
+        give(std::move(read));
+        pass(10s);
+    }
+
+    auto inForce(const std::string &team) const -> SettingsIndex
+    {
+        const auto found = replica.current()->teams.find(team);
+        return found == replica.current()->teams.end() ? 0 : found->second->index;
+    }
+
+    SettingsReplica replica;
+    Instant now = begin;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(settings_replica)
+
+// Reads and peers' answers arrive in any order: from a replica of the service that lags, from a
+// service set back to a backup, from a peer that slept. Were an older one taken, a limit that an
+// operator lowered would jump back and a removed member would get requests again.
+BOOST_AUTO_TEST_CASE(what_is_in_force_never_falls)
+{
+    const auto newer = text("t", 50, good(1));
+    struct Row
+    {
+        const char *name;
+        SettingsEvent event;
+        SettingsIndex after; ///< Of team `t`, 50 before; 0 when removed.
+    };
+    const std::vector<Row> rows{
+        {"same read again", SettingsRead{60, {newer}}, 50},
+        {"older read with an older text", SettingsRead{40, {text("t", 40, good(2))}}, 50},
+        {"older read without the team", SettingsRead{40, {}}, 50},
+        {"read of the same age without the team", SettingsRead{60, {}}, 50},
+        {"between both indices without the team", SettingsRead{55, {}}, 50},
+        {"newer read without the team", SettingsRead{61, {}}, 0},
+        {"newer read with an older text", SettingsRead{70, {text("t", 45, good(2))}}, 50},
+        {"newer read with a newer text", SettingsRead{70, {text("t", 65, good(2))}}, 65},
+        {"newer read with a refused text", SettingsRead{70, {text("t", 65, bad)}}, 50},
+        {"peer with an older text", SettingsReply{90, {text("t", 40, good(2))}}, 50},
+        {"peer with a newer text", SettingsReply{61, {text("t", 61, good(2))}}, 61},
+        {"peer that lacks the team", SettingsReply{90, {}}, 50},
+        {"peer with an older removal", SettingsReply{90, {{"t", 49, nullptr}}}, 50},
+        {"peer with a newer removal", SettingsReply{90, {{"t", 61, nullptr}}}, 0},
+        {"peer with a refused text", SettingsReply{90, {text("t", 80, bad)}}, 50},
+        {"peer with part of its texts", SettingsReply{0, {text("t", 61, good(2))}}, 61},
+        {"an index that nobody has", SettingsIndexHeard{1000}, 50},
+        {"service down", SettingsReadFailed{}, 50},
+    };
+    for (const auto &row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Bench bench;
+            bench.start({60, {newer}});
+            BOOST_REQUIRE(bench.inForce("t") == 50U);
+            const auto actions = bench.give(row.event);
+            BOOST_TEST(bench.inForce("t") == row.after);
+            const auto changed = row.after != 50 || bench.replica.current()->index != 60;
+            BOOST_TEST(countOf<PutInForce>(actions) == (changed ? 1U : 0U));
+        }
+    }
+}
+
+// The answer that tells of a removal may be overtaken by one from before it. Were the team to come
+// back, its customers would be served by upstreams that are gone.
+BOOST_AUTO_TEST_CASE(a_removed_team_comes_back_only_by_a_newer_text)
+{
+    Bench bench;
+    bench.start({60, {text("t", 50, good(1)), text("u", 20, good(1))}});
+    bench.give(SettingsRead{70, {text("u", 20, good(1))}});
+    BOOST_TEST(bench.inForce("t") == 0U);
+    bench.give(SettingsRead{60, {text("t", 50, good(1))}});
+    bench.give(SettingsReply{65, {text("t", 50, good(1))}});
+    BOOST_TEST(bench.inForce("t") == 0U);
+    const auto answer = bench.give(SettingsPull{{{"t", 50}, {"u", 20}}, false});
+    const auto &reply = std::get<AnswerPull>(answer.front()).reply;
+    BOOST_REQUIRE(reply.texts.size() == 1U);
+    BOOST_TEST(reply.texts[0].index == 70U);
+    BOOST_TEST((reply.texts[0].text == nullptr));
+    bench.give(SettingsRead{71, {text("t", 71, good(2)), text("u", 20, good(1))}});
+    BOOST_TEST(bench.inForce("t") == 71U);
+}
+
+// An operator publishes a text with a mistake. Processes that run keep the last accepted one; one
+// that starts now finds only the mistake at the service, and without its peers it would serve
+// nobody of that team.
+BOOST_AUTO_TEST_CASE(a_refused_text_leaves_the_accepted_one_in_force_everywhere)
+{
+    Bench old;
+    old.start({60, {text("t", 50, good(1))}});
+    old.give(SettingsRead{70, {text("t", 70, bad)}});
+    BOOST_TEST(old.inForce("t") == 50U);
+    const auto status = old.replica.status();
+    BOOST_REQUIRE(status.size() == 1U);
+    BOOST_TEST(status[0].inForce == 50U);
+    BOOST_TEST(status[0].refused == 70U);
+    BOOST_REQUIRE(status[0].problems.size() == 1U);
+    BOOST_TEST(status[0].problems[0].path == "pools");
+
+    Bench newcomer;
+    newcomer.pass(1s);
+    newcomer.give(SettingsRead{70, {text("t", 70, bad)}});
+    const auto actions = newcomer.pass(3s);
+    BOOST_TEST(newcomer.inForce("t") == 0U);
+    BOOST_TEST(countOf<PullFromPeer>(actions) > 0U);
+    const auto pull = std::find_if(actions.begin(), actions.end(), [](const auto &action) {
+        return std::holds_alternative<PullFromPeer>(action);
+    });
+    const auto answer = old.give(std::get<PullFromPeer>(*pull).pull);
+    newcomer.give(std::get<AnswerPull>(answer.front()).reply);
+    BOOST_TEST(newcomer.inForce("t") == 50U);
+    BOOST_TEST(newcomer.replica.status()[0].refused == 70U);
+
+    newcomer.give(SettingsRead{80, {text("t", 80, good(3))}});
+    BOOST_TEST(newcomer.inForce("t") == 80U);
+    BOOST_TEST(newcomer.replica.status()[0].refused == 0U);
+}
+
+// A process starts while the service lags. Were it to serve at once, its callers would meet
+// settings that the rest of the fleet left behind long ago.
+BOOST_AUTO_TEST_CASE(a_starting_process_hears_its_peers_before_it_serves)
+{
+    Bench bench(0, {7, 8});
+    const auto first = bench.pass(500ms);
+    BOOST_TEST(countOf<PullFromPeer>(first) > 0U);
+    BOOST_TEST(countOf<PutInForce>(bench.give(SettingsRead{40, {text("t", 40, good(1))}})) == 0U);
+    BOOST_TEST(countOf<PutInForce>(bench.give(SettingsReply{})) == 0U);
+    const auto answered = bench.give(SettingsReply{60, {text("t", 50, good(2))}});
+    BOOST_TEST(countOf<PutInForce>(answered) == 1U);
+    BOOST_TEST(bench.inForce("t") == 50U);
+
+    Bench alone(0, {7, 8});
+    alone.pass(500ms);
+    alone.give(SettingsRead{40, {text("t", 40, good(1))}});
+    BOOST_TEST(countOf<PutInForce>(alone.pass(1s)) == 0U);
+    BOOST_TEST(countOf<PutInForce>(alone.pass(1s)) == 1U);
+    BOOST_TEST(alone.inForce("t") == 40U);
+
+    Bench starting;
+    const auto answer = starting.give(SettingsPull{});
+    BOOST_TEST(std::get<AnswerPull>(answer.front()).reply.index == 0U);
+}
+
+// Two changes are made at once, and each reaches a process on another way: one through its reader,
+// one through a peer. Each must come into force, in whichever order they arrive.
+BOOST_AUTO_TEST_CASE(crossing_changes_both_come_into_force)
+{
+    const SettingsRead start{10, {text("t", 9, good(1)), text("u", 10, good(1))}};
+    const SettingsRead read{12, {text("t", 11, good(2)), text("u", 12, good(2))}};
+    const SettingsReply reply{13, {text("t", 13, good(3))}};
+    for (const auto readFirst : {true, false}) {
+        Bench bench;
+        bench.start(start);
+        bench.give(readFirst ? SettingsEvent(read) : SettingsEvent(reply));
+        bench.give(readFirst ? SettingsEvent(reply) : SettingsEvent(read));
+        BOOST_TEST(bench.inForce("t") == 13U);
+        BOOST_TEST(bench.inForce("u") == 12U);
+    }
+}
+
+// If every process watched the service, it would be over its rate for good; if none did, changes
+// would arrive nowhere. The host list lags, and hosts leave.
+BOOST_AUTO_TEST_CASE(two_live_sidecars_of_a_data_centre_hold_the_watch)
+{
+    struct Row
+    {
+        const char *name;
+        std::string membersIn;
+        std::vector<Host> hosts;
+        std::size_t watching;
+    };
+    const std::vector<Row> rows{
+        {"no host list", "a", {}, 2},
+        {"all live",
+         "a",
+         {{"10.0.0.1"}, {"10.0.0.2"}, {"10.0.0.3"}, {"10.0.0.4"}, {"10.0.0.5"}},
+         2},
+        {"other data centre", "b", {}, 0},
+    };
+    for (const auto &row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            std::size_t watching = 0;
+            for (const auto *name : {"e1", "e2", "e3", "e4", "e5"}) {
+                Bench bench(idOf(name));
+                bench.give(HostListRead{{1, row.hosts}});
+                bench.start({10, {text("t", 9, good(1, row.membersIn))}});
+                bench.give(SettingsRead{11, {text("t", 11, good(2, row.membersIn))}});
+                for (const auto &action : bench.pass(5s)) {
+                    const auto *read = std::get_if<ReadService>(&action);
+                    watching += read != nullptr && read->waitFor == 11 ? 1 : 0;
+                }
+            }
+            BOOST_TEST(watching == row.watching);
+        }
+    }
+}
+
+// Peers fall silent in a partition, and the service may lag or be down as well. Each process then
+// asks on its own; calls without an end to them would hit the service when it can bear least.
+BOOST_AUTO_TEST_CASE(calls_are_bounded_whatever_does_not_answer)
+{
+    struct Row
+    {
+        const char *name;
+        UpstreamId self;
+        std::optional<SettingsEvent> answer; ///< To each call of the service; none is silence.
+        SettingsIndex heard;
+        std::size_t least;
+        std::size_t most; ///< Calls within ten minutes.
+    };
+    const SettingsRead old{10, {text("t", 9, good(1))}};
+    const auto reader = [] {
+        for (const auto *name : {"e1", "e2", "e3", "e4", "e5"}) {
+            Bench bench(idOf(name));
+            bench.start({10, {text("t", 9, good(1))}});
+            bench.give(SettingsRead{11, {text("t", 11, good(1))}});
+            if (countOf<ReadService>(bench.pass(2s)) > 0) {
+                return idOf(name);
+            }
+        }
+        return UpstreamId(0);
+    }();
+    BOOST_REQUIRE(reader != 0U);
+    const std::vector<Row> rows{
+        {"reader, service fails at once", reader, SettingsReadFailed{}, 0, 50, 160},
+        {"reader, watch is not held", reader, old, 0, 50, 160},
+        {"reader, service silent", reader, std::nullopt, 0, 1, 3},
+        {"router, an index that nobody has", 0, old, 1000, 1, 12},
+        {"router, an index that nobody has, service fails", 0, SettingsReadFailed{}, 1000, 1, 30},
+    };
+    for (const auto &row : rows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Bench bench(row.self);
+            bench.start(old);
+            if (row.answer) {
+                bench.give(*row.answer); // To the watch that began while starting.
+            }
+            std::size_t calls = 0;
+            std::size_t pulls = 0;
+            for (auto tick = 0; tick < 12000; ++tick) {
+                bench.now += 50ms;
+                const auto event = tick % 2 == 0 ? SettingsEvent(SettingsIndexHeard{row.heard})
+                                                 : SettingsEvent(SettingsTick{});
+                for (const auto &action : bench.give(event)) {
+                    pulls += std::holds_alternative<PullFromPeer>(action) ? 1 : 0;
+                    if (std::holds_alternative<ReadService>(action)) {
+                        ++calls;
+                        if (row.answer) {
+                            bench.give(*row.answer);
+                        }
+                    }
+                }
+            }
+            BOOST_TEST_MESSAGE(row.name << ": " << calls << " calls, " << pulls
+                                        << " pulls in ten minutes");
+            BOOST_TEST(calls >= row.least);
+            BOOST_TEST(calls <= row.most);
+            BOOST_TEST(pulls < 400U);
+        }
+    }
+}
+
+// A wrong index is heard, perhaps from a damaged process. Looking for it must not hide the next
+// true change.
+BOOST_AUTO_TEST_CASE(a_false_index_does_not_hide_a_true_one)
+{
+    Bench bench;
+    bench.start({10, {text("t", 9, good(1))}});
+    bench.give(SettingsIndexHeard{1000000});
+    bench.pass(30s);
+    bench.give(SettingsIndexHeard{11, 77});
+    const auto actions = bench.pass(1s);
+    const auto asked = std::find_if(actions.begin(), actions.end(), [](const auto &action) {
+        return std::holds_alternative<PullFromPeer>(action);
+    });
+    BOOST_REQUIRE((asked != actions.end()));
+    BOOST_TEST(std::get<PullFromPeer>(*asked).peer == 77U);
+    bench.give(SettingsReply{11, {text("t", 11, good(2))}});
+    BOOST_TEST(bench.inForce("t") == 11U);
+}
+
+// A team's text may be a megabyte. An answer without a cap would block the link for all other
+// messages of that peer.
+BOOST_AUTO_TEST_CASE(a_large_answer_comes_in_parts_until_all_is_held)
+{
+    const auto padding = std::string(900000, ' ');
+    SettingsRead read{20, {}};
+    for (auto i = 0; i < 6; ++i) {
+        read.texts.push_back(text("t" + std::to_string(i), 10U + i, good(1) + padding));
+    }
+    Bench from;
+    from.start(read);
+    Bench to;
+    auto parts = 0;
+    std::vector<SettingsAction> actions = to.pass(300ms);
+    while (to.replica.current()->teams.size() < 6U && parts < 10) {
+        const auto pull = std::find_if(actions.begin(), actions.end(), [](const auto &action) {
+            return std::holds_alternative<PullFromPeer>(action);
+        });
+        BOOST_REQUIRE((pull != actions.end()));
+        const auto answer = from.give(std::get<PullFromPeer>(*pull).pull);
+        const auto &reply = std::get<AnswerPull>(answer.front()).reply;
+        BOOST_TEST(reply.texts.size() <= 3U);
+        actions = to.give(reply);
+        ++parts;
+    }
+    BOOST_TEST(parts == 3);
+    BOOST_TEST(to.replica.current()->index == 20U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
