--- a/src/settings/pool-parser.cc
+++ b/src/settings/pool-parser.cc
@@ -170,6 +170,7 @@
             if (overlap(prefix, own)) {
                 report_.add(path, std::string("a path apart from the router's own ") + own,
                             describe(prefix));
+                break;
             }
         }
         for (const auto &[other, where] : prefixes_) {
