--- a/src/core/settings-replica-calls.cc
+++ b/src/core/settings-replica-calls.cc
@@ -11,7 +11,7 @@
 
 constexpr Duration leastSpacing = milliseconds(100);
 constexpr Duration mostSpacing = milliseconds(300);
-constexpr Duration firstBackoff = milliseconds(500);
+constexpr Duration firstBackoff = seconds(2);
 constexpr Duration longestBackoff = seconds(8);
 constexpr Duration quickAnswer = seconds(1);
 /// Far beyond any wait of a watch; then the host lost the call.
--- a/test/core/settings-replica-fleet-test.cc
+++ b/test/core/settings-replica-fleet-test.cc
@@ -69,26 +69,33 @@
     struct Row
     {
         const char *name;
-        double digestLoss;
-        double pullLoss;
+        testing::FleetOptions fleet;
         std::set<std::string> cutOff;
-        bool sendersNamed;
+        int changes;
     };
-    const std::vector<std::string> four{"a", "b", "c", "d"};
+    const std::vector<std::string> four{"dc-1", "dc-2", "dc-3", "dc-4"};
+    const std::set<std::string> two{"dc-1", "dc-2"};
     const std::vector<Row> rows{
-        {"all well", 0.0, 0.0, {}, false},
-        {"all well, senders of digests named", 0.0, 0.0, {}, true},
-        {"3 in 10 digests and 1 in 10 pulls lost", 0.3, 0.1, {}, false},
-        {"service out of reach for 2 of 4 data centres", 0.0, 0.0, {"a", "b"}, false},
-        {"both", 0.3, 0.1, {"a", "b"}, false},
-        {"both, senders named", 0.3, 0.1, {"a", "b"}, true},
+        {"all well", {130, 70, four, 0.0, 0.0, 7, false}, {}, 12},
+        {"all well, senders of digests named", {130, 70, four, 0.0, 0.0, 7, true}, {}, 12},
+        {"3 in 10 digests and 1 in 10 pulls lost", {130, 70, four, 0.3, 0.1, 7, false}, {}, 12},
+        {"service out of reach for 2 of 4 data centres",
+         {130, 70, four, 0.0, 0.0, 7, false},
+         two,
+         12},
+        {"both", {130, 70, four, 0.3, 0.1, 7, false}, two, 12},
+        {"both, senders named", {130, 70, four, 0.3, 0.1, 7, true}, two, 12},
+        {"full size, all well", {730, 390, sevenDataCenters, 0.0, 0.0, 7, true}, {}, 3},
+        {"full size, both, 2 of 7 data centres",
+         {730, 390, sevenDataCenters, 0.3, 0.1, 7, true},
+         two,
+         3},
     };
-    constexpr auto changes = 12;
     constexpr Duration betweenChanges = 43s; // 2,000 a day.
     for (const auto &row : rows) {
         BOOST_TEST_CONTEXT(row.name)
         {
-            Fleet fleet({130, 70, four, row.digestLoss, row.pullLoss, 7, row.sendersNamed});
+            Fleet fleet(row.fleet);
             fleet.put(1);
             fleet.startAll(1s);
             fleet.runFor(30s);
@@ -96,7 +103,7 @@
             fleet.cutOff(row.cutOff);
             const auto callsBefore = fleet.calls();
             std::vector<Duration> all;
-            for (auto change = 0; change < changes; ++change) {
+            for (auto change = 0; change < row.changes; ++change) {
                 fleet.put(2 + static_cast<std::size_t>(change));
                 fleet.runFor(betweenChanges);
                 const auto delays = fleet.delays();
@@ -104,12 +111,13 @@
                 all.insert(all.end(), delays.begin(), delays.end());
             }
             std::sort(all.begin(), all.end());
-            BOOST_TEST_MESSAGE(
-                changes << " changes at " << fleet.size() << " processes, " << row.name
-                        << ": in force after " << inSeconds(all[all.size() / 2]) << " s for half, "
-                        << inSeconds(all[all.size() * 99 / 100]) << " s for 99 in 100, "
-                        << inSeconds(all.back()) << " s for all; " << fleet.calls() - callsBefore
-                        << " service calls, " << fleet.pulls() << " pulls");
+            BOOST_TEST_MESSAGE(row.changes
+                               << " changes at " << fleet.size() << " processes, " << row.name
+                               << ": in force after " << inSeconds(all[all.size() / 2])
+                               << " s for half, " << inSeconds(all[all.size() * 99 / 100])
+                               << " s for 99 in 100, " << inSeconds(all.back()) << " s for all; "
+                               << fleet.calls() - callsBefore << " service calls, " << fleet.pulls()
+                               << " pulls");
             BOOST_TEST(all.back() < inForceEverywhere);
             BOOST_TEST(fleet.fallen() == 0U);
         }
