--- a/src/sidecar/main.cc
+++ b/src/sidecar/main.cc
@@ -1,4 +1,23 @@
-auto main() -> int
+#include "applehatch/process/program.h"
+
+#include "sidecar-host.h"
+
+namespace {
+
+using namespace applehatch; // NOLINT(google-build-using-namespace)
+
+auto run(const std::shared_ptr<const settings::ProcessFile> &file) -> process::ExitCode
 {
-    return 0;
+    process::prepareSignals();
+    telemetry::startLog();
+    sidecar::SidecarHost host(file);
+    return process::runHost(host, *file);
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    const auto line = process::readCommandLine(argc, argv, settings::Role::Sidecar);
+    return static_cast<int>(line.file ? run(line.file) : line.exit);
 }
--- a/test/standin/engine-main.cc
+++ b/test/standin/engine-main.cc
@@ -15,6 +15,7 @@
 DEFINE_uint32(state_lag_ms, 500, "by which the state comes late");
 DEFINE_uint32(hold_ms, 5000, "how long a stream goes on without its caller");
 DEFINE_bool(honours_fence, true, "refuses an order with an old fencing number");
+DEFINE_string(model, "", "a model held from the start");
 DEFINE_uint32(threads, 400, "connections served at once");
 DEFINE_string(log, "", "file for a record of runs that outlives a crash");
 DEFINE_string(control, "{}", "fault orders in force from the start, as for POST /control");
@@ -37,6 +38,9 @@
     options.stateLag = milliseconds(FLAGS_state_lag_ms);
     options.holdFor = milliseconds(FLAGS_hold_ms);
     options.honoursFence = FLAGS_honours_fence;
+    if (!FLAGS_model.empty()) {
+        options.models = {FLAGS_model};
+    }
     options.threads = static_cast<int>(FLAGS_threads);
     options.logPath = FLAGS_log;
     return options;
--- a/test/standin/engine.cc
+++ b/test/standin/engine.cc
@@ -45,6 +45,7 @@
     , epoch_(newEpoch())
     , record_(options_.logPath)
     , cache_(options_.cacheChats, options_.eventDelay, options_.gapEvery)
+    , models_(options_.models)
 {
     published_ = stateNow();
     publishedAt_ = Clock::now();
--- a/test/standin/engine.h
+++ b/test/standin/engine.h
@@ -25,10 +25,11 @@
     std::uint64_t gapEvery = 0;    ///< Every n-th cache event is lost; 0 loses none.
     milliseconds stateLag{500};    ///< By which the state comes late.
     bool honoursFence = true;
-    milliseconds holdFor{5000};  ///< A stream whose caller left goes on this long.
-    std::size_t kvBytes = 20000; ///< Size of an exported context.
-    int threads = 400;           ///< Connections served at once.
-    std::string logPath;         ///< Run record that outlives a crash; empty keeps none.
+    std::set<std::string> models; ///< Held from the start.
+    milliseconds holdFor{5000};   ///< A stream whose caller left goes on this long.
+    std::size_t kvBytes = 20000;  ///< Size of an exported context.
+    int threads = 400;            ///< Connections served at once.
+    std::string logPath;          ///< Run record that outlives a crash; empty keeps none.
 };
 
 /// One engine, in one life.
--- a/test/support/fleet.cc
+++ b/test/support/fleet.cc
@@ -39,9 +39,17 @@
     return relay ? relay->address() : behind;
 }
 
-auto isReady(const core::Address &address) -> bool
+auto isReady(const core::Address &address, const Process &process) -> bool
 {
-    return get(address, "/health/ready", milliseconds(1000)).status == 200;
+    // Before its settings are in force a process may serve what it is no member of.
+    return process.output().find("event=settings-in-force") != std::string::npos
+        && get(address, "/health/ready", milliseconds(1000)).status == 200;
+}
+
+auto waitUntilReady(const core::Address &health, Process &process) -> bool
+{
+    return eventually([&] { return isReady(health, process) || !process.running(); })
+        && process.running();
 }
 
 } // namespace
@@ -196,17 +204,15 @@
 
 auto Fleet::waitReady() -> void
 {
+    auto ready = true;
     for (auto &member : members_) {
-        if (!eventually([&] { return isReady(member.admin) || !member.sidecar->running(); })
-            || !member.sidecar->running()) {
-            throw std::runtime_error("not ready: " + outputs());
-        }
+        ready = ready && waitUntilReady(member.admin, *member.sidecar);
     }
     for (auto &router : routers_) {
-        if (!eventually([&] { return isReady(router.listens) || !router.process->running(); })
-            || !router.process->running()) {
-            throw std::runtime_error("not ready: " + outputs());
-        }
+        ready = ready && waitUntilReady(router.listens, *router.process);
+    }
+    if (!ready) {
+        throw std::runtime_error("not ready: " + outputs());
     }
 }
 
--- a/test/system/demo.cc
+++ b/test/system/demo.cc
@@ -83,6 +83,14 @@
     }
 }
 
+auto show(Fleet &fleet) -> void
+{
+    const auto context = streamedChat(fleet);
+    returningChat(fleet, context);
+    serviceCall(fleet);
+    stopInOrder(fleet);
+}
+
 } // namespace
 
 auto main() -> int
@@ -94,10 +102,12 @@
         options.routers = 2;
         step("starting 2 routers, 5 sidecars and stand-ins for 3 engines and 2 services");
         Fleet fleet(options);
-        const auto context = streamedChat(fleet);
-        returningChat(fleet, context);
-        serviceCall(fleet);
-        stopInOrder(fleet);
+        try {
+            show(fleet);
+        } catch (const std::exception &) {
+            std::fprintf(stderr, "%s\n", fleet.outputs().c_str());
+            throw;
+        }
     } catch (const std::exception &error) {
         std::fprintf(stderr, "the demonstration failed: %s\n", error.what());
         return 1;
