--- a/test/support/fleet.cc
+++ b/test/support/fleet.cc
@@ -15,6 +15,10 @@
 
 using nlohmann::json;
 
+constexpr auto operatorToken = "operator-token";
+constexpr auto operatorTokenHash =
+    "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
+
 /// Loopback networks are dealt out by process and fleet, so that tests may run side by side.
 auto nextNetwork() -> std::string
 {
@@ -211,11 +215,31 @@
     for (auto &router : routers_) {
         ready = ready && waitUntilReady(router.listens, *router.process);
     }
+    for (auto &router : routers_) {
+        ready = ready && eventually([&] { return seesAllServing(router); });
+    }
     if (!ready) {
         throw std::runtime_error("not ready: " + outputs());
     }
 }
 
+auto Fleet::seesAllServing(const FleetRouter &router) const -> bool
+{
+    return std::all_of(members_.begin(), members_.end(), [&](const FleetMember &member) {
+        const auto path = std::string("/admin/v1/teams/") + team + "/pools/" + member.pool;
+        const auto answer = call(router.admin,
+                                 {"GET",
+                                  path + "/upstreams",
+                                  {{"Authorization", std::string("Bearer ") + operatorToken}},
+                                  {}});
+        const auto list = json::parse(answer.body, nullptr, false);
+        return list.is_array() && std::any_of(list.begin(), list.end(), [&](const json &entry) {
+                   return entry.value("upstream", "") == member.name
+                       && entry.value("state", "") == "serving";
+               });
+    });
+}
+
 auto Fleet::poolSettings(const std::string &pool, const std::vector<std::string> &without) const
     -> json
 {
@@ -241,6 +265,7 @@
 auto Fleet::publish(const std::vector<std::string> &without) -> void
 {
     json settings = {
+        {"adminTokenHash", operatorTokenHash},
         {"pools", json::object()},
         {"customers", {{"branch-east", {{"weight", 1.0}}}, {"branch-west", {{"weight", 1.0}}}}}};
     if (options_.engines > 0) {
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -105,6 +105,8 @@
     auto startUpstream(FleetMember &member) -> void;
     auto startSidecar(FleetMember &member) -> void;
     auto startRouter(FleetRouter &router) -> void;
+
+    /// Waits until every process is ready and every router has heard that every upstream serves.
     auto waitReady() -> void;
 
     /// Publishes settings without the members named.
@@ -131,6 +133,7 @@
     [[nodiscard]] auto poolSettings(const std::string &pool,
                                     const std::vector<std::string> &without) const
         -> nlohmann::json;
+    [[nodiscard]] auto seesAllServing(const FleetRouter &router) const -> bool;
     [[nodiscard]] auto peers() const -> nlohmann::json;
 
     FleetOptions options_;
--- a/test/system/bad-input-test.cc
+++ b/test/system/bad-input-test.cc
@@ -39,7 +39,9 @@
 auto stillWorks(Fleet &fleet, const std::string &mark) -> bool
 {
     const auto request = fleet.chat(mark, 5);
-    return isWholeAndOwn(request, call(fleet.router().callers, request));
+    const auto answer = call(fleet.router().callers, request);
+    BOOST_TEST_MESSAGE(mark << ": " << answer.status << " " << answer.problem().dump());
+    return isWholeAndOwn(request, answer);
 }
 
 } // namespace
@@ -191,6 +193,7 @@
     const auto request = fleet.chat("leaving caller", 4000);
     CallerConnection connection(fleet.router().callers, request);
     connection.read([](const CallerAnswer &answer) { return answer.events().size() > 3; });
+    BOOST_TEST_MESSAGE(connection.answer().body);
     BOOST_REQUIRE(connection.answer().status == 200);
     connection.leave();
     const auto ended = [&] {
--- a/test/system/broken-connection-test.cc
+++ b/test/system/broken-connection-test.cc
@@ -50,7 +50,7 @@
             return fleet.engine(number);
         }
     }
-    throw std::runtime_error("no engine runs anything");
+    throw std::runtime_error("no engine runs anything" + fleet.outputs());
 }
 
 } // namespace
--- a/test/system/path-test.cc
+++ b/test/system/path-test.cc
@@ -67,7 +67,8 @@
         const auto second =
             call(fleet.router(1).callers, with(turn("second"), contextHeader, token));
         const auto third = call(fleet.router(1).callers, turn("third"));
-        BOOST_TEST_CONTEXT(name)
+        BOOST_TEST_CONTEXT(name << first.problem().dump() << second.problem().dump()
+                                << third.problem().dump() << fleet.outputs())
         {
             BOOST_TEST(first.header(cacheHeader) == "cold");
             BOOST_TEST(second.header(cacheHeader) == "warm");
