Bound the whole HTTP exchange, also when an answer falls silent half way

CivetWeb's client bounds only the wait for an answer's head: against a server that sent a head and three bytes and then nothing, a call with a timeout of 2 s returned after 60 s, when the server closed. Such a connection can stay silent for good, and the thread that watches the settings would hang with it. Ruled out: a timeout for the body in CivetWeb's client, as its interface has none and does not give out the socket. The exchange now runs on KJ's HTTP client, which is linked already; a timer ends it whatever the connection does. The test that holds an answer open after its head, after half its body and before its first byte passes with a timeout of 100 ms each.

--- a/include/applehatch/platform/http.h
+++ b/include/applehatch/platform/http.h
@@ -1,4 +1,4 @@
-/// A whole HTTP exchange by the library's client, for calls whose answers are small.
+/// A whole HTTP exchange, for calls whose answers are small.
 #pragma once
 
 #include "applehatch/core/message.h"
@@ -21,7 +21,7 @@
     std::string path; ///< With its query, already escaped.
     core::Headers headers;
     std::string body;
-    core::Duration timeout = std::chrono::seconds(5); ///< Until the answer's head.
+    core::Duration timeout = std::chrono::seconds(5); ///< Until the whole answer.
     std::size_t maxBodyBytes = defaultMaxBodyBytes;
 };
 
@@ -35,13 +35,14 @@
     [[nodiscard]] auto header(std::string_view name) const -> std::string_view;
 };
 
-/// Sends `request` and reads its whole answer; blocks the calling thread. Thread-safe.
+/// Sends `request` and reads its whole answer; blocks the calling thread, which must not run an
+/// event loop. Thread-safe.
 ///
 /// Errors: `std::errc::connection_refused` when no connection could be made,
-/// `std::errc::timed_out` without an answer's head in time, `std::errc::bad_message` for an answer
-/// that is not HTTP or was cut short, `std::errc::message_size` for a body beyond `maxBodyBytes`.
-/// An answer of any status is no error. A body that stops arriving is given up after the library's
-/// own 30 s without a byte.
+/// `std::errc::timed_out` without a whole answer in time, `std::errc::bad_message` for an answer
+/// that is not HTTP or was cut short, `std::errc::message_size` for a body beyond `maxBodyBytes`,
+/// `std::errc::invalid_argument` for a method that HTTP does not know. An answer of any status is
+/// no error.
 [[nodiscard]] auto exchange(const HttpRequest &request, HttpResponse &into) -> std::error_code;
 
 } // namespace applehatch::platform
--- a/src/platform/http.cc
+++ b/src/platform/http.cc
@@ -1,144 +1,164 @@
 #include "applehatch/platform/http.h"
 
-#include <civetweb.h>
+#include <kj/async-io.h>
+#include <kj/compat/http.h>
 
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <limits>
-#include <memory>
-#include <optional>
 
 namespace applehatch::platform {
 
 namespace {
 
-constexpr std::size_t errorTextBytes = 256;
-constexpr std::size_t readBytes = 16384;
+constexpr std::size_t readBytes = 65536;
 
-struct CloseConnection
+auto sameLetter(char left, char right) -> bool
 {
-    auto operator()(mg_connection *connection) const -> void { mg_close_connection(connection); }
-};
-
-using Connection = std::unique_ptr<mg_connection, CloseConnection>;
-
-/// The library's global state, set up before its first use and kept for the process.
-struct Library
-{
-    Library() { mg_init_library(0); }
-};
-
-auto sameName(std::string_view left, std::string_view right) -> bool
-{
-    const auto lower = [](char letter) { return std::tolower(static_cast<unsigned char>(letter)); };
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [&](char a, char b) { return lower(a) == lower(b); });
+    return std::tolower(static_cast<unsigned char>(left))
+        == std::tolower(static_cast<unsigned char>(right));
 }
 
-auto requestText(const HttpRequest &request) -> std::string
+auto error(std::errc code) -> std::error_code
 {
-    auto text = request.method + ' ' + request.path + " HTTP/1.1\r\n";
-    text += "Host: " + request.server.ip + ':' + std::to_string(request.server.port) + "\r\n";
-    text += "Connection: close\r\n";
-    for (const auto &[name, value] : request.headers) {
-        text.append(name).append(": ").append(value).append("\r\n");
-    }
-    if (!request.body.empty() || request.method != "GET") {
-        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-    }
-    return text + "\r\n" + request.body;
+    return std::make_error_code(code);
 }
 
-auto timeoutMs(core::Duration timeout) -> int
+/// One exchange on an event loop of its own, which runs in the calling thread.
+///
+/// A connection may go silent for good in the middle of an answer. CivetWeb's client bounds only
+/// the wait for the answer's head, and a read of its body then never returns: the thread that
+/// watches the settings would hang, and changes would no longer arrive here. The promises below end
+/// at the timer, whatever the connection does.
+class Exchange
 {
-    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(timeout).count();
-    return static_cast<int>(std::clamp<std::int64_t>(wait, 1, std::numeric_limits<int>::max()));
-}
-
-/// A length that the answer names, so that an answer cut short is noticed.
-auto namedLength(const mg_response_info &info) -> std::optional<std::size_t>
-{
-    for (auto i = 0; i < info.num_headers; ++i) {
-        if (sameName(info.http_headers[i].name, "Content-Length") && info.content_length >= 0) {
-            return static_cast<std::size_t>(info.content_length);
+public:
+    explicit Exchange(const HttpRequest &request)
+        : request_(request)
+        , io_(kj::setupAsyncIo())
+        , table_(kj::HttpHeaderTable::Builder().build())
+    { }
+
+    auto run(HttpResponse &into) -> std::error_code
+    {
+        kj::HttpMethod method{};
+        KJ_IF_MAYBE (known, kj::tryParseHttpMethod(request_.method.c_str())) {
+            method = *known;
+        } else {
+            return error(std::errc::invalid_argument);
         }
+        auto work = connect().then([this, &into, method] {
+            connected_ = true;
+            return send(method).then(
+                [this, &into](Response &&answer) { return take(kj::mv(answer), into); });
+        });
+        auto limit = io_.provider->getTimer()
+                         .afterDelay(request_.timeout.count() * kj::MICROSECONDS)
+                         .then([] { return error(std::errc::timed_out); });
+        auto done = work.exclusiveJoin(kj::mv(limit)).catch_([this](const kj::Exception &) {
+            return error(connected_ ? std::errc::bad_message : std::errc::connection_refused);
+        });
+        return done.wait(io_.waitScope);
     }
-    return std::nullopt;
-}
 
-auto readBody(mg_connection *connection, std::size_t limit, std::string &into) -> std::error_code
-{
-    std::array<char, readBytes> buffer{};
-    while (true) {
-        const auto count = mg_read(connection, buffer.data(), buffer.size());
-        if (count < 0) {
-            return std::make_error_code(std::errc::bad_message);
+private:
+    using Response = kj::HttpClient::Response;
+
+    auto connect() -> kj::Promise<void>
+    {
+        auto &network = io_.provider->getNetwork();
+        return network.parseAddress(request_.server.ip.c_str(), request_.server.port)
+            .then([](kj::Own<kj::NetworkAddress> address) {
+                auto opening = address->connect();
+                return opening.attach(kj::mv(address));
+            })
+            .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+                stream_ = kj::mv(stream);
+                client_ = kj::newHttpClient(*table_, *stream_);
+            });
+    }
+
+    auto send(kj::HttpMethod method) -> kj::Promise<Response>
+    {
+        kj::HttpHeaders headers(*table_);
+        headers.set(kj::HttpHeaderId::HOST,
+                    kj::str(request_.server.ip.c_str(), ":", request_.server.port));
+        for (const auto &[name, value] : request_.headers) {
+            headers.add(kj::str(name.c_str()), kj::str(value.c_str()));
         }
-        if (count == 0) {
-            return {};
+        kj::Maybe<std::uint64_t> length;
+        if (method != kj::HttpMethod::GET) {
+            length = request_.body.size();
         }
-        if (into.size() + static_cast<std::size_t>(count) > limit) {
-            return std::make_error_code(std::errc::message_size);
+        auto call = client_->request(method, request_.path.c_str(), headers, length);
+        if (request_.body.empty()) {
+            return kj::mv(call.response);
         }
-        into.append(buffer.data(), static_cast<std::size_t>(count));
+        auto writing = call.body->write(request_.body.data(), request_.body.size());
+        return writing.attach(kj::mv(call.body)).then([response = kj::mv(call.response)]() mutable {
+            return kj::mv(response);
+        });
     }
-}
 
-auto readResponse(mg_connection *connection, std::size_t limit, HttpResponse &into)
-    -> std::error_code
-{
-    const auto *info = mg_get_response_info(connection);
-    if (info == nullptr) {
-        return std::make_error_code(std::errc::bad_message);
-    }
-    into.status = info->status_code;
-    for (auto i = 0; i < info->num_headers; ++i) {
-        into.headers.emplace_back(info->http_headers[i].name, info->http_headers[i].value);
-    }
-    const auto length = namedLength(*info);
-    if (length && *length > limit) {
-        return std::make_error_code(std::errc::message_size);
+    auto take(Response &&answer, HttpResponse &into) -> kj::Promise<std::error_code>
+    {
+        into.status = static_cast<int>(answer.statusCode);
+        answer.headers->forEach([&into](kj::StringPtr name, kj::StringPtr value) {
+            into.headers.emplace_back(name.cStr(), value.cStr());
+        });
+        body_ = kj::mv(answer.body);
+        KJ_IF_MAYBE (length, body_->tryGetLength()) {
+            if (*length > request_.maxBodyBytes) {
+                return error(std::errc::message_size);
+            }
+        }
+        return readBody(into.body);
     }
-    const auto failed = readBody(connection, limit, into.body);
-    if (!failed && length && into.body.size() != *length) {
-        return std::make_error_code(std::errc::bad_message);
+
+    auto readBody(std::string &into) -> kj::Promise<std::error_code>
+    {
+        return body_->tryRead(block_.data(), 1, block_.size())
+            .then([this, &into](std::size_t count) -> kj::Promise<std::error_code> {
+                if (count == 0) {
+                    return std::error_code();
+                }
+                if (into.size() + count > request_.maxBodyBytes) {
+                    return error(std::errc::message_size);
+                }
+                into.append(block_.data(), count);
+                return readBody(into);
+            });
     }
-    return failed;
-}
+
+    const HttpRequest &request_;
+    kj::AsyncIoContext io_;
+    kj::Own<kj::HttpHeaderTable> table_;
+    std::array<char, readBytes> block_{};
+    bool connected_ = false;
+    kj::Own<kj::AsyncIoStream> stream_;
+    kj::Own<kj::HttpClient> client_;
+    kj::Own<kj::AsyncInputStream> body_;
+};
 
 } // namespace
 
 auto HttpResponse::header(std::string_view name) const -> std::string_view
 {
     const auto found = std::find_if(headers.begin(), headers.end(), [name](const auto &header) {
-        return sameName(header.first, name);
+        return std::equal(header.first.begin(), header.first.end(), name.begin(), name.end(),
+                          sameLetter);
     });
     return found == headers.end() ? std::string_view() : std::string_view(found->second);
 }
 
 auto exchange(const HttpRequest &request, HttpResponse &into) -> std::error_code
 {
-    static const Library library;
     into = {};
-    std::array<char, errorTextBytes> error{};
-    const Connection connection(mg_connect_client(request.server.ip.c_str(), request.server.port, 0,
-                                                  error.data(), error.size()));
-    if (!connection) {
-        return std::make_error_code(std::errc::connection_refused);
-    }
-    const auto text = requestText(request);
-    if (mg_write(connection.get(), text.data(), text.size()) != static_cast<int>(text.size())) {
-        return std::make_error_code(std::errc::bad_message);
-    }
-    const auto startedAt = std::chrono::steady_clock::now();
-    if (mg_get_response(connection.get(), error.data(), error.size(), timeoutMs(request.timeout))
-        < 0) {
-        const auto waited = std::chrono::steady_clock::now() - startedAt;
-        return std::make_error_code(waited >= request.timeout ? std::errc::timed_out
-                                                              : std::errc::bad_message);
+    try {
+        return Exchange(request).run(into);
+    } catch (const kj::Exception &) {
+        return error(std::errc::bad_message);
     }
-    return readResponse(connection.get(), request.maxBodyBytes, into);
 }
 
 } // namespace applehatch::platform
--- a/src/platform/settings-client.cc
+++ b/src/platform/settings-client.cc
@@ -14,7 +14,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t mostAnswerBytes = 64U << 20U;
-constexpr core::Duration readTimeout = std::chrono::seconds(5);
+constexpr core::Duration readTimeout = std::chrono::seconds(10);
 constexpr std::string_view teamPrefix = "teams/";
 constexpr int ok = 200;
 constexpr int notFound = 404;
--- a/test/platform/settings-client-test.cc
+++ b/test/platform/settings-client-test.cc
@@ -200,6 +200,20 @@
     BOOST_TEST(client.read(5s, list) == std::make_error_code(std::errc::connection_refused));
 }
 
+// A firewall forgets the connection in the middle of an answer: no byte follows and no end. The
+// thread that reads would wait for good, and the process would never hear of a change again.
+BOOST_AUTO_TEST_CASE(an_answer_that_falls_silent_half_way_is_given_up_in_time)
+{
+    standin::Platform platform;
+    const auto head = std::string("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n");
+    for (const auto &bytes : {head + "\r\n{\"version\"", head, std::string()}) {
+        platform.setRawAnswer(Service::HostList, bytes, true);
+        core::HostList list;
+        const auto failed = platform::HostListClient(platform.address()).read(100ms, list);
+        BOOST_TEST(failed == std::make_error_code(std::errc::timed_out));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_weight_store_refuses_beyond_its_rate)
 {
     standin::Platform platform;
