--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -249,19 +249,16 @@
         // Said of the first submit perhaps; the second may run.
         failure.run = worse(failure.run, Run::Unknown);
     }
+    if (failure.kind == ErrorKind::AnswerLost && settle(exchange, failure.run))
+        return;
     if (exchange.terms.runOnce)
         exchange.run = failure.run; // All sends of a key meet at this sidecar.
-    if (failure.kind == ErrorKind::AnswerLost && failure.run == Run::NotRun
-        && exchange.kind == ExchangeKind::Request && !exchange.answer.headSent) {
-        // Asked about a submit that never reached it, the sidecar has barred that attempt.
-        resubmit(exchange);
-        return;
-    }
     if (failure.kind == ErrorKind::UpstreamCrashed && crash(exchange, failure))
         return;
     if (exchange.answer.headSent)
         failure.run = Run::Ran;
-    const auto lost = failure.kind == ErrorKind::AnswerLost && exchange.mayRunAgain();
+    const auto isGone = failure.kind == ErrorKind::AnswerLost || failure.kind == ErrorKind::Revoked;
+    const auto lost = isGone && exchange.mayRunAgain();
     const auto mayRetry = (lost || answerFor(failure.kind).retryElsewhere) && !bound
         && !exchange.answer.headSent && (failure.run == Run::NotRun || exchange.mayRunAgain());
     if (!mayRetry) {
@@ -289,6 +286,41 @@
     advance(exchange, redirects ? AttemptCost::Free : AttemptCost::OneRetry);
 }
 
+// A sidecar that does not know a request was perhaps never reached by its submit. Revoking that
+// attempt settles it: either it is barred and can be submitted again, or it may have run.
+auto RouterNode::State::settle(Exchange &exchange, Run run) -> bool
+{
+    if (exchange.kind != ExchangeKind::Request || exchange.answer.headSent || exchange.resubmitted)
+        return false;
+    if (run == Run::NotRun) {
+        resubmit(exchange);
+        return true;
+    }
+    if (!exchange.settling) {
+        exchange.settling = true;
+        revoke(exchange);
+    }
+    return true;
+}
+
+auto RouterNode::State::onMessage(UpstreamId upstream, Revoked &revoked) -> void
+{
+    auto *exchange = findAt(upstream, revoked.request);
+    if (exchange == nullptr || !exchange->settling || exchange->attempt != revoked.attempt)
+        return;
+    exchange->heardAt = now_;
+    exchange->settling = false;
+    if (revoked.run == Run::NotRun) {
+        resubmit(*exchange);
+        return;
+    }
+    exchange->resubmitted = true;
+    Refusal refusal;
+    refusal.attempt = revoked.attempt;
+    refusal.failure = {ErrorKind::AnswerLost, revoked.run, "no such answer", std::nullopt};
+    refuse(*exchange, refusal);
+}
+
 // True when the exchange is over: a request that saw two upstreams die is not given a third.
 auto RouterNode::State::crash(Exchange &exchange, const Failure &failure) -> bool
 {
--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -14,6 +14,14 @@
         && exchange.pool.pool->kind == settings::PoolKind::Model;
 }
 
+// An end may overtake its head. Kept for the next attempt, it would cut off that one's answer, or
+// fail it as not whole.
+auto forgetAnswer(Exchange &exchange) -> void
+{
+    exchange.answer = Answer();
+    exchange.askedAt.reset();
+}
+
 } // namespace
 
 auto RouterNode::State::advance(Exchange &exchange, AttemptCost cost) -> void
@@ -110,8 +118,9 @@
         return;
     }
     exchange.resubmitted = true;
+    exchange.settling = false;
+    forgetAnswer(exchange);
     exchange.phase = ExchangePhase::Waiting;
-    exchange.askedAt.reset();
     serve(exchange);
 }
 
@@ -171,7 +180,9 @@
     exchange.tried.push_back(exchange.upstream);
     exchange.passedOver.push_back({exchange.upstream, std::move(reason)});
     exchange.upstream = 0;
+    exchange.settling = false;
     exchange.resubmitted = false;
+    forgetAnswer(exchange);
 }
 
 auto RouterNode::State::revoke(Exchange &exchange) -> void
--- a/src/core/router-exchange.h
+++ b/src/core/router-exchange.h
@@ -83,6 +83,7 @@
     UpstreamId home = 0;     ///< The home that could not take this chat.
     UpstreamId redirect = 0; ///< Named by a refusal and not yet tried.
     bool redirected = false;
+    bool settling = false;    ///< A `Revoke` was sent to learn whether a lost submit arrived.
     bool resubmitted = false; ///< The first submit to this upstream never reached it.
 
     Run run = Run::NotRun; ///< The worst that is known of the attempts that are over.
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -139,11 +139,13 @@
     auto onMessage(UpstreamId upstream, Chunk &chunk) -> void;
     auto onMessage(UpstreamId upstream, End &end) -> void;
     auto onMessage(UpstreamId upstream, Refusal &refusal) -> void;
+    auto onMessage(UpstreamId upstream, Revoked &revoked) -> void;
     auto onMessage(UpstreamId upstream, Heartbeat &heartbeat) -> void;
     template <typename Other>
     auto onMessage(UpstreamId /*upstream*/, Other & /*message*/) -> void
     { }
     auto refuse(Exchange &exchange, Refusal &refusal) -> void;
+    [[nodiscard]] auto settle(Exchange &exchange, Run run) -> bool;
     auto crash(Exchange &exchange, const Failure &failure) -> bool;
     auto passOn(Exchange &exchange, std::string data) -> void;
     auto finish(Exchange &exchange) -> void;
--- a/test/core/router-answers-test.cc
+++ b/test/core/router-answers-test.cc
@@ -151,6 +151,27 @@
     }
 }
 
+// The end of an answer overtakes its head, and the link is lost before the rest is there. The next
+// attempt gives another answer, longer perhaps; ended by the old end it would be cut off.
+BOOST_AUTO_TEST_CASE(an_end_belongs_to_its_attempt_alone)
+{
+    Bench bench;
+    bench.feed(chatRequest("r1"));
+    const auto first = bench.openAsked();
+    bench.from(first, End{"r1", 2, stableHash("ab"), {}});
+    bench.feed(LinkDown{first});
+    bench.feed(LinkDown{first});
+    const auto second = bench.openAsked();
+    BOOST_TEST(second != first);
+    bench.from(second, Head{"r1", 2, 200, {}, false, false});
+    bench.from(second, Chunk{"r1", 0, "cd"});
+    BOOST_TEST(bench.failures().empty());
+    bench.from(second, Chunk{"r1", 2, "ef"});
+    bench.from(second, End{"r1", 4, stableHash("cdef"), {}});
+    BOOST_TEST(bench.body("r1") == "cdef");
+    BOOST_TEST(Bench::of<AnswerEnd>(bench.last).size() == 1U);
+}
+
 // A chunk, an end or a whole submit is lost on a link that otherwise lives.
 BOOST_AUTO_TEST_CASE(a_quiet_exchange_on_a_live_link_is_asked_about)
 {
--- a/test/core/router-once-test.cc
+++ b/test/core/router-once-test.cc
@@ -154,22 +154,47 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(a_submit_that_never_arrived_is_sent_again_to_the_same_life_only)
+// A booking is lost with a link that had gone silent: its sidecar knows nothing of it. Failing it
+// as unknown would send a call-handler checking by hand for a job that nobody has; only an attempt
+// that is barred for good may be followed by another.
+BOOST_AUTO_TEST_CASE(a_submit_that_never_arrived_is_barred_and_sent_again)
 {
-    Bench bench;
-    bench.feed(keyed("r1"));
-    const auto upstream = bench.openAsked();
-    bench.feed(LinkDown{upstream});
-    bench.up(upstream);
-    bench.from(upstream, refusal("r1", 1, ErrorKind::AnswerLost, Run::NotRun));
-    const auto submits = Bench::sent<Submit>(bench.last);
-    BOOST_REQUIRE(submits.size() == 1U);
-    BOOST_TEST(submits[0].attempt == 2U);
-    BOOST_TEST(submits[0].target == life);
-    // What comes late of the barred attempt is not the answer of the second.
-    bench.from(upstream, Head{"r1", 1, 200, {}, false, false});
-    BOOST_TEST(Bench::of<AnswerHead>(bench.last).empty());
-    BOOST_TEST(Bench::sent<Revoke>(bench.last).at(0).attempt == 1U);
+    struct Row
+    {
+        Run run;
+        bool again;
+    };
+    for (const auto &row :
+         {Row{Run::NotRun, true}, Row{Run::Unknown, false}, Row{Run::Ran, false}}) {
+        Bench bench;
+        bench.feed(keyed("r1"));
+        const auto upstream = bench.openAsked();
+        bench.feed(LinkDown{upstream});
+        bench.up(upstream);
+        for (auto copy = 0; copy < 2; ++copy)
+            bench.from(upstream, refusal("r1", 0, ErrorKind::AnswerLost, Run::Unknown));
+        const auto revokes = Bench::sent<Revoke>(bench.all);
+        BOOST_REQUIRE(revokes.size() == 1U);
+        BOOST_TEST(revokes[0].attempt == 1U);
+        BOOST_TEST(revokes[0].target == life);
+        bench.from(upstream, Revoked{"r1", 1, row.run});
+        const auto submits = Bench::sent<Submit>(bench.last);
+        BOOST_REQUIRE(submits.size() == (row.again ? 1U : 0U));
+        BOOST_TEST(bench.failures().size() == (row.again ? 0U : 1U));
+        if (!row.again) {
+            BOOST_TEST((bench.failures()[0].failure.run == row.run));
+            continue;
+        }
+        BOOST_TEST(submits[0].attempt == 2U);
+        BOOST_TEST(submits[0].target == life);
+        // What comes late of the barred attempt is not the answer of the second.
+        bench.from(upstream, Revoked{"r1", 1, Run::Ran});
+        bench.from(upstream, Head{"r1", 1, 200, {}, false, false});
+        BOOST_TEST(bench.failures().empty());
+        BOOST_TEST(Bench::of<AnswerHead>(bench.all).empty());
+        bench.from(upstream, refusal("r1", 0, ErrorKind::AnswerLost, Run::NotRun));
+        BOOST_TEST(bench.failures().empty());
+    }
 }
 
 BOOST_AUTO_TEST_CASE(a_ticket_binds_every_send_to_one_life)
--- a/test/core/router-random-test.cc
+++ b/test/core/router-random-test.cc
@@ -44,7 +44,6 @@
     Incarnation incarnation = 1;
     std::map<RequestId, FakeAnswer> answers;
     std::set<std::pair<RequestId, std::uint32_t>> barred;
-    std::set<RequestId> barredAll;
     std::map<std::string, std::string> keys; ///< Key to the body that it gave.
     std::set<std::string> failedKeys;
     std::set<std::pair<RequestId, std::uint32_t>> failedRuns;
@@ -190,7 +189,7 @@
         else if (const auto *resume = std::get_if<Resume>(&message))
             take(upstream, sidecar, *resume);
         else if (const auto *revoke = std::get_if<Revoke>(&message))
-            sidecar.barred.insert({revoke->request, revoke->attempt});
+            take(upstream, sidecar, *revoke);
         else if (std::holds_alternative<Heartbeat>(message))
             say(upstream, Heartbeat{sidecar.incarnation, bench_.now + clockOffset});
     }
@@ -208,8 +207,7 @@
             return answer(upstream, submit.request, known->second, 0);
         if (sidecar.failedRuns.contains({submit.request, submit.attempt}))
             return refuse(ErrorKind::UpstreamFailed, Run::Ran);
-        if (sidecar.barred.contains({submit.request, submit.attempt})
-            || sidecar.barredAll.contains(submit.request))
+        if (sidecar.barred.contains({submit.request, submit.attempt}))
             return refuse(ErrorKind::Revoked, Run::NotRun);
         if (bench_.now + clockOffset > submit.notAfter)
             return refuse(ErrorKind::DeadlineExceeded, Run::NotRun);
@@ -271,10 +269,20 @@
         const auto known = sidecar.answers.find(resume.request);
         if (known != sidecar.answers.end())
             return answer(upstream, resume.request, known->second, resume.offset);
-        sidecar.barredAll.insert(resume.request);
         say(upstream, refusal(resume.request, 0, ErrorKind::AnswerLost, Run::Unknown));
     }
 
+    auto take(UpstreamId upstream, FakeSidecar &sidecar, const Revoke &revoke) -> void
+    {
+        const auto attempt = std::pair(revoke.request, revoke.attempt);
+        auto run = revoke.target == sidecar.incarnation ? Run::NotRun : Run::Unknown;
+        if (sidecar.answers.contains(revoke.request) || sidecar.failedRuns.contains(attempt))
+            run = Run::Ran;
+        else
+            sidecar.barred.insert(attempt);
+        say(upstream, Revoked{revoke.request, revoke.attempt, run});
+    }
+
     auto check() -> void
     {
         std::map<RequestId, int> ends;
