--- a/src/platform/upstream-client.cc
+++ b/src/platform/upstream-client.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr auto connectLimit = std::chrono::seconds(2);
+/// An engine that reads a long context for the first time pauses longer than ever between tokens.
+constexpr auto firstByteFactor = 4;
 
 auto setHeader(core::Headers &headers, std::string_view name, const std::string &value) -> void
 {
@@ -101,11 +103,13 @@
         }
         // A plain answer comes in one piece after the whole run, so only a stream's pauses tell
         // that an upstream went silent; a plain answer may take until its deadline.
-        exchange.allowPause(start.call.stream ? silence_ : std::max(silence_, start.remaining));
+        const auto wholeRun = std::max(silence_, start.remaining);
+        exchange.allowPause(start.call.stream ? firstByteFactor * silence_ : wholeRun);
         const auto head = exchange.send(request);
         if (!head) {
             return {false, breakFor(exchange)};
         }
+        exchange.allowPause(start.call.stream ? silence_ : wholeRun);
         hooks.onHead(head->status, head->headers, headerValue(head->headers, "X-Cache") == "warm");
         if (readWhole(exchange, *head, start, hooks)) {
             return {true, core::RunBreak::Lost};
