--- a/test/support/socket.cc
+++ b/test/support/socket.cc
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cerrno>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -147,9 +148,16 @@
 
 auto freePort(const std::string &ip) -> std::uint16_t
 {
-    core::Address address{ip, 0};
-    const auto listener = listenOn(address);
-    return address.port;
+    static std::mutex mutex;
+    static std::set<std::pair<std::string, std::uint16_t>> given;
+    const std::lock_guard lock(mutex);
+    while (true) {
+        core::Address address{ip, 0};
+        const auto listener = listenOn(address);
+        if (given.emplace(ip, address.port).second) {
+            return address.port;
+        }
+    }
 }
 
 auto sendDatagram(const core::Address &to, std::string_view data) -> void
--- a/test/support/socket.h
+++ b/test/support/socket.h
@@ -62,7 +62,8 @@
 /// Listens on `address`; its port 0 is replaced by the one taken. Throws `std::runtime_error`.
 [[nodiscard]] auto listenOn(core::Address &address) -> Socket;
 
-/// A port on `ip` that nothing listened on a moment ago.
+/// A port on `ip` that nothing listened on a moment ago, and that was not given before: a port that
+/// is meant for a process not yet started would otherwise be given twice.
 [[nodiscard]] auto freePort(const std::string &ip) -> std::uint16_t;
 
 /// Sends one datagram.
--- a/test/system/expect.cc
+++ b/test/system/expect.cc
@@ -115,6 +115,19 @@
     return exchanges_.size();
 }
 
+auto History::problems() const -> std::map<std::string, std::size_t>
+{
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, std::size_t> counts;
+    for (const auto &exchange : exchanges_) {
+        const auto problem = exchange.answer.problem();
+        if (problem.is_object()) {
+            ++counts[exchange.answer.problemKind() + ": " + problem.value("detail", "")];
+        }
+    }
+    return counts;
+}
+
 auto History::whole() const -> std::size_t
 {
     const std::lock_guard lock(mutex_);
--- a/test/system/expect.h
+++ b/test/system/expect.h
@@ -3,6 +3,7 @@
 
 #include "support/fleet.h"
 
+#include <map>
 #include <mutex>
 #include <string>
 #include <utility>
@@ -47,6 +48,9 @@
 
     [[nodiscard]] auto size() const -> std::size_t;
 
+    /// How often each kind of problem was told, with its detail.
+    [[nodiscard]] auto problems() const -> std::map<std::string, std::size_t>;
+
     /// Answers that are whole.
     [[nodiscard]] auto whole() const -> std::size_t;
 
