--- a/src/process/command-line.cc
+++ b/src/process/command-line.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <sstream>
 #include <utility>
+#include <vector>
 
 DEFINE_string(config, "", "the process's own file, JSON with comments");
 DEFINE_string(check, "",
@@ -101,17 +102,28 @@
     return {std::move(result.file), ExitCode::Done};
 }
 
-// gflags itself ends the process with 1 for an unknown flag, which would read as refused settings.
-auto unknownArgument(int argc, char **argv) -> std::optional<std::string>
+// gflags' own parser ends the process with 1 for a bad flag, which would read as refused settings.
+// None when every argument is a flag with a fitting value; otherwise what is wrong.
+auto setFlags(const std::vector<std::string> &arguments) -> std::optional<std::string>
 {
-    for (int index = 1; index < argc; ++index) {
-        const std::string argument = argv[index]; // NOLINT: the language's own array
-        if (argument.rfind("--", 0) != 0)
-            continue;
-        const auto name = argument.substr(2, argument.find('=') - 2);
+    for (std::size_t index = 0; index < arguments.size(); ++index) {
+        const auto &argument = arguments[index];
+        if (!argument.starts_with("--"))
+            return "unexpected argument " + argument;
+        const auto equals = argument.find('=');
+        const auto name = argument.substr(2, equals - 2);
         gflags::CommandLineFlagInfo info;
         if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info))
-            return argument;
+            return "unknown flag " + argument;
+        std::string value = "true";
+        if (equals != std::string::npos)
+            value = argument.substr(equals + 1);
+        else if (info.type != "bool" && ++index < arguments.size())
+            value = arguments[index];
+        else if (info.type != "bool")
+            return argument + " needs a value";
+        if (gflags::SetCommandLineOption(name.c_str(), value.c_str()).empty())
+            return argument + " cannot be " + value;
     }
     return std::nullopt;
 }
@@ -121,11 +133,10 @@
 auto readCommandLine(int argc, char **argv, settings::Role role) -> CommandLine
 {
     gflags::SetVersionString(version);
-    if (const auto argument = unknownArgument(argc, argv)) {
-        std::cerr << programName(role) << ": unknown flag " << *argument << "; see --help\n";
+    if (const auto problem = setFlags({argv + 1, argv + argc})) {
+        std::cerr << programName(role) << ": " << *problem << "; see --help\n";
         return {nullptr, ExitCode::Usage};
     }
-    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
     if (FLAGS_help) {
         std::cout << helpText(role);
         return {nullptr, ExitCode::Done};
@@ -134,7 +145,7 @@
         std::cout << programName(role) << ' ' << version << '\n';
         return {nullptr, ExitCode::Done};
     }
-    if (argc > 1 || FLAGS_config.empty() == FLAGS_check.empty()) {
+    if (FLAGS_config.empty() == FLAGS_check.empty()) {
         std::cerr << programName(role) << ": one of --config FILE and --check FILE; see --help\n";
         return {nullptr, ExitCode::Usage};
     }
--- a/src/sidecar/sidecar-host.cc
+++ b/src/sidecar/sidecar-host.cc
@@ -14,8 +14,9 @@
 constexpr core::Duration cachePeriod = std::chrono::milliseconds(500);
 constexpr core::Duration hostListPeriod = std::chrono::seconds(1);
 
-// Engines pause for less than this between two bytes, also before the first of a long prompt.
-constexpr core::Duration upstreamSilence = std::chrono::seconds(60);
+// Streams pause for less than this between two bytes, also before the first of a long prompt. A
+// stream taken for silent by mistake is asked for again from where it stands, and loses nothing.
+constexpr core::Duration upstreamSilence = std::chrono::seconds(8);
 
 // The node bounds the runs by the upstream's slots; this only guards against a node gone wrong.
 constexpr std::size_t mostWorkers = 1024;
--- /dev/null
+++ b/test/process/programs-test.cc
@@ -0,0 +1,105 @@
+// Both programs as an operator starts them: flags, exit codes, stopping.
+#include "support/process.h"
+#include "support/socket.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace applehatch::process {
+
+namespace {
+
+using support::Process;
+using support::TemporaryFile;
+
+constexpr int done = 0;
+constexpr int settingsRefused = 1;
+constexpr int usage = 2;
+constexpr int cannotBind = 3;
+
+auto routerFile(std::uint16_t callers) -> std::string
+{
+    const auto address = [](std::uint16_t port) {
+        return "\"127.0.0.1:" + std::to_string(port) + "\"";
+    };
+    const auto silent = address(support::freePort("127.0.0.1"));
+    return "{\"name\": \"router-1\", \"dataCenter\": \"bole\", \"callers\": " + address(callers)
+        + ", \"admin\": " + address(0) + ", \"digest\": " + address(0) + ", \"settings\": " + silent
+        + ", \"hostList\": " + silent + "}";
+}
+
+auto run(std::vector<std::string> arguments, const std::string &program = "applehatch-router")
+    -> std::pair<int, std::string>
+{
+    arguments.insert(arguments.begin(), support::programPath(program));
+    Process process(arguments);
+    const auto status = process.wait();
+    BOOST_REQUIRE(status);
+    BOOST_TEST(!status->signalled);
+    return {status->code, process.output()};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(programs)
+
+BOOST_AUTO_TEST_CASE(flags_and_files_give_the_documented_exit_codes)
+{
+    const TemporaryFile broken("{");
+    const TemporaryFile refused("{\"pools\": 5}");
+    struct Row
+    {
+        std::vector<std::string> arguments;
+        int code;
+        std::string says;
+    };
+    const std::vector<Row> rows{
+        {{"--help"}, done, "exit codes"},
+        {{"--version"}, done, "0.1.0"},
+        {{}, usage, "--help"},
+        {{"--confg", "x"}, usage, "unknown flag"},
+        {{"--config"}, usage, "needs a value"},
+        {{"file"}, usage, "unexpected argument"},
+        {{"--config", "/nowhere/x"}, settingsRefused, "cannot be read"},
+        {{"--config", broken.path()}, settingsRefused, broken.path()},
+        {{"--check", refused.path()}, settingsRefused, "pools"},
+    };
+    for (const auto &program : {"applehatch-router", "applehatch-sidecar"}) {
+        for (const auto &row : rows) {
+            const auto [code, output] = run(row.arguments, program);
+            BOOST_TEST(code == row.code, program << " said " << output);
+            BOOST_TEST(output.find(row.says) != std::string::npos, output);
+        }
+    }
+    const TemporaryFile good(routerFile(0));
+    BOOST_TEST(run({"--config", good.path(), "--placement=x"}).first == usage);
+    BOOST_TEST(run({"--config", good.path(), "--caller_threads=x"}).first == usage);
+}
+
+// Two processes are given one address, by a slip in a deployment. The second must end with its own
+// code at once; running on without a port it would look alive and serve nobody.
+BOOST_AUTO_TEST_CASE(a_taken_address_is_refused_at_the_start)
+{
+    core::Address taken{"127.0.0.1", 0};
+    const auto holder = support::listenOn(taken);
+    const TemporaryFile file(routerFile(taken.port));
+    const auto [code, output] = run({"--config", file.path()});
+    BOOST_TEST(code == cannotBind);
+    BOOST_TEST(output.find("event=cannot-bind") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_process_stops_in_order_at_the_first_signal)
+{
+    const TemporaryFile file(routerFile(0));
+    Process router({support::programPath("applehatch-router"), "--config", file.path()});
+    BOOST_REQUIRE(router.waitForLine("event=started"));
+    router.terminate();
+    const auto status = router.wait();
+    BOOST_REQUIRE(status);
+    BOOST_TEST(!status->signalled);
+    BOOST_TEST(status->code == done);
+    BOOST_TEST(router.output().find("event=stopped") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace applehatch::process
