--- a/src/core/sidecar-keys.cc
+++ b/src/core/sidecar-keys.cc
@@ -42,7 +42,7 @@
     job.names.push_back(message.request);
     byRequest[message.request] = job.run;
     if (job.phase != JobPhase::Waiting)
-        startedBefore.put(stableHash(message.request), true, attemptMemory());
+        startedBefore.put(stableHash(message.request), true, attemptMemory(message.notAfter));
     if (!job.isActive())
         ++counted.replays;
     attach(link, message, job, "key");
--- a/src/core/sidecar-runs.cc
+++ b/src/core/sidecar-runs.cc
@@ -32,7 +32,7 @@
     ++running;
     ++counted.runs;
     for (const auto &name : job.names)
-        startedBefore.put(stableHash(name), true, attemptMemory());
+        startedBefore.put(stableHash(name), true, attemptMemory(job.notAfter));
     answers.begin(job.run, job.continuedFrom);
     StartRun action;
     action.run = job.run;
@@ -132,7 +132,8 @@
     closeKey(job, job.failure.run);
     countRefusal(job.failure.kind);
     for (const auto &[request, attempt] : job.attempts)
-        endedAttempts.put(attemptHash(request, attempt), job.failure.run, attemptMemory());
+        endedAttempts.put(attemptHash(request, attempt), job.failure.run,
+                          attemptMemory(job.notAfter));
     logJob("fail", job.names.front(), job.terms, cause);
     serve(job);
     // An empty finished answer keeps the job for its lifetime, so that a resume hears of it.
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -210,7 +210,7 @@
     [[nodiscard]] auto bound() const -> std::uint32_t;
     [[nodiscard]] auto customerOf(const Terms &terms) const -> const settings::Customer *;
     [[nodiscard]] auto inFlightOf(const Terms &terms) const -> std::uint32_t;
-    [[nodiscard]] auto attemptMemory() const -> Instant;
+    [[nodiscard]] auto attemptMemory(Instant notAfter = {}) const -> Instant;
     auto applyEntries(std::vector<DigestEntry> entries) -> void;
     [[nodiscard]] auto asWaiting(const Terms &terms, Instant notAfter) const -> Waiting;
     [[nodiscard]] auto attachKnown(LinkId link, const Submit &message) -> bool;
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -2,11 +2,14 @@
 #include "sidecar-state.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace applehatch::core {
 
 namespace {
 
+constexpr Duration longestMemory = std::chrono::hours(24);
+
 auto holds(const std::vector<std::string> &models, const std::string &model) -> bool
 {
     return std::find(models.begin(), models.end(), model) != models.end();
@@ -73,7 +76,7 @@
     // It is told the failure of the attempt that it joins, so it must be as final.
     if (job.phase == JobPhase::Failed)
         endedAttempts.put(attemptHash(message.request, message.attempt), job.failure.run,
-                          attemptMemory());
+                          attemptMemory(message.notAfter));
     logJob("attach", message.request, message.terms, cause);
     Reader reader{link, message.request, message.attempt};
     reader.replayed = !job.isActive();
@@ -243,7 +246,7 @@
     // The caller may be told "not run" from here on, so a late duplicate must not run either.
     if (findJob(message.request) == nullptr)
         endedAttempts.put(attemptHash(message.request, message.attempt), rejection.failure.run,
-                          attemptMemory());
+                          attemptMemory(message.notAfter));
     countRefusal(rejection.failure.kind);
     if (rejection.redirect != 0) {
         ++counted.redirects;
@@ -273,10 +276,12 @@
     return {kind, run, std::move(detail), retryAfterFor(backlog(), serviceTime.mean())};
 }
 
-// How long an attempt is remembered: longer than any message about it can be on its way.
-auto SidecarNode::State::attemptMemory() const -> Instant
+// How long an attempt is remembered: until no message about it can be on its way any more. New
+// settings may have shortened the longest deadline since it was sent.
+auto SidecarNode::State::attemptMemory(Instant notAfter) const -> Instant
 {
-    return now + 2 * pool.maxDeadline;
+    const auto latest = std::min(notAfter, now + longestMemory);
+    return std::max(now + 2 * pool.maxDeadline, latest + pool.maxDeadline);
 }
 
 } // namespace applehatch::core
--- a/test/core/sidecar-life-test.cc
+++ b/test/core/sidecar-life-test.cc
@@ -205,6 +205,22 @@
     BOOST_TEST(told(sidecar.refusal()) == "answer-lost/ran");
 }
 
+// New settings shorten the longest deadline while an old request is on its way in two copies. The
+// second comes long after the first, still before its own deadline, and must not run.
+BOOST_AUTO_TEST_CASE(what_ran_is_remembered_until_its_deadline)
+{
+    Sidecar sidecar(poolOf(1, 1));
+    auto shorter = sidecar.pool();
+    shorter.maxDeadline = 1s;
+    sidecar.give(SettingsInForce{settingsOf(shorter, 2)});
+    auto submit = sidecar.request("r1");
+    submit.notAfter = sidecar.now + 300s;
+    sidecar.answer(sidecar.run(submit), "abc");
+    sidecar.from(Acknowledge{"r1", 3, true}).pass(250s);
+    sidecar.from(submit);
+    BOOST_TEST(told(sidecar.refusal()) == "answer-lost/ran");
+}
+
 // Two requests share a key and its run never began. Each hears of its own attempt only: named
 // after the other's, the refusal would call an attempt "not run" that may still come and run.
 BOOST_AUTO_TEST_CASE(resume_hears_of_its_own_attempt)
