--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -151,6 +151,7 @@
     std::map<LinkId, PeerLink> links;
     LoadTable loads;
     PoolSums sums;
+    ReplyBudget replies;
     CrashBook crashes;
     ChatPointers chats;
     DigestEntry own;
@@ -209,10 +210,11 @@
     [[nodiscard]] auto bound() const -> std::uint32_t;
     [[nodiscard]] auto customerOf(const Terms &terms) const -> const settings::Customer *;
     [[nodiscard]] auto inFlightOf(const Terms &terms) const -> std::uint32_t;
-    [[nodiscard]] auto attemptMemory() const -> Instant;
+    [[nodiscard]] auto attemptMemory(Instant notAfter = {}) const -> Instant;
     auto applyEntries(std::vector<DigestEntry> entries) -> void;
     [[nodiscard]] auto asWaiting(const Terms &terms, Instant notAfter) const -> Waiting;
     [[nodiscard]] auto attachKnown(LinkId link, const Submit &message) -> bool;
+    auto attach(LinkId link, const Submit &message, Job &job, std::string_view cause) -> void;
     auto accept(LinkId link, Submit &&message) -> void;
     auto reject(LinkId link, const Submit &message, const Rejection &rejection) -> void;
     auto countRefusal(ErrorKind kind) -> void;
@@ -296,6 +298,7 @@
     auto considerOrder() -> void;
     auto giveOrder(const PlannedChange &change) -> void;
     [[nodiscard]] auto hasTurn() -> bool;
+    [[nodiscard]] auto isGone(const settings::Member &member) const -> bool;
     [[nodiscard]] auto mayOrder() const -> bool;
     [[nodiscard]] auto holdsAnyModel() const -> bool;
 };
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -2,11 +2,14 @@
 #include "sidecar-state.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace applehatch::core {
 
 namespace {
 
+constexpr Duration longestMemory = std::chrono::hours(24);
+
 auto holds(const std::vector<std::string> &models, const std::string &model) -> bool
 {
     return std::find(models.begin(), models.end(), model) != models.end();
@@ -20,9 +23,11 @@
     applyEntries(std::move(message.loads));
     if (attachKnown(link, message) || submitKey(link, message))
         return;
-    auto rejection = checkAddress(message);
+    // Whether it ran comes first: a late duplicate of what ran must not be called "not run" for
+    // being late.
+    auto rejection = checkHistory(message);
     if (!rejection)
-        rejection = checkHistory(message);
+        rejection = checkAddress(message);
     if (!rejection)
         rejection = checkKeyOwner(message);
     if (!rejection)
@@ -60,12 +65,24 @@
         startedBefore.erase(stableHash(message.request));
         return false;
     }
-    job->attempts.emplace_back(message.request, message.attempt);
-    logJob("attach", message.request, message.terms, "duplicate");
-    read(*job, {link, message.request, message.attempt});
+    attach(link, message, *job, "duplicate");
     return true;
 }
 
+auto SidecarNode::State::attach(LinkId link, const Submit &message, Job &job,
+                                std::string_view cause) -> void
+{
+    job.attempts.emplace_back(message.request, message.attempt);
+    // It is told the failure of the attempt that it joins, so it must be as final.
+    if (job.phase == JobPhase::Failed)
+        endedAttempts.put(attemptHash(message.request, message.attempt), job.failure.run,
+                          attemptMemory(message.notAfter));
+    logJob("attach", message.request, message.terms, cause);
+    Reader reader{link, message.request, message.attempt};
+    reader.replayed = !job.isActive();
+    read(job, std::move(reader));
+}
+
 auto SidecarNode::State::checkAddress(const Submit &message) const -> std::optional<Rejection>
 {
     if (message.target != 0 && message.target != identity.incarnation) {
@@ -229,7 +246,7 @@
     // The caller may be told "not run" from here on, so a late duplicate must not run either.
     if (findJob(message.request) == nullptr)
         endedAttempts.put(attemptHash(message.request, message.attempt), rejection.failure.run,
-                          attemptMemory());
+                          attemptMemory(message.notAfter));
     countRefusal(rejection.failure.kind);
     if (rejection.redirect != 0) {
         ++counted.redirects;
@@ -259,10 +276,12 @@
     return {kind, run, std::move(detail), retryAfterFor(backlog(), serviceTime.mean())};
 }
 
-// How long an attempt is remembered: longer than any message about it can be on its way.
-auto SidecarNode::State::attemptMemory() const -> Instant
+// How long an attempt is remembered: until no message about it can be on its way any more. New
+// settings may have shortened the longest deadline since it was sent.
+auto SidecarNode::State::attemptMemory(Instant notAfter) const -> Instant
 {
-    return now + 2 * pool.maxDeadline;
+    const auto latest = std::min(notAfter, now + longestMemory);
+    return std::max(now + 2 * pool.maxDeadline, latest + pool.maxDeadline);
 }
 
 } // namespace applehatch::core
