Send each part of a stream in one system call

One router at about 55,000 chunk messages a second (500 streams through 4 sidecars on one loaded machine of 12 cores, load average 27 to 39) spent most of its time in the kernel: the library's mg_send_chunk writes length, data and line end apart, with TCP_NODELAY three packets for each token. The chunk is now framed here and written once.

--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <limits>
 #include <utility>
 
@@ -12,6 +13,7 @@
 namespace {
 
 constexpr int handled = 1; // Tells the library that the answer was sent.
+constexpr int hexBase = 16;
 constexpr std::size_t readBytes = 16384;
 
 auto headText(mg_connection *connection, int status, const core::Headers &headers) -> std::string
@@ -126,12 +128,19 @@
         return true;
     if (!chunked_)
         return writeAll(connection_, data);
-    return mg_send_chunk(connection_, data.data(), static_cast<unsigned>(data.size())) > 0;
+    // The library's `mg_send_chunk` makes three system calls of a chunk, so three packets of each
+    // token; here it is one.
+    std::array<char, 2 * sizeof(std::size_t)> digits{};
+    auto *const first = digits.data();
+    auto *const last = std::to_chars(first, first + digits.size(), data.size(), hexBase).ptr;
+    std::string chunk(first, last);
+    chunk.append("\r\n").append(data).append("\r\n");
+    return writeAll(connection_, chunk);
 }
 
 auto HttpExchange::endStream() -> bool
 {
-    return !chunked_ || mg_send_chunk(connection_, "", 0) > 0;
+    return !chunked_ || writeAll(connection_, "0\r\n\r\n");
 }
 
 struct HttpServer::State
