Let a leaving host hold no watch on the configuration service

A process counted itself as live whatever the host list said, so that leaving hosts went on watching beside those that took over.

--- a/src/core/settings-replica-peers.cc
+++ b/src/core/settings-replica-peers.cc
@@ -49,25 +49,27 @@
     if (list.hosts.empty()) {
         return;
     }
-    liveHosts_.clear();
+    hosts_.clear();
     for (const auto &host : list.hosts) {
-        if (host.state == HostState::Live) {
-            liveHosts_.insert(host.ip);
-        }
+        hosts_[host.ip] = host.state;
     }
     rebuild();
 }
 
 auto PeerBook::isLive(const Sidecar &sidecar) const -> bool
 {
-    return liveHosts_.empty() || liveHosts_.count(sidecar.ip) != 0;
+    const auto host = hosts_.find(sidecar.ip);
+    if (host == hosts_.end()) {
+        return hosts_.empty() || sidecar.id == self_;
+    }
+    return host->second == HostState::Live;
 }
 
 auto PeerBook::rebuild() -> void
 {
     std::vector<Sidecar> live;
     std::copy_if(sidecars_.begin(), sidecars_.end(), std::back_inserter(live),
-                 [this](const Sidecar &sidecar) { return isLive(sidecar) || sidecar.id == self_; });
+                 [this](const Sidecar &sidecar) { return isLive(sidecar); });
     near_.clear();
     all_.clear();
     for (const auto &sidecar : live) {
--- a/src/core/settings-replica-peers.h
+++ b/src/core/settings-replica-peers.h
@@ -5,6 +5,7 @@
 #include "applehatch/core/settings-replica.h"
 
 #include <string>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -50,6 +51,7 @@
     };
 
     auto rebuild() -> void;
+    /// A process counts itself while the lagging list does not show its host yet.
     [[nodiscard]] auto isLive(const Sidecar &sidecar) const -> bool;
     auto chooseReaders(const std::vector<Sidecar> &live) -> void;
 
@@ -58,7 +60,7 @@
     std::size_t readersPerDataCenter_;
     std::vector<UpstreamId> firstPeers_;
     std::vector<Sidecar> sidecars_;
-    std::unordered_set<std::string> liveHosts_;
+    std::unordered_map<std::string, HostState> hosts_;
     std::vector<UpstreamId> near_;
     std::vector<UpstreamId> all_;
     std::vector<UpstreamId> readerPeers_;
