--- a/src/core/rendezvous.cc
+++ b/src/core/rendezvous.cc
@@ -12,6 +12,7 @@
 
 constexpr std::size_t halfBytes = sizeof(std::uint64_t);
 constexpr int unitBits = 53; // What a double holds exactly.
+constexpr double unit = 1.0 / static_cast<double>(std::uint64_t{1} << unitBits);
 
 // Uniform in (0, 1), never 0 or 1.
 auto unitHash(std::uint64_t key, UpstreamId member) -> double
@@ -21,7 +22,7 @@
     std::memcpy(bytes.data() + halfBytes, &member, halfBytes);
     const auto hash = stableHash(std::string_view(bytes.data(), bytes.size()));
     const auto top = static_cast<double>(hash >> (64 - unitBits));
-    return std::ldexp(top + 0.5, -unitBits);
+    return (top + 0.5) * unit;
 }
 
 struct Scored
