--- a/test/system/broken-connection-test.cc
+++ b/test/system/broken-connection-test.cc
@@ -12,7 +12,6 @@
 using namespace std::chrono_literals;
 using support::call;
 using support::CallerConnection;
-using support::eventually;
 
 constexpr auto longWait = 15000ms;
 
@@ -50,7 +49,7 @@
             return fleet.engine(number);
         }
     }
-    throw std::runtime_error("no engine runs anything");
+    throw std::runtime_error("no engine runs anything" + fleet.outputs());
 }
 
 } // namespace
--- a/test/system/path-test.cc
+++ b/test/system/path-test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <list>
 #include <thread>
 
 namespace {
@@ -9,7 +10,6 @@
 using namespace applehatch;
 using namespace system_test;
 using support::call;
-using support::eventually;
 
 constexpr auto chatHeader = "Applehatch-Chat";
 constexpr auto contextHeader = "Applehatch-Context";
@@ -67,7 +67,8 @@
         const auto second =
             call(fleet.router(1).callers, with(turn("second"), contextHeader, token));
         const auto third = call(fleet.router(1).callers, turn("third"));
-        BOOST_TEST_CONTEXT(name)
+        BOOST_TEST_CONTEXT(name << first.problem().dump() << second.problem().dump()
+                                << third.problem().dump() << fleet.outputs())
         {
             BOOST_TEST(first.header(cacheHeader) == "cold");
             BOOST_TEST(second.header(cacheHeader) == "warm");
@@ -82,7 +83,7 @@
 {
     Fleet fleet(pathFleet());
     History history;
-    std::vector<std::jthread> callers;
+    std::list<std::jthread> callers;
     for (auto caller = 0; caller < 40; ++caller) {
         callers.emplace_back([&, caller] {
             for (auto turn = 0; turn < 3; ++turn) {
@@ -97,6 +98,10 @@
     for (const auto &violation : history.violations(fleet)) {
         BOOST_ERROR(violation);
     }
+    // The pool has 32 slots for 30 callers, so nobody need be turned away.
+    for (const auto &[problem, count] : history.problems()) {
+        BOOST_TEST_MESSAGE(count << " times " << problem);
+    }
     BOOST_TEST(history.whole() == history.size());
     for (const auto &engine : overloaded(fleet, 8)) {
         BOOST_ERROR(engine);
