Visit a bounded part of a sidecar's large tables in each expiry

Each second a sidecar went through all pointers, tombstones and redirects at once, under the lock that every token passes.

Ruled out: an order by expiry (more memory for each entry), stopping at the first entry that lives (tombstones are not in that order, and would give way although expired ones are held), and expiring more rarely (the same pause, less often).

Now about 5,000 entries of each table are visited a second, going on where the last round stopped; an expired entry was and is not found by a look-up. Memory of an expired entry is given back up to 20 s later. The table of idempotency keys is still gone through whole.

--- a/include/applehatch/core/chat-pointers.h
+++ b/include/applehatch/core/chat-pointers.h
@@ -37,7 +37,8 @@
     /// Chats held here, the latest used first.
     [[nodiscard]] auto hottest(std::size_t count) const -> std::vector<ChatKey>;
 
-    auto expire(Instant now) -> void;
+    /// Drops what has expired among about `most` chats of each kind, in turn.
+    auto expireSome(Instant now, std::size_t most) -> void;
 
     [[nodiscard]] auto size() const -> std::size_t { return moved_.size(); }
 
--- a/include/applehatch/core/expiring-map.h
+++ b/include/applehatch/core/expiring-map.h
@@ -3,6 +3,8 @@
 
 #include "applehatch/core/identity.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <unordered_map>
@@ -56,6 +58,26 @@
         entries_.remove_if([now](const Entry &entry) { return entry.until <= now; });
     }
 
+    /// Drops expired values among about `most`, going on where the last call stopped.
+    ///
+    /// Going through a large map at once holds the lock of its owner so long that streams stutter.
+    /// What a growing map moves behind the place reached is visited in the next round.
+    auto expireSome(Instant now, std::size_t most) -> void
+    {
+        std::vector<std::uint64_t> expired;
+        const auto buckets = index_.bucket_count();
+        for (std::size_t visited = 0; visited < std::min(most, buckets); ++visited) {
+            visitedBucket_ = visitedBucket_ + 1 < buckets ? visitedBucket_ + 1 : 0;
+            for (auto item = index_.begin(visitedBucket_); item != index_.end(visitedBucket_);
+                 ++item) {
+                if (item->second->until <= now)
+                    expired.push_back(item->first);
+            }
+        }
+        for (const auto key : expired)
+            erase(key);
+    }
+
     /// Up to `count` keys, newest first.
     [[nodiscard]] auto newest(std::size_t count) const -> std::vector<std::uint64_t>
     {
@@ -89,6 +111,7 @@
     std::size_t capacity_;
     std::list<Entry> entries_; // Oldest first.
     std::unordered_map<std::uint64_t, typename std::list<Entry>::iterator> index_;
+    std::size_t visitedBucket_ = 0; // The last one that `expireSome` visited.
     Instant forgottenUntil_;
 };
 
--- a/src/core/chat-pointers.cc
+++ b/src/core/chat-pointers.cc
@@ -60,10 +60,10 @@
     return warm_.newest(count);
 }
 
-auto ChatPointers::expire(Instant now) -> void
+auto ChatPointers::expireSome(Instant now, std::size_t most) -> void
 {
-    moved_.expire(now);
-    warm_.expire(now);
+    moved_.expireSome(now, most);
+    warm_.expireSome(now, most);
 }
 
 } // namespace applehatch::core
--- a/src/core/sidecar-node.cc
+++ b/src/core/sidecar-node.cc
@@ -12,6 +12,8 @@
 // Without an event for this long the process slept: the host ticks every 50 ms.
 constexpr Duration sleepGap = std::chrono::seconds(3);
 constexpr Duration expiryPeriod = std::chrono::seconds(1);
+// Entries of one table visited in one period; its largest is gone through in about 20 s.
+constexpr std::size_t expiredAtOnce = 5000;
 
 } // namespace
 
@@ -83,13 +85,13 @@
         expiredAt = now;
         answersGivenUp(answers.expire(now));
         keys.expire(now);
-        endedAttempts.expire(now);
-        startedBefore.expire(now);
-        redirected.expire(now);
+        endedAttempts.expireSome(now, expiredAtOnce);
+        startedBefore.expireSome(now, expiredAtOnce);
+        redirected.expireSome(now, expiredAtOnce);
         loads.expire(now);
         sums.expire(now);
         crashes.expire(now);
-        chats.expire(now);
+        chats.expireSome(now, expiredAtOnce);
     }
     checkDrained();
 }
