Notice a caller that leaves before its answer begins

A caller that waits for a whole answer makes no write fail, so its run went on to its end; a system test that expects the engine's run cancelled within 5 s failed. The waiting thread now looks at the connection every 500 ms. The library gives its socket out nowhere, so it is found by the addresses of its two ends. Ruled out: interim 1xx responses as probes, which common clients limit to five.

--- a/include/applehatch/process/http-server.h
+++ b/include/applehatch/process/http-server.h
@@ -36,6 +36,10 @@
     [[nodiscard]] auto headers() const -> core::Headers;
     [[nodiscard]] auto remoteIp() const -> std::string_view;
 
+    /// Whether the caller closed its side since its request was read. A caller that closes only its
+    /// sending side counts as gone too.
+    [[nodiscard]] auto callerLeft() -> bool;
+
     /// Reads the whole body into `body`, up to `limit` bytes.
     [[nodiscard]] auto readBody(std::size_t limit, std::string &body) -> BodyRead;
 
@@ -50,6 +54,7 @@
 
 private:
     mg_connection *connection_;
+    int socket_ = -1;     ///< Found at the first look; the library's.
     bool chunked_ = true; ///< HTTP/1.0 knows no chunks: the end is the connection's.
 };
 
--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -1,11 +1,14 @@
 #include "applehatch/process/http-server.h"
 
+#include "caller-socket.h"
+
 #include <civetweb.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
+#include <poll.h>
 #include <utility>
 
 namespace applehatch::process {
@@ -89,6 +92,14 @@
     return view(static_cast<const char *>(mg_get_request_info(connection_)->remote_addr));
 }
 
+auto HttpExchange::callerLeft() -> bool
+{
+    if (socket_ < 0)
+        socket_ = findCallerSocket(*mg_get_request_info(connection_));
+    pollfd socket{socket_, POLLRDHUP, 0};
+    return socket_ >= 0 && poll(&socket, 1, 0) > 0;
+}
+
 auto HttpExchange::readBody(std::size_t limit, std::string &body) -> BodyRead
 {
     const auto named = mg_get_request_info(connection_)->content_length;
--- a/src/router/caller-answer.cc
+++ b/src/router/caller-answer.cc
@@ -14,6 +14,11 @@
 using std::chrono::milliseconds;
 
 constexpr int ok = 200;
+
+// A caller that waits for a whole answer and leaves makes no write fail until the answer comes; its
+// slot would be spent on an answer that nobody reads.
+constexpr core::Duration probePeriod = milliseconds(500);
+
 constexpr std::string_view streamType = "text/event-stream";
 
 // Progress is reported in steps: a report for each token would double the node's work.
@@ -54,10 +59,10 @@
 auto CallerAnswer::serve(CallerQueue &queue) -> AnswerOutcome
 {
     while (!outcome_) {
-        auto items = queue.take();
-        if (items.empty())
+        auto items = queue.take(probePeriod);
+        if (!items || (items->empty() && exchange_.callerLeft()))
             return AnswerOutcome::CallerLeft;
-        for (auto &item : items) {
+        for (auto &item : *items) {
             const auto reached = std::visit([this](auto &held) { return take(held); }, item);
             if (!reached)
                 return AnswerOutcome::CallerLeft;
--- a/src/router/caller-queue.cc
+++ b/src/router/caller-queue.cc
@@ -24,10 +24,12 @@
     changed_.notify_one();
 }
 
-auto CallerQueue::take() -> std::vector<CallerItem>
+auto CallerQueue::take(core::Duration limit) -> std::optional<std::vector<CallerItem>>
 {
     std::unique_lock lock(mutex_);
-    changed_.wait(lock, [this] { return overflowed_ || !items_.empty(); });
+    changed_.wait_for(lock, limit, [this] { return overflowed_ || !items_.empty(); });
+    if (overflowed_)
+        return std::nullopt;
     bytes_ = 0;
     return std::exchange(items_, {});
 }
--- a/src/router/caller-queue.h
+++ b/src/router/caller-queue.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -25,8 +26,8 @@
     /// Queues an item; beyond the bound the queue overflows and takes no more.
     auto push(CallerItem item) -> void;
 
-    /// Waits for items and takes all of them; empty when the queue overflowed.
-    [[nodiscard]] auto take() -> std::vector<CallerItem>;
+    /// Waits up to `limit` for items and takes all of them; none when the queue overflowed.
+    [[nodiscard]] auto take(core::Duration limit) -> std::optional<std::vector<CallerItem>>;
 
 private:
     std::size_t maxBytes_;
--- a/test/router/caller-answer-test.cc
+++ b/test/router/caller-answer-test.cc
@@ -119,7 +119,7 @@
     CallerQueue queue(2 * part.size());
     for (int count = 0; count < 3; ++count)
         queue.push(AnswerChunk{"r1", 0, part, "p"});
-    BOOST_TEST(queue.take().empty());
+    BOOST_TEST(!queue.take({}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
