Delete the link's error handler by its own type

The handler's base has no virtual destructor; AddressSanitizer reported the wrong size at each closed link. The library's owner pointer deletes by the type that was made.

--- a/src/wire/connection.cc
+++ b/src/wire/connection.cc
@@ -91,7 +91,7 @@
     , network_(*stream_,
                accepted ? capnp::rpc::twoparty::Side::SERVER : capnp::rpc::twoparty::Side::CLIENT,
                readLimits())
-    , taskErrors_(std::make_unique<TaskErrors>([this] { breakOff(); }))
+    , taskErrors_(kj::heap<TaskErrors>([this] { breakOff(); }))
 {
     tasks_ = kj::heap<kj::TaskSet>(*taskErrors_);
     if (accepted)
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -69,7 +69,7 @@
     kj::Maybe<schema::Link::Client> peer_;
     kj::Promise<void> disconnected_ = nullptr;
     kj::Maybe<kj::Own<kj::TaskSet>> tasks_;
-    std::unique_ptr<kj::TaskSet::ErrorHandler> taskErrors_;
+    kj::Own<kj::TaskSet::ErrorHandler> taskErrors_;
 };
 
 } // namespace applehatch::wire
