--- a/include/applehatch/core/message.h
+++ b/include/applehatch/core/message.h
@@ -56,6 +56,7 @@
     Call call;
     UpstreamId movedFrom = 0; ///< The home that refused this chat; 0 when none did.
     std::vector<DigestEntry> loads;
+    bool mayWait = false; ///< No other upstream has room: wait for it here rather than be refused.
 };
 
 /// Router to sidecar: do not run this attempt, or stop it.
--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -283,7 +283,12 @@
         exchange.redirect = refusal.redirect;
     }
     leaveUpstream(exchange, std::string(answerFor(failure.kind).name));
-    advance(exchange, redirects ? AttemptCost::Free : AttemptCost::OneRetry);
+    // A full upstream costs one message and no work, so it spends nothing from the budget; else a
+    // sudden rush at an idle pool would be refused while upstreams stand idle.
+    const auto wasFull = failure.kind == ErrorKind::Overloaded;
+    if (wasFull && !redirects && !hasRoomElsewhere(exchange))
+        exchange.mayWait = true;
+    advance(exchange, redirects || wasFull ? AttemptCost::Free : AttemptCost::OneRetry);
 }
 
 // A sidecar that does not know a request was perhaps never reached by its submit. Revoking that
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -107,6 +107,7 @@
     auto noteHome(Exchange &exchange, const PlacementView &view, UpstreamId chosen) -> void;
     [[nodiscard]] auto chooseByPlacement(Exchange &exchange) -> std::optional<Choice>;
     [[nodiscard]] auto crashedUpstreams(const Exchange &exchange) const -> std::vector<UpstreamId>;
+    [[nodiscard]] auto hasRoomElsewhere(const Exchange &exchange) const -> bool;
     [[nodiscard]] auto poolView(const PoolRef &pool) -> const PoolView &;
     [[nodiscard]] auto makePoolView(const PoolRef &pool, Instant now) const -> PoolView;
     [[nodiscard]] auto obstacle(const settings::Member &member, bool weakToo, Instant now) const
--- a/src/core/sidecar-runs.cc
+++ b/src/core/sidecar-runs.cc
@@ -9,7 +9,8 @@
 {
     // While it is open whether the upstream crashed, the queue waits rather than be lost with it.
     const auto mayStart = report && report->reachable && inPhase(JobPhase::Lost).empty();
-    while (mayStart && running < slots) {
+    // What was let wait beyond the bound starts when the mean has caught up; one may always run.
+    while (mayStart && running < slots && (running == 0 || running < bound())) {
         const auto next = queue.pop();
         if (!next)
             return;
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -174,10 +174,11 @@
     if (limit != 0 && inFlightOf(terms) >= limit)
         return Rejection{refusalOf(ErrorKind::CustomerLimit, Run::NotRun, "customer's limit here"),
                          holder, "customer-limit"};
-    if (load() + 1 > bound())
+    const auto isFull = load() + 1 > bound();
+    if (isFull && !message.mayWait)
         return Rejection{refusalOf(ErrorKind::Overloaded, Run::NotRun, "at its bound"), holder,
                          "bound"};
-    if (running < slots && queue.size() == 0)
+    if (!isFull && running < slots && queue.size() == 0)
         return std::nullopt;
     if (queue.size() >= pool.queueLimit)
         return Rejection{refusalOf(ErrorKind::Overloaded, Run::NotRun, "queue is full"), holder,
--- a/src/wire/applehatch.capnp
+++ b/src/wire/applehatch.capnp
@@ -96,11 +96,13 @@
   call @5 :Call;
   movedFrom @6 :UInt64;
   loads @7 :List(DigestEntry);
+  mayWait @8 :Bool;
 }
 
 struct Revoke {
   request @0 :Text;
   attempt @1 :UInt32;
+  target @2 :UInt64;
 }
 
 struct Resume {
--- a/src/wire/schema-read.cc
+++ b/src/wire/schema-read.cc
@@ -151,6 +151,7 @@
     submit.terms = read(from.getTerms(), check);
     submit.call = read(from.getCall(), check);
     submit.movedFrom = from.getMovedFrom();
+    submit.mayWait = from.getMayWait();
     submit.loads = readAll<core::DigestEntry>(from.getLoads(), check);
     return submit;
 }
@@ -211,7 +212,7 @@
     switch (from.which()) {
     case schema::Message::REVOKE: {
         const auto revoke = from.getRevoke();
-        return core::Revoke{text(revoke.getRequest()), revoke.getAttempt()};
+        return core::Revoke{text(revoke.getRequest()), revoke.getAttempt(), revoke.getTarget()};
     }
     case schema::Message::RESUME: {
         const auto resume = from.getResume();
--- a/src/wire/schema-write.cc
+++ b/src/wire/schema-write.cc
@@ -136,6 +136,7 @@
         write(from.terms, submit.initTerms());
         write(from.call, submit.initCall());
         submit.setMovedFrom(from.movedFrom);
+        submit.setMayWait(from.mayWait);
         writeAll(from.loads, submit.initLoads(from.loads.size()));
     }
 
@@ -144,6 +145,7 @@
         auto revoke = to.initRevoke();
         revoke.setRequest(text(from.request));
         revoke.setAttempt(from.attempt);
+        revoke.setTarget(from.target);
     }
 
     auto operator()(const core::Resume &from) -> void
--- a/test/wire/message-generators.h
+++ b/test/wire/message-generators.h
@@ -48,7 +48,8 @@
     auto operator()(const core::Submit &m) -> void
     {
         const auto &t = m.terms;
-        put(m.request, m.attempt, m.target, m.notAfter.time_since_epoch().count(), m.movedFrom);
+        put(m.request, m.attempt, m.target, m.notAfter.time_since_epoch().count(), m.movedFrom,
+            m.mayWait);
         put(t.team, t.customer, t.pool, t.model, t.chat, t.fingerprint, t.priority);
         put(t.idempotencyKey, t.runOnce, t.firstSend);
         put(m.call.method, m.call.path, m.call.stream);
@@ -56,7 +57,7 @@
         put(m.call.body);
         put(m.loads);
     }
-    auto operator()(const core::Revoke &m) -> void { put(m.request, m.attempt); }
+    auto operator()(const core::Revoke &m) -> void { put(m.request, m.attempt, m.target); }
     auto operator()(const core::Resume &m) -> void { put(m.request, m.customer, m.offset); }
     auto operator()(const core::Acknowledge &m) -> void { put(m.request, m.offset, m.finished); }
     auto operator()(const core::Heartbeat &m) -> void
@@ -238,6 +239,7 @@
                         any<bool>()};
         submit.call = {anyText(), anyText(), any<core::Headers>(), wired::anyShared(), any<bool>()};
         submit.movedFrom = any<std::uint64_t>();
+        submit.mayWait = any<bool>();
         submit.loads = any<std::vector<core::DigestEntry>>();
         return submit;
     }
@@ -277,7 +279,7 @@
         using Index = std::uint64_t;
         switch (kind) {
         case 0:
-            return core::Revoke{anyText(), any<std::uint32_t>()};
+            return core::Revoke{anyText(), any<std::uint32_t>(), any<std::uint64_t>()};
         case 1:
             return core::Resume{anyText(), anyText(), any<Index>()};
         case 2:
