Wait in a test until the answering thread has said how it ended

The outcome was read as soon as the caller had the answer; the thread that wrote it may not have set it yet. Seen failing once in a full run on a loaded machine; the checks are unchanged.

--- a/test/router/caller-answer-test.cc
+++ b/test/router/caller-answer-test.cc
@@ -3,6 +3,7 @@
 #include "applehatch/platform/http.h"
 
 #include <boost/test/unit_test.hpp>
+#include <future>
 
 namespace applehatch::router {
 
@@ -28,6 +29,7 @@
     for (const auto &item : items)
         queue.push(item);
     core::Address bound;
+    std::promise<void> answered;
     {
         process::HttpServer server;
         process::HttpServerOptions options;
@@ -36,6 +38,7 @@
             CallerAnswer answer(exchange, "r1",
                                 [&](std::uint64_t offset) { served.consumed = offset; });
             served.outcome = answer.serve(queue);
+            answered.set_value();
         };
         BOOST_REQUIRE(!server.start(options, handler, bound));
         platform::HttpRequest request;
@@ -43,6 +46,8 @@
         request.path = "/";
         request.maxBodyBytes = 2 * maxBufferedAnswer;
         BOOST_REQUIRE(!platform::exchange(request, served.response));
+        // The whole answer can be read before the thread that wrote it says how it ended.
+        answered.get_future().wait();
     }
     return served;
 }
