Bound every wait of the test caller

Cause: one run of the case that stops a sidecar under traffic hung until ctest ended it after 120 s, and its output was lost; nine further runs, three at a time, passed in 9 to 10 s each, so what hung is not known. Change: connecting gives up after 10 s and reading one answer after 40 s, so that the next such run fails with its output.

--- a/include/applehatch/platform/upstream-client.h
+++ b/include/applehatch/platform/upstream-client.h
@@ -35,8 +35,8 @@
 
     /// Runs one call to its end. Setting `cancelled` ends it within about 100 ms; the engine goes
     /// on with the stream until `cancel`, so that it can be resumed. Of a call that asked for a
-    /// stream each pause is limited by `silence`, and four times it before the head; a plain answer may take until the call's
-    /// deadline.
+    /// stream each pause is limited by `silence`, and four times it before the head; a plain answer
+    /// may take until the call's deadline.
     ///
     /// Only an answer whose end shows that all of it arrived is whole: an event stream by its end
     /// marker, another body by its length or its last chunk. `NeverSent`: no connection, or a
--- a/test/support/caller.cc
+++ b/test/support/caller.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// An answer that never ends must fail a test, not hang it.
+constexpr auto longestAnswer = 4 * patience;
+
 auto lower(std::string text) -> std::string
 {
     std::transform(text.begin(), text.end(), text.begin(),
@@ -130,7 +133,9 @@
 auto CallerConnection::read(const std::function<bool(const CallerAnswer &)> &enough,
                             milliseconds limit) -> CallerAnswer &
 {
-    while (socket_.valid() && !answer_.framed && !(enough && enough(answer_))) {
+    const auto until = Clock::now() + longestAnswer;
+    while (socket_.valid() && !answer_.framed && !(enough && enough(answer_))
+           && Clock::now() < until) {
         const auto data = socket_.receive(limit);
         if (!data || data->empty()) {
             break;
--- a/test/support/caller.h
+++ b/test/support/caller.h
@@ -69,7 +69,7 @@
     CallerConnection(const core::Address &router, std::string_view bytes);
 
     /// Reads until `enough` holds, the answer is complete, the connection ends or nothing came for
-    /// `limit`. May be called again to go on.
+    /// `limit`; in any case no longer than 40 s. May be called again to go on.
     auto read(const std::function<bool(const CallerAnswer &)> &enough = {},
               milliseconds limit = patience) -> CallerAnswer &;
 
--- a/test/support/socket.cc
+++ b/test/support/socket.cc
@@ -68,6 +68,9 @@
 auto Socket::connect(const core::Address &peer) -> Socket
 {
     Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    // A host that stopped accepting would otherwise hold the test for two minutes.
+    const timeval limit{patience.count() / 1000, 0};
+    (void)::setsockopt(socket.descriptor(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
     auto native = toNative(peer);
     if (::connect(socket.descriptor(), reinterpret_cast<sockaddr *>(&native), sizeof native) != 0) {
         return {};
