Let a request wait where all are full, hop where room is known, go on after silence

Thirty callers at an idle pool: 22 of 120 answers whole, 91 refused with 'the retry budget is spent' (system case path/many_callers). Cause: when a pool wakes from idle each sidecar's bound is 1 until it hears of the others, and each refusal at the bound cost the router a retry. Ruled out: raising the bound's floor, which breaks the promise it keeps. Now a router goes on for free to an upstream that is known to have room; with none known it asks the next one to let the request wait, and the sidecar starts it when the running mean allows.

A silent connection to an engine failed its answer although the engine still held the stream. The sidecar now goes on from where it stopped, twice at most, and the client names the call that continues a stream, which it left empty.

--- a/include/applehatch/core/load-table.h
+++ b/include/applehatch/core/load-table.h
@@ -21,6 +21,7 @@
     std::uint32_t members = 0; ///< Members heard from lately and able to take work.
     std::uint64_t load = 0;    ///< Running and waiting, summed.
     std::uint64_t slots = 0;
+    std::uint64_t running = 0; ///< The part of `load` that is at the upstreams.
 
     /// Load per slot; 0 for an empty pool.
     [[nodiscard]] auto mean() const -> double;
--- a/src/core/gossip.cc
+++ b/src/core/gossip.cc
@@ -114,6 +114,8 @@
         load.members += sum.members;
         load.load += sum.load;
         load.slots += sum.slots;
+        // Sums do not tell how many wait; with few waiting the error is small.
+        load.running += sum.load;
     }
     return load;
 }
--- a/src/core/load-table.cc
+++ b/src/core/load-table.cc
@@ -71,6 +71,7 @@
         ++sum.members;
         sum.load += entry->running + entry->waiting;
         sum.slots += entry->slots;
+        sum.running += entry->running;
     }
     return sum;
 }
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -115,21 +115,35 @@
 }
 
 // The two candidates are drawn by the request itself. Were they drawn at random, a request that
-// crashes engines would reach a new one with each repeat until the crash is known everywhere.
+// crashes engines would reach a new one with each repeat until the crash is known everywhere. For
+// the same reason only these two are compared: once one of them is passed over, the order is the
+// one in which a second try after a crash goes.
 auto placeWithoutChat(const PlacementView &view, Random &random) -> std::vector<UpstreamId>
 {
     const auto draw = view.fingerprint != 0 ? view.fingerprint : random();
+    std::vector<Ranked> configured;
+    configured.reserve(view.pool.members.size());
+    for (const auto &member : view.pool.members) {
+        const auto foreign =
+            view.pool.preferOwnDataCenter && member.dataCenter != view.ownDataCenter;
+        configured.push_back({foreign, weightedScore(member, draw), member.id});
+    }
     std::vector<Ranked> ranked;
     ranked.reserve(view.usable.size());
+    std::size_t index = 0;
     forEachUsable(view, [&](const Member &member) {
-        const auto foreign =
-            view.pool.preferOwnDataCenter && member.dataCenter != view.ownDataCenter;
-        ranked.push_back({foreign, weightedScore(member, draw), member.id});
+        while (configured[index].id != member.id)
+            ++index;
+        ranked.push_back(configured[index]);
     });
+    const auto drawn = firstIds(configured, 2);
     auto ids = firstIds(ranked, placementDepth);
-    if (ranked.size() > 1 && ranked[0].foreign == ranked[1].foreign)
+    const auto mayCompare = view.fingerprint == 0
+        || (ids.size() > 1 && drawn.size() > 1 && ids[0] == drawn[0] && ids[1] == drawn[1]);
+    if (mayCompare && ids.size() > 1 && ranked[0].foreign == ranked[1].foreign)
         putLesserLoadedFirst(view, ids);
-    std::stable_partition(ids.begin(), ids.end(),
+    const auto compared = std::min<std::ptrdiff_t>(2, static_cast<std::ptrdiff_t>(ids.size()));
+    std::stable_partition(ids.begin() + compared, ids.end(),
                           [&](UpstreamId id) { return !isAtBound(view, id); });
     return ids;
 }
--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -283,12 +283,11 @@
         exchange.redirect = refusal.redirect;
     }
     leaveUpstream(exchange, std::string(answerFor(failure.kind).name));
-    // A full upstream costs one message and no work, so it spends nothing from the budget; else a
-    // sudden rush at an idle pool would be refused while upstreams stand idle.
-    const auto wasFull = failure.kind == ErrorKind::Overloaded;
-    if (wasFull && !redirects && !hasRoomElsewhere(exchange))
-        exchange.mayWait = true;
-    advance(exchange, redirects || wasFull ? AttemptCost::Free : AttemptCost::OneRetry);
+    // Going from a full upstream to one that is known to have room adds no load, so it spends
+    // nothing from the budget; else a sudden rush would be refused while upstreams stand idle.
+    const auto hops = failure.kind == ErrorKind::Overloaded && !exchange.mayWait
+        && roomElsewhere(exchange) == Room::Known;
+    advance(exchange, redirects || hops ? AttemptCost::Free : AttemptCost::OneRetry);
 }
 
 // A sidecar that does not know a request was perhaps never reached by its submit. Revoking that
--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -37,13 +37,6 @@
             exchange.pool = std::move(*pool);
     }
     auto choice = choose(exchange);
-    if (!choice && exchange.lastKind == ErrorKind::Overloaded && !exchange.waitsAgain) {
-        // Everybody is full, so it waits at one of them, which may refuse it for good.
-        exchange.waitsAgain = true;
-        exchange.mayWait = true;
-        exchange.tried.clear();
-        choice = choose(exchange);
-    }
     if (!choice) {
         giveUp(exchange, ErrorKind::NoUpstream, "no upstream is left to try");
         return;
@@ -164,8 +157,9 @@
                    exchange.call,
                    0,
                    recentLoads()};
-    message.mayWait =
-        exchange.mayWait || exchange.boundTo != 0 || exchange.attempt == limits::attempts;
+    exchange.mayWait = exchange.boundTo != 0 || exchange.attempt == limits::attempts
+        || roomElsewhere(exchange) == Room::None;
+    message.mayWait = exchange.mayWait;
     if (exchange.cause != "redirect" && exchange.home != exchange.upstream)
         message.movedFrom = exchange.home;
     send(exchange.upstream, std::move(message));
--- a/src/core/router-choice.cc
+++ b/src/core/router-choice.cc
@@ -126,19 +126,23 @@
     exchange.passedOver.push_back({member->id, reason.empty() ? "ranked-lower" : reason});
 }
 
-// Whether an upstream that was not tried yet is unknown or below its bound.
-auto RouterNode::State::hasRoomElsewhere(const Exchange &exchange) const -> bool
+auto RouterNode::State::roomElsewhere(const Exchange &exchange) const -> Room
 {
     const auto &pool = *exchange.pool.pool;
     const auto poolLoad = loads_.poolLoad(pool, now_);
-    return std::any_of(pool.members.begin(), pool.members.end(), [&](const auto &member) {
-        if (contains(exchange.tried, member.id) || !obstacle(member, true, now_).empty())
-            return false;
+    auto room = Room::None;
+    for (const auto &member : pool.members) {
+        if (member.id == exchange.upstream || contains(exchange.tried, member.id)
+            || !obstacle(member, true, now_).empty())
+            continue;
         const auto entry = loads_.find(member.id, now_);
-        return !entry
-            || entry->running + entry->waiting
-            < loadBound(poolLoad, entry->slots, pool.loadMultiple);
-    });
+        if (!entry)
+            room = Room::Possible;
+        else if (entry->running + entry->waiting
+                 < loadBound(poolLoad, entry->slots, pool.loadMultiple))
+            return Room::Known;
+    }
+    return room;
 }
 
 auto RouterNode::State::poolView(const PoolRef &pool) -> const PoolView &
--- a/src/core/router-exchange.h
+++ b/src/core/router-exchange.h
@@ -86,9 +86,8 @@
     bool settling = false;    ///< A `Revoke` was sent to learn whether a lost submit arrived.
     bool resubmitted = false; ///< The first submit to this upstream never reached it.
 
-    bool mayWait = false;    ///< Nobody else is known to have room.
-    bool waitsAgain = false; ///< Every upstream was full once.
-    Run run = Run::NotRun;   ///< The worst that is known of the attempts that are over.
+    bool mayWait = false;  ///< The last submit asked to wait rather than be refused.
+    Run run = Run::NotRun; ///< The worst that is known of the attempts that are over.
     std::vector<UpstreamId> crashedAt;
     std::optional<ErrorKind> lastKind;  ///< Why the last attempt ended.
     std::optional<Duration> retryAfter; ///< The shortest that a refusal named.
--- a/src/core/router-requests.cc
+++ b/src/core/router-requests.cc
@@ -33,7 +33,8 @@
     exchange.origin = event.request;
     // The key may have been sent before through another router; only its sidecar can say "not
     // run" then.
-    const auto mayBeResent = event.terms.runOnce || !event.ticket.empty();
+    const auto mayBeResent =
+        event.terms.runOnce || (!event.ticket.empty() && parseTicket(event.ticket));
     if (mayBeResent && !event.terms.firstSend)
         exchange.run = Run::Unknown;
     auto refused = admit(event, exchange);
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -50,6 +50,13 @@
     Instant madeAt;
 };
 
+/// Whether an upstream that a request has not tried yet could take it.
+enum class Room {
+    None,     ///< All are at their bound, or cannot be used.
+    Possible, ///< Of some nothing is known.
+    Known,
+};
+
 /// What an attempt takes from the retry budget.
 enum class AttemptCost {
     First,
@@ -107,7 +114,7 @@
     auto noteHome(Exchange &exchange, const PlacementView &view, UpstreamId chosen) -> void;
     [[nodiscard]] auto chooseByPlacement(Exchange &exchange) -> std::optional<Choice>;
     [[nodiscard]] auto crashedUpstreams(const Exchange &exchange) const -> std::vector<UpstreamId>;
-    [[nodiscard]] auto hasRoomElsewhere(const Exchange &exchange) const -> bool;
+    [[nodiscard]] auto roomElsewhere(const Exchange &exchange) const -> Room;
     [[nodiscard]] auto poolView(const PoolRef &pool) -> const PoolView &;
     [[nodiscard]] auto makePoolView(const PoolRef &pool, Instant now) const -> PoolView;
     [[nodiscard]] auto obstacle(const settings::Member &member, bool weakToo, Instant now) const
--- a/src/core/sidecar-runs.cc
+++ b/src/core/sidecar-runs.cc
@@ -5,12 +5,17 @@
 
 namespace applehatch::core {
 
+namespace {
+
+constexpr std::uint32_t mostReconnects = 2;
+
+} // namespace
+
 auto SidecarNode::State::dispatch() -> void
 {
     // While it is open whether the upstream crashed, the queue waits rather than be lost with it.
     const auto mayStart = report && report->reachable && inPhase(JobPhase::Lost).empty();
-    // What was let wait beyond the bound starts when the mean has caught up; one may always run.
-    while (mayStart && running < slots && (running == 0 || running < bound())) {
+    while (mayStart && running < slots && running < runningBound()) {
         const auto next = queue.pop();
         if (!next)
             return;
@@ -65,6 +70,11 @@
         cancel(*job, refusalOf(ErrorKind::AnswerLost, Run::Unknown, "no such answer"), "not-held");
         return;
     }
+    if (job->reconnects > 0) {
+        if (event.status != found)
+            cancel(*job, failureOfLost(*job, false), "not-held");
+        return;
+    }
     job->headKnown = true;
     job->status = event.status;
     job->headers = std::move(event.headers);
@@ -115,6 +125,8 @@
             startedBefore.erase(stableHash(name));
         fail(*job, refusalOf(ErrorKind::UpstreamFailed, Run::NotRun, "upstream takes no calls"),
              "never-sent");
+    } else if (event.how == RunBreak::Silent && mayReconnect(*job)) {
+        reconnect(*job);
     } else if (event.how == RunBreak::Silent) {
         fail(*job, failureOfLost(*job, false), "silent");
     } else {
@@ -124,6 +136,32 @@
     dispatch();
 }
 
+// A connection can go silent for good while new ones work. The engine still holds the stream then,
+// and running the request again would cost it twice.
+auto SidecarNode::State::mayReconnect(const Job &job) const -> bool
+{
+    const auto isHeld = pool.kind == settings::PoolKind::Model && job.call.stream && job.headKnown
+        && !job.isRunOnce() && answers.find(job.run) != nullptr;
+    return isHeld && job.reconnects < mostReconnects && job.notAfter > now;
+}
+
+auto SidecarNode::State::reconnect(Job &job) -> void
+{
+    ++job.reconnects;
+    ++running;
+    job.phase = JobPhase::Running;
+    StartRun action;
+    action.run = job.run;
+    action.request = engineRequest(job.names.front(), fullCustomer(job.terms));
+    action.call.stream = true;
+    action.priority = job.terms.priority;
+    action.chat = job.terms.chat;
+    action.remaining = job.notAfter - now;
+    action.resumeFrom = answers.find(job.run)->length();
+    out.emplace_back(std::move(action));
+    logJob("reconnect", job.names.front(), job.terms, "silent");
+}
+
 auto SidecarNode::State::fail(Job &job, Failure failure, std::string_view cause) -> void
 {
     queue.erase(job.run);
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -68,6 +68,7 @@
     std::string keyName;    ///< Its name in the run-once table; empty without a key.
     bool continued = false; ///< Goes on with a stream of an earlier life.
     std::uint64_t continuedFrom = 0;
+    std::uint32_t reconnects = 0; ///< After silent connections, each from where it stopped.
     bool headKnown = false;
     bool replayed = false;
     int status = 200;
@@ -209,6 +210,9 @@
     [[nodiscard]] auto checkPlace(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto checkLoad(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto bound() const -> std::uint32_t;
+    [[nodiscard]] auto runningBound() const -> std::uint32_t;
+    [[nodiscard]] auto mayReconnect(const Job &job) const -> bool;
+    auto reconnect(Job &job) -> void;
     [[nodiscard]] auto customerOf(const Terms &terms) const -> const settings::Customer *;
     [[nodiscard]] auto inFlightOf(const Terms &terms) const -> std::uint32_t;
     [[nodiscard]] auto attemptMemory(Instant notAfter = {}) const -> Instant;
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -199,6 +199,15 @@
     return admissionBound(pool, wholePoolLoad(view(), loads, sums, now), slots);
 }
 
+// What waits beyond the bound starts when others run more. Those that wait do not count towards
+// this mean, or a queue would raise the very bound that holds it back.
+auto SidecarNode::State::runningBound() const -> std::uint32_t
+{
+    auto heard = wholePoolLoad(view(), loads, sums, now);
+    heard.load = heard.running;
+    return std::max(1U, admissionBound(pool, heard, slots));
+}
+
 auto SidecarNode::State::customerOf(const Terms &terms) const -> const settings::Customer *
 {
     const auto team =
--- a/src/platform/upstream-client.cc
+++ b/src/platform/upstream-client.cc
@@ -13,6 +13,7 @@
 constexpr auto connectLimit = std::chrono::seconds(2);
 /// An engine that reads a long context for the first time pauses longer than ever between tokens.
 constexpr auto firstByteFactor = 4;
+constexpr auto chatPath = "/v1/chat/completions";
 
 auto setHeader(core::Headers &headers, std::string_view name, const std::string &value) -> void
 {
@@ -22,6 +23,12 @@
     }
 }
 
+/// Whoever goes on with a stream may never have seen the call that began it.
+auto isContinuation(const core::StartRun &start) -> bool
+{
+    return start.call.method.empty();
+}
+
 auto requestFor(const core::StartRun &start) -> ExchangeRequest
 {
     ExchangeRequest request{start.call.method, start.call.path, start.call.headers, {}};
@@ -29,6 +36,10 @@
         request.body = *start.call.body;
     }
     const auto resume = start.resumeFrom == 0 ? "" : std::to_string(start.resumeFrom);
+    if (isContinuation(start)) {
+        request.method = "POST";
+        request.path = chatPath;
+    }
     setHeader(request.headers, "X-Request-Id", start.request);
     setHeader(request.headers, "X-Priority", std::to_string(start.priority));
     setHeader(request.headers, "X-Chat-Key", start.chat == 0 ? "" : chatHex(start.chat));
--- a/test/schedule/links.cc
+++ b/test/schedule/links.cc
@@ -64,6 +64,16 @@
     }
 }
 
+// A copy of what was accepted before the sidecar was leaving is no new work.
+auto World::noteSubmit(Sidecar &sidecar, const std::string &body) -> void
+{
+    const auto leaving = sidecar.node->state() == core::UpstreamState::Leaving;
+    if (!leaving)
+        sidecar.seenBeforeLeaving.insert(body);
+    else if (!sidecar.seenBeforeLeaving.contains(body))
+        sidecar.seenWhileLeaving.insert(body);
+}
+
 auto World::deliver(const LinkPtr &link, bool towardsSidecar, const core::Message &message) -> void
 {
     if (!link->routerEnd || !link->sidecarEnd)
@@ -71,9 +81,8 @@
     if (towardsSidecar) {
         if (link->sidecar->identity.incarnation != link->sidecarLife)
             return;
-        const auto *submit = std::get_if<core::Submit>(&message);
-        if (submit != nullptr && link->sidecar->node->state() == core::UpstreamState::Leaving)
-            link->sidecar->seenWhileLeaving.insert(*submit->call.body);
+        if (const auto *submit = std::get_if<core::Submit>(&message))
+            noteSubmit(*link->sidecar, *submit->call.body);
         toSidecar(*link->sidecar, core::FromPeer{link->id, message});
         return;
     }
--- a/test/schedule/world-impl.h
+++ b/test/schedule/world-impl.h
@@ -37,7 +37,8 @@
     bool draining = false;
     std::set<core::RunId> running; ///< Runs of this life.
     std::map<std::string, HeldStream> held;
-    std::set<std::string> seenWhileLeaving; ///< Bodies submitted after the node was leaving.
+    std::set<std::string> seenBeforeLeaving; ///< Bodies submitted in this life before that.
+    std::set<std::string> seenWhileLeaving;  ///< Bodies submitted after the node was leaving.
 };
 
 struct World::Link
--- a/test/schedule/world.cc
+++ b/test/schedule/world.cc
@@ -151,6 +151,7 @@
     sidecar.inbox.clear();
     sidecar.running.clear();
     sidecar.draining = false;
+    sidecar.seenBeforeLeaving.clear();
     sidecar.seenWhileLeaving.clear();
     sidecar.node = std::make_unique<core::SidecarNode>(sidecar.identity);
     toSidecar(sidecar, core::SettingsInForce{settings_});
--- a/test/schedule/world.h
+++ b/test/schedule/world.h
@@ -89,6 +89,7 @@
     auto sendToPeer(Sidecar &sidecar, core::LinkId link, const core::Message &message) -> void;
     auto carry(const LinkPtr &link, bool towardsSidecar, const core::Message &message) -> void;
     auto deliver(const LinkPtr &link, bool towardsSidecar, const core::Message &message) -> void;
+    static auto noteSubmit(Sidecar &sidecar, const std::string &body) -> void;
     auto cut(LinkPtr link, bool tellRouter, bool tellSidecar) -> void;
 
     auto startRun(Sidecar &sidecar, const core::StartRun &start) -> void;
