Measure cache reuse, skew and control traffic on the real programs

The engine's stand-in notes its starts and the changes of its cache in its record, so that what was possible is known from the engines alone. Host lists may differ between the routers of a fleet.

--- /dev/null
+++ b/test/bench/measures-churn.h
@@ -0,0 +1,58 @@
+/// Engines that join, leave, flap and crash during a run, and host lists that differ.
+#pragma once
+
+#include "support/fleet.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace applehatch::measures {
+
+/// From when until when an engine could be given work, on the machine's steady clock.
+struct LiveSpan
+{
+    std::int64_t fromMs = 0;
+    std::int64_t untilMs = 0;
+};
+
+/// By the engine's name.
+using LiveSpans = std::map<std::string, std::vector<LiveSpan>>;
+
+/// The faults of one run, at the same shares of its length in each variant.
+class Churn
+{
+public:
+    Churn(support::Fleet &fleet, std::chrono::milliseconds length, std::uint64_t seed);
+
+    /// Starts to act, each action at its time.
+    auto start() -> void;
+
+    /// Waits for the last action and tells when each engine was live.
+    [[nodiscard]] auto finish() -> LiveSpans;
+
+private:
+    using Action = void (Churn::*)(support::FleetMember &);
+
+    auto at(double share, std::size_t place, Action action) -> void;
+    auto leaveAndJoin(support::FleetMember &member) -> void;
+    auto restartSidecar(support::FleetMember &member) -> void;
+    auto crashEngine(support::FleetMember &member) -> void;
+    auto differHostLists(support::FleetMember &member) -> void;
+    auto flapHostLists(support::FleetMember &member) -> void;
+
+    auto setLive(const support::FleetMember &member, bool live) -> void;
+    auto awaitReady(support::FleetMember &member) -> void;
+
+    support::Fleet &fleet_;
+    std::chrono::milliseconds length_;
+    std::vector<std::size_t> order_; ///< Engines, shuffled by the seed.
+    support::Clock::time_point begin_;
+    std::vector<std::jthread> actions_;
+    std::mutex mutex_;
+    LiveSpans spans_;
+};
+
+} // namespace applehatch::measures
--- /dev/null
+++ b/test/bench/measures-workload.cc
@@ -0,0 +1,308 @@
+#include "measures-workload.h"
+
+#include "standin/upstream-server.h"
+
+#include <algorithm>
+#include <fstream>
+#include <mutex>
+#include <stdexcept>
+#include <thread>
+
+namespace applehatch::measures {
+
+namespace {
+
+using nlohmann::json;
+using support::Clock;
+
+constexpr milliseconds shortestPause{300};
+constexpr double shortPauseMs = 2500; ///< Mean; most chats return within minutes, here seconds.
+constexpr double longPauseMs = 12000; ///< Mean of the few that return after hours.
+constexpr double longPauseShare = 0.1;
+constexpr double furtherTurn = 0.85;
+constexpr milliseconds rampUp{3000};
+constexpr double surgeFactor = 10;
+constexpr std::size_t surgingCustomers = 2;
+constexpr double surgeStart = 0.45; ///< As a share of the run.
+constexpr double surgeEnd = 0.60;
+constexpr int mostSends = 4;
+constexpr milliseconds shortestRetry{200};
+constexpr milliseconds longestRetry{1000};
+constexpr milliseconds answerLimit{30000};
+
+auto readExample(const std::string &name) -> json
+{
+    std::ifstream file("examples/" + name + ".jsonc");
+    auto document = json::parse(file, nullptr, false, true);
+    if (!document.is_object()) {
+        throw std::runtime_error("no settings for the deployment " + name);
+    }
+    return document;
+}
+
+auto takeSettings(Deployment &deployment, const std::string &poolName) -> void
+{
+    const auto example = readExample(deployment.name);
+    deployment.customers = example.at("customers");
+    for (const auto *key : {"loadMultiple", "queueLimit", "queueWaitMs", "queueOrder",
+                            "defaultDeadlineMs", "maxDeadlineMs", "retryBudget"}) {
+        deployment.pool[key] = example.at("pools").at(poolName).at(key);
+    }
+}
+
+auto exponential(std::mt19937_64 &random, double mean) -> milliseconds
+{
+    return milliseconds(static_cast<int>(std::exponential_distribution<double>(1 / mean)(random)));
+}
+
+auto unit(std::mt19937_64 &random) -> double
+{
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+auto pauseOf(std::mt19937_64 &random) -> milliseconds
+{
+    const auto isLong = unit(random) < longPauseShare;
+    return shortestPause + exponential(random, isLong ? longPauseMs : shortPauseMs);
+}
+
+class Planner
+{
+public:
+    Planner(const Deployment &deployment, milliseconds length, std::uint64_t seed)
+        : deployment_(deployment)
+        , length_(length)
+        , random_(seed)
+    {
+        for (const auto &customer : deployment.customers.items()) {
+            customers_.push_back(customer.key());
+        }
+    }
+
+    auto plan() -> std::vector<ChatPlan>
+    {
+        for (std::size_t place = 0; place < deployment_.chatsAtOnce; ++place) {
+            addSuccession(pickCustomer(), scaled(rampUp, unit(random_)), length_);
+        }
+        for (std::size_t number = 0; number < surgingCustomers; ++number) {
+            addSurge(customers_.size() - 1 - number);
+        }
+        return std::move(chats_);
+    }
+
+private:
+    static auto scaled(milliseconds time, double share) -> milliseconds
+    {
+        return milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * share));
+    }
+
+    auto pickCustomer() -> std::size_t
+    {
+        const auto &shares = deployment_.sharesOfUse;
+        return std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(random_);
+    }
+
+    // One chat after another, so that about as many are under way at any time.
+    auto addSuccession(std::size_t customer, milliseconds from, milliseconds until) -> void
+    {
+        while (from < until) {
+            ChatPlan chat;
+            chat.name = "chat-" + std::to_string(chats_.size());
+            chat.customer = customers_[customer];
+            chat.start = from;
+            chat.seed = random_();
+            auto over = from + answerTime();
+            while (unit(random_) < furtherTurn && over < until) {
+                chat.pauses.push_back(pauseOf(random_));
+                over += chat.pauses.back() + answerTime();
+            }
+            chats_.push_back(std::move(chat));
+            from = over + pauseOf(random_);
+        }
+    }
+
+    auto addSurge(std::size_t customer) -> void
+    {
+        const auto usual =
+            static_cast<double>(deployment_.chatsAtOnce) * deployment_.sharesOfUse[customer];
+        const auto extra = static_cast<std::size_t>(usual * (surgeFactor - 1));
+        for (std::size_t place = 0; place < extra; ++place) {
+            addSuccession(customer,
+                          scaled(length_, surgeStart) + scaled(shortestPause, unit(random_)),
+                          scaled(length_, surgeEnd));
+        }
+    }
+
+    [[nodiscard]] auto answerTime() const -> milliseconds
+    {
+        constexpr double thousand = 1000;
+        const auto tokens = static_cast<double>(deployment_.tokens);
+        return milliseconds(static_cast<int>(thousand * tokens / deployment_.tokensPerSecond));
+    }
+
+    const Deployment &deployment_;
+    milliseconds length_;
+    std::mt19937_64 random_;
+    std::vector<std::string> customers_;
+    std::vector<ChatPlan> chats_;
+};
+
+auto nowMs() -> std::int64_t
+{
+    return standin::clockMs(Clock::now());
+}
+
+auto retryAfter(const support::CallerAnswer &answer) -> milliseconds
+{
+    const auto seconds = std::atoi(answer.header("Retry-After").c_str());
+    return std::clamp(milliseconds(std::chrono::seconds(seconds)), shortestRetry, longestRetry);
+}
+
+/// One chat's caller, on a thread of its own.
+class ChatCaller
+{
+public:
+    ChatCaller(support::Fleet &fleet, const Deployment &deployment, const ChatPlan &plan,
+               bool echoToken, Clock::time_point end)
+        : fleet_(fleet)
+        , deployment_(deployment)
+        , plan_(plan)
+        , echoToken_(echoToken)
+        , end_(end)
+        , random_(plan.seed)
+    { }
+
+    auto run(Clock::time_point begin) -> std::vector<Turn>
+    {
+        std::this_thread::sleep_until(begin + plan_.start);
+        for (std::size_t number = 0; number <= plan_.pauses.size(); ++number) {
+            if (number > 0) {
+                std::this_thread::sleep_for(plan_.pauses[number - 1]);
+            }
+            if (Clock::now() >= end_) {
+                break;
+            }
+            turns_.push_back(take(number));
+            if (!turns_.back().answered) {
+                break;
+            }
+        }
+        return std::move(turns_);
+    }
+
+private:
+    auto request(std::size_t number) const -> support::CallerRequest
+    {
+        const auto mark = plan_.name + " turn " + std::to_string(number) + " "
+            + std::string(deployment_.contextBytes, 'x');
+        auto request = fleet_.chat(mark, deployment_.tokens);
+        request.headers.front().second = std::string(support::Fleet::team) + "/" + plan_.customer;
+        request.headers.emplace_back("Applehatch-Chat", plan_.name);
+        if (echoToken_ && !token_.empty()) {
+            request.headers.emplace_back("Applehatch-Context", token_);
+        }
+        return request;
+    }
+
+    auto take(std::size_t number) -> Turn
+    {
+        const auto asked = request(number);
+        Turn turn;
+        turn.chat = plan_.name;
+        turn.bodyHash = standin::hex(core::stableHash(asked.body));
+        turn.isReturn = number > 0;
+        for (int send = 0; send < mostSends && !turn.answered; ++send) {
+            sendOnce(asked, turn);
+        }
+        return turn;
+    }
+
+    auto sendOnce(const support::CallerRequest &asked, Turn &turn) -> void
+    {
+        const auto &router = fleet_.router(random_() % fleet_.routers().size());
+        turn.sentMs = nowMs();
+        const auto answer = support::call(router.callers, asked, answerLimit);
+        constexpr int ok = 200;
+        if (answer.status == ok && support::streamIsWhole(answer.streamData())) {
+            turn.answered = true;
+            turn.warm = answer.header("Applehatch-Cache") == "warm";
+            turn.toFirstByte = answer.toFirstByte;
+            token_ = answer.header("Applehatch-Context");
+            return;
+        }
+        ++turn.refusals;
+        std::this_thread::sleep_for(retryAfter(answer));
+    }
+
+    support::Fleet &fleet_;
+    const Deployment &deployment_;
+    const ChatPlan &plan_;
+    bool echoToken_;
+    Clock::time_point end_;
+    std::mt19937_64 random_;
+    std::string token_;
+    std::vector<Turn> turns_;
+};
+
+} // namespace
+
+auto deploymentNamed(const std::string &name) -> Deployment
+{
+    Deployment deployment;
+    deployment.name = name;
+    // Three large customers, seven small ones.
+    deployment.sharesOfUse = {0.26, 0.22, 0.2, 0.08, 0.06, 0.05, 0.04, 0.03, 0.03, 0.03};
+    if (name == "ledgerworks") {
+        deployment.dataCenters = {"bole", "kazanchis", "piassa"};
+        deployment.engines = 12;
+        deployment.cacheChats = 100;
+        deployment.coldPrefill = milliseconds(1500);
+        deployment.tokensPerSecond = 20;
+        deployment.tokens = 20;
+        deployment.contextBytes = 8000;
+        deployment.chatsAtOnce = 170;
+        takeSettings(deployment, "drafting");
+    } else if (name == "cwm-taf") {
+        deployment.dataCenters = {"merthyr", "rhondda", "cynon"};
+        deployment.engines = 18;
+        deployment.cacheChats = 100;
+        deployment.coldPrefill = milliseconds(500);
+        deployment.tokensPerSecond = 20;
+        deployment.tokens = 14;
+        deployment.contextBytes = 2000;
+        deployment.chatsAtOnce = 270;
+        takeSettings(deployment, "repairs");
+    } else {
+        throw std::runtime_error("deployments are ledgerworks and cwm-taf");
+    }
+    return deployment;
+}
+
+auto planChats(const Deployment &deployment, milliseconds length, std::uint64_t seed)
+    -> std::vector<ChatPlan>
+{
+    return Planner(deployment, length, seed).plan();
+}
+
+auto driveChats(support::Fleet &fleet, const Deployment &deployment,
+                const std::vector<ChatPlan> &chats, milliseconds length, bool echoToken)
+    -> std::vector<Turn>
+{
+    const auto begin = Clock::now();
+    std::mutex mutex;
+    std::vector<Turn> turns;
+    std::vector<std::jthread> callers;
+    callers.reserve(chats.size());
+    for (const auto &chat : chats) {
+        callers.emplace_back([&, begin] {
+            ChatCaller caller(fleet, deployment, chat, echoToken, begin + length);
+            auto taken = caller.run(begin);
+            const std::lock_guard lock(mutex);
+            std::move(taken.begin(), taken.end(), std::back_inserter(turns));
+        });
+    }
+    callers.clear();
+    return turns;
+}
+
+} // namespace applehatch::measures
--- a/test/standin/engine-cache.cc
+++ b/test/standin/engine-cache.cc
@@ -14,25 +14,27 @@
     return held_.contains(chat);
 }
 
-auto EngineCache::store(const std::string &chat) -> void
+auto EngineCache::store(const std::string &chat) -> std::string
 {
     if (chat.empty()) {
-        return;
+        return {};
     }
     const std::lock_guard lock(mutex_);
     if (const auto found = held_.find(chat); found != held_.end()) {
         recent_.splice(recent_.begin(), recent_, found->second);
-        return;
+        return {};
     }
     recent_.push_front(chat);
     held_[chat] = recent_.begin();
     publish(true, chat);
-    if (held_.size() > chats_) {
-        const auto oldest = recent_.back();
-        recent_.pop_back();
-        held_.erase(oldest);
-        publish(false, oldest);
+    if (held_.size() <= chats_) {
+        return {};
     }
+    auto oldest = recent_.back();
+    recent_.pop_back();
+    held_.erase(oldest);
+    publish(false, oldest);
+    return oldest;
 }
 
 auto EngineCache::publish(bool stored, const std::string &chat) -> void
--- a/test/standin/engine-cache.h
+++ b/test/standin/engine-cache.h
@@ -20,7 +20,8 @@
     EngineCache(std::size_t chats, milliseconds eventDelay, std::uint64_t gapEvery);
 
     [[nodiscard]] auto holds(const std::string &chat) const -> bool;
-    auto store(const std::string &chat) -> void;
+    /// Gives the chat whose context had to go; empty when none had to.
+    auto store(const std::string &chat) -> std::string;
 
     /// What `GET /v1/cache/events` answers.
     [[nodiscard]] auto events(std::uint64_t after) const -> nlohmann::json;
--- a/test/standin/engine.cc
+++ b/test/standin/engine.cc
@@ -47,6 +47,7 @@
     , cache_(options_.cacheChats, options_.eventDelay, options_.gapEvery)
     , models_(options_.models)
 {
+    record_.note({{"op", "life"}});
     published_ = stateNow();
     publishedAt_ = Clock::now();
     server_ = std::make_unique<HttpServer>(options_.listen, options_.threads,
@@ -120,7 +121,7 @@
     const auto outcome = stream->answer.wantsStream() ? answerStream(request, stream, 0)
                                                       : answerPlain(request, stream);
     if (outcome != "cancelled") {
-        cache_.store(chat);
+        store(chat);
     }
     record_.finish(number, outcome);
     release();
@@ -155,6 +156,17 @@
     changed_.notify_all();
 }
 
+auto Engine::store(const std::string &chat) -> void
+{
+    const auto evicted = cache_.store(chat);
+    if (!chat.empty()) {
+        record_.note({{"op", "stored"}, {"chat", chat}});
+    }
+    if (!evicted.empty()) {
+        record_.note({{"op", "evicted"}, {"chat", evicted}});
+    }
+}
+
 auto Engine::cancelled(const StreamPtr &stream) const -> bool
 {
     const std::lock_guard lock(mutex_);
@@ -343,7 +355,7 @@
         answerJson(request, 200, cache_.events(request.queryNumber("after")));
     } else if (request.method == "PUT" && request.bodyWhole
                && request.body.starts_with("kv:" + chat)) {
-        cache_.store(chat);
+        store(chat);
         answerJson(request, 200, nlohmann::json::object());
     } else if (request.method == "GET" && cache_.holds(chat)) {
         answer(request, 200, "application/octet-stream",
--- a/test/standin/engine.h
+++ b/test/standin/engine.h
@@ -79,6 +79,7 @@
 
     [[nodiscard]] auto admit(const StreamPtr &stream) -> bool;
     auto release() -> void;
+    auto store(const std::string &chat) -> void;
     auto answerStream(const HttpRequest &request, const StreamPtr &stream, std::size_t from)
         -> std::string;
     auto answerPlain(const HttpRequest &request, const StreamPtr &stream) -> std::string;
--- a/test/standin/upstream-server.cc
+++ b/test/standin/upstream-server.cc
@@ -186,7 +186,8 @@
             {"request", run.request},
             {"key", run.key},
             {"chat", run.chat},
-            {"bodyHash", hex(run.bodyHash)}});
+            {"bodyHash", hex(run.bodyHash)},
+            {"warm", run.warm}});
     runs_.push_back(std::move(run));
     return runs_.size() - 1;
 }
@@ -216,6 +217,13 @@
     load_.emplace_back(Clock::now(), running_);
 }
 
+auto UpstreamRecord::note(nlohmann::json line) const -> void
+{
+    const std::lock_guard lock(mutex_);
+    line["atMs"] = clockMs(Clock::now());
+    append(line);
+}
+
 auto UpstreamRecord::append(const nlohmann::json &line) const -> void
 {
     if (logPath_.empty()) {
--- a/test/standin/upstream-server.h
+++ b/test/standin/upstream-server.h
@@ -121,6 +121,9 @@
     auto finish(std::size_t number, const std::string &outcome) -> void;
     [[nodiscard]] auto running() const -> std::uint32_t;
 
+    /// Adds a line with the present time to the log, such as for a change of the cache.
+    auto note(nlohmann::json line) const -> void;
+
     /// `{"highWater", "running", "runs": [...], "load": [{"atMs", "running"}]}`.
     [[nodiscard]] auto runsAsJson() const -> nlohmann::json;
 
--- a/test/support/fleet.cc
+++ b/test/support/fleet.cc
@@ -130,13 +130,21 @@
         router.relay = std::make_unique<Relay>(ip, router.listens, freePort(ip));
     }
     router.callers = front(router.relay, router.listens);
+    if (options_.ownHostLists) {
+        router.hostList = std::make_unique<standin::Platform>(
+            core::Address{network_ + ".4." + std::to_string(number + 2), 0});
+        for (const auto &member : members_) {
+            router.hostList->setHost(member.ip, core::HostState::Live);
+        }
+    }
+    const auto &hostList = router.hostList ? *router.hostList : *platform_;
     const json config = {{"name", router.name},
                          {"dataCenter", options_.dataCenters[number % options_.dataCenters.size()]},
                          {"callers", text(router.listens)},
                          {"admin", text(router.admin)},
                          {"digest", text(listening(ip))},
                          {"settings", text(platform_->address())},
-                         {"hostList", text(platform_->address())},
+                         {"hostList", text(hostList.address())},
                          {"bootstrapPeers", peers()},
                          {"drainDeadlineMs", 20000}};
     router.config = std::make_unique<TemporaryFile>(config.dump(1));
@@ -203,8 +211,20 @@
 
 auto Fleet::startRouter(FleetRouter &router) -> void
 {
-    router.process = std::make_unique<Process>(std::vector<std::string>{
-        programPath("applehatch-router"), "--config", router.config->path()});
+    std::vector<std::string> command = {programPath("applehatch-router"), "--config",
+                                        router.config->path()};
+    command.insert(command.end(), options_.routerFlags.begin(), options_.routerFlags.end());
+    router.process = std::make_unique<Process>(command);
+}
+
+auto Fleet::setHost(const std::string &ip, core::HostState state) -> void
+{
+    platform_->setHost(ip, state);
+    for (auto &router : routers_) {
+        if (router.hostList) {
+            router.hostList->setHost(ip, state);
+        }
+    }
 }
 
 auto Fleet::waitReady() -> void
@@ -269,6 +289,7 @@
         {"adminTokenHash", operatorTokenHash},
         {"pools", json::object()},
         {"customers", {{"branch-east", {{"weight", 1.0}}}, {"branch-west", {{"weight", 1.0}}}}}};
+    settings["customers"].update(options_.customers);
     if (options_.engines > 0) {
         settings["pools"][enginePool] = poolSettings(enginePool, without);
     }
@@ -323,6 +344,9 @@
         while (std::getline(lines, line)) {
             const auto entry = json::parse(line);
             const auto value = [&](const char *key) { return entry.value(key, std::string()); };
+            if (value("op") != "start" && value("op") != "end") {
+                continue;
+            }
             entries.push_back({member.name, value("op"), value("request"), value("key"),
                                value("bodyHash"), value("outcome"),
                                entry.value("atMs", std::int64_t{0})});
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -25,9 +25,12 @@
     double tokensPerSecond = 100.0;
     milliseconds coldPrefill{30};
     bool relays = false; ///< A relay before each sidecar, upstream and router.
-    nlohmann::json pool = nlohmann::json::object(); ///< Merged into each pool's settings.
-    std::vector<std::string> engineFlags;           ///< Further ones for each engine.
-    std::string control = "{}";                     ///< Fault orders for each engine.
+    nlohmann::json pool = nlohmann::json::object();      ///< Merged into each pool's settings.
+    std::vector<std::string> engineFlags;                ///< Further ones for each engine.
+    std::string control = "{}";                          ///< Fault orders for each engine.
+    std::vector<std::string> routerFlags;                ///< Further ones for each router.
+    nlohmann::json customers = nlohmann::json::object(); ///< Added to the two of every fleet.
+    bool ownHostLists = false; ///< Each router reads a host list of its own, so that they differ.
 };
 
 /// One upstream with its sidecar.
@@ -57,6 +60,7 @@
     core::Address listens;
     core::Address admin;
     std::unique_ptr<Relay> relay;
+    std::unique_ptr<standin::Platform> hostList; ///< Only with `ownHostLists`.
     std::unique_ptr<TemporaryFile> config;
     std::unique_ptr<Process> process;
 };
@@ -109,6 +113,11 @@
     /// Waits until every process is ready and every router has heard that every upstream serves.
     auto waitReady() -> void;
 
+    /// Changes every host list that there is.
+    auto setHost(const std::string &ip, core::HostState state) -> void;
+
+    [[nodiscard]] auto routers() -> std::vector<FleetRouter> & { return routers_; }
+
     /// Publishes settings without the members named.
     auto publish(const std::vector<std::string> &without = {}) -> void;
 
