--- a/test/bench/measures-sampling.h
+++ b/test/bench/measures-sampling.h
@@ -35,6 +35,7 @@
     std::size_t refusals = 0;
     std::size_t unanswered = 0;
     std::vector<double> firstByteMs; ///< Of answered returns, in order.
+    std::vector<std::string> misses; ///< Requests, and the engines that held their context.
 
     [[nodiscard]] auto ofPossible() const -> double;
     [[nodiscard]] auto ofReturns() const -> double;
