Let a returning chat ask its home when only a host list calls it leaving

Half of the returns that missed a context which a live engine held were turned away by a router's host list: lists differ for seconds, and the list's word was final at once. Bounds and crashes were ruled out as the main cause from the log's route lines (15 of 31 misses were passed over as leaving-host).

The sidecar reads the list too and refuses once it leaves. So for 3 s after a list first says so, a chat whose token names the upstream asks it, provided that its sidecar said within 3 s that it serves. New chats obey the list at once, and all do after 3 s.

--- a/src/core/router-choice.cc
+++ b/src/core/router-choice.cc
@@ -85,6 +85,8 @@
 {
     const auto &view = poolView(exchange.pool);
     auto usable = without(view.usable, exchange.tried);
+    if (!leavingSaidAt_.empty())
+        addContestedHome(exchange, usable);
     if (usable.empty())
         usable = without(view.doubtful, exchange.tried);
     if (usable.empty())
@@ -158,6 +160,21 @@
     const auto host = hosts_.find(member.sidecar.ip);
     if (host != hosts_.end() && host->second == HostState::Leaving)
         return "leaving-host";
+    if (const auto own = ownObstacle(member, now); !own.empty() || !weakToo)
+        return own;
+    if (!hosts_.empty() && host == hosts_.end())
+        return "not-listed";
+    const auto link = links_.find(member.id);
+    if (link != links_.end() && link->second.failedAt
+        && now - *link->second.failedAt < links::failureMemory)
+        return "link-down";
+    return {};
+}
+
+// What the upstream itself has said, to this router or in a digest.
+auto RouterNode::State::ownObstacle(const settings::Member &member, Instant now) const
+    -> std::string_view
+{
     const auto link = links_.find(member.id);
     if (link != links_.end() && link->second.leavingAt
         && now - *link->second.leavingAt < links::leavingMemory)
@@ -170,16 +187,38 @@
             return "down";
         return "joining";
     }
-    if (!weakToo)
-        return {};
-    if (!hosts_.empty() && host == hosts_.end())
-        return "not-listed";
-    if (link != links_.end() && link->second.failedAt
-        && now - *link->second.failedAt < links::failureMemory)
-        return "link-down";
     return {};
 }
 
+auto RouterNode::State::onlyListedAsLeaving(const settings::Member &member) const -> bool
+{
+    const auto said = leavingSaidAt_.find(member.sidecar.ip);
+    if (said == leavingSaidAt_.end() || now_ - said->second >= limits::contestedLeaving)
+        return false;
+    const auto entry = loads_.find(member.id, now_);
+    return entry && entry->age <= limits::contestedLeaving && ownObstacle(member, now_).empty();
+}
+
+// Host lists differ for seconds, and a wrong one would send a chat away from its context for good.
+// Its sidecar reads the list as well and refuses once it leaves, so a returning chat asks it; if
+// the sidecar never learns of it, the list is obeyed after a few seconds all the same.
+auto RouterNode::State::addContestedHome(const Exchange &exchange,
+                                         std::vector<UpstreamId> &usable) const -> void
+{
+    const auto *home = exchange.pool.member(exchange.tokenHome);
+    if (home == nullptr || contains(exchange.tried, home->id) || contains(usable, home->id)
+        || !onlyListedAsLeaving(*home))
+        return;
+    auto next = usable.begin();
+    for (const auto &member : exchange.pool.pool->members) {
+        if (member.id == home->id)
+            break;
+        if (next != usable.end() && *next == member.id)
+            ++next;
+    }
+    usable.insert(next, home->id);
+}
+
 auto RouterNode::State::writeDecision(const Exchange &exchange) -> void
 {
     const auto nameOf = [&](UpstreamId id) {
--- a/src/core/router-node.cc
+++ b/src/core/router-node.cc
@@ -5,6 +5,7 @@
 #include "router-state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace applehatch::core {
 
@@ -45,9 +46,15 @@
 
 auto RouterNode::State::on(HostListRead &event) -> void
 {
+    const auto saidBefore = std::exchange(leavingSaidAt_, {});
     hosts_.clear();
-    for (const auto &host : event.list.hosts)
+    for (const auto &host : event.list.hosts) {
         hosts_[host.ip] = host.state;
+        if (host.state != HostState::Leaving)
+            continue;
+        const auto said = saidBefore.find(host.ip);
+        leavingSaidAt_[host.ip] = said == saidBefore.end() ? now_ : said->second;
+    }
     views_.clear();
 }
 
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -33,6 +33,7 @@
 inline constexpr Duration ticketWait = 10s;    ///< For a link, when giving a ticket.
 inline constexpr Duration digestPeriod = 1s;
 inline constexpr Duration poolViewLifetime = 50ms;
+inline constexpr Duration contestedLeaving = 3s; ///< Then a list's word is final.
 inline constexpr std::size_t digestEntries = 8;
 inline constexpr std::size_t digestCrashes = 4;
 inline constexpr std::size_t submitLoads = 4;
@@ -111,6 +112,10 @@
     [[nodiscard]] auto makePoolView(const PoolRef &pool, Instant now) const -> PoolView;
     [[nodiscard]] auto obstacle(const settings::Member &member, bool weakToo, Instant now) const
         -> std::string_view;
+    [[nodiscard]] auto ownObstacle(const settings::Member &member, Instant now) const
+        -> std::string_view;
+    [[nodiscard]] auto onlyListedAsLeaving(const settings::Member &member) const -> bool;
+    auto addContestedHome(const Exchange &exchange, std::vector<UpstreamId> &usable) const -> void;
     auto writeDecision(const Exchange &exchange) -> void;
 
     // router-explain.cc
@@ -179,7 +184,8 @@
     Instant recentLoadsAt_;
     CrashTable crashes_;
     SettingsPtr settings_;
-    std::unordered_map<std::string, HostState> hosts_; ///< Empty while unknown.
+    std::unordered_map<std::string, HostState> hosts_;       ///< Empty while unknown.
+    std::unordered_map<std::string, Instant> leavingSaidAt_; ///< Since when lists say so, by IP.
     LinkTable links_;
     RetryBudgets budgets_;
     std::map<std::string, PoolView> views_; ///< By `team/pool`.
--- a/test/core/router-time-test.cc
+++ b/test/core/router-time-test.cc
@@ -174,4 +174,47 @@
     BOOST_TEST(bench.failures().size() == 1U);
 }
 
+// Host lists differ for seconds, and one names an engine as leaving that goes on. Chats whose
+// context it holds would all start cold elsewhere, which their users notice as a long wait.
+BOOST_AUTO_TEST_CASE(a_list_alone_does_not_part_a_chat_from_its_context_at_once)
+{
+    struct Row
+    {
+        std::string what;
+        UpstreamState own;
+        Duration digestAge;
+        bool withToken;
+        Duration listed;
+        bool goesHome;
+    };
+    for (const auto &row :
+         {Row{"returns", UpstreamState::Serving, 1s, true, 0s, true},
+          Row{"just before the end", UpstreamState::Serving, 0s, true, 2900ms, true},
+          Row{"listed for long", UpstreamState::Serving, 0s, true, 3s, false},
+          Row{"new", UpstreamState::Serving, 1s, false, 0s, false},
+          Row{"says so itself", UpstreamState::Leaving, 1s, true, 0s, false},
+          Row{"not heard of", UpstreamState::Serving, 4s, true, 0s, false}}) {
+        Bench bench;
+        const auto home = bench.engines()[1].id;
+        HostList list{1, {}};
+        for (const auto &engine : bench.engines())
+            list.hosts.push_back({engine.sidecar.ip, HostState::Live});
+        list.hosts[1].state = HostState::Leaving;
+        bench.feed(HostListRead{list});
+        bench.now += row.listed;
+        bench.feed(HostListRead{list});
+        Digest digest;
+        digest.entries = {{home, 1, 1, 0, 0, 8, row.own, row.digestAge}};
+        bench.feed(DigestReceived{digest});
+        auto request = chatRequest("r1", 5);
+        if (row.withToken)
+            request.contextToken = formatContext({home, life});
+        bench.feed(request);
+        BOOST_TEST_CONTEXT(row.what)
+        {
+            BOOST_TEST((Bench::of<OpenLink>(bench.last).at(0).upstream == home) == row.goesHome);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
