--- a/test/bench/slopes.cc
+++ b/test/bench/slopes.cc
@@ -17,9 +17,10 @@
 };
 
 constexpr std::array subjects{
-    Subject{"load", measureLoadPlane}, Subject{"links", measureLinks},
-    Subject{"tables", measureTables},  Subject{"settings", measureSettings},
-    Subject{"tokens", measureTokens},  Subject{"routing", measureRouting},
+    Subject{"load", measureLoadPlane},    Subject{"links", measureLinks},
+    Subject{"tables", measureTables},     Subject{"settings", measureSettings},
+    Subject{"tokens", measureTokens},     Subject{"routing", measureRouting},
+    Subject{"platform", measurePlatform},
 };
 
 } // namespace
--- a/test/bench/slopes.h
+++ b/test/bench/slopes.h
@@ -81,5 +81,6 @@
 auto measureSettings() -> void;
 auto measureTokens() -> void;
 auto measureRouting() -> void;
+auto measurePlatform() -> void;
 
 } // namespace applehatch::bench
