--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -157,6 +157,9 @@
                    exchange.call,
                    0,
                    recentLoads()};
+    exchange.mayWait = exchange.boundTo != 0 || exchange.attempt == limits::attempts
+        || roomElsewhere(exchange) == Room::None;
+    message.mayWait = exchange.mayWait;
     if (exchange.cause != "redirect" && exchange.home != exchange.upstream)
         message.movedFrom = exchange.home;
     send(exchange.upstream, std::move(message));
--- a/src/core/router-exchange.h
+++ b/src/core/router-exchange.h
@@ -86,6 +86,7 @@
     bool settling = false;    ///< A `Revoke` was sent to learn whether a lost submit arrived.
     bool resubmitted = false; ///< The first submit to this upstream never reached it.
 
+    bool mayWait = false;  ///< The last submit asked to wait rather than be refused.
     Run run = Run::NotRun; ///< The worst that is known of the attempts that are over.
     std::vector<UpstreamId> crashedAt;
     std::optional<ErrorKind> lastKind;  ///< Why the last attempt ended.
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -174,10 +174,11 @@
     if (limit != 0 && inFlightOf(terms) >= limit)
         return Rejection{refusalOf(ErrorKind::CustomerLimit, Run::NotRun, "customer's limit here"),
                          holder, "customer-limit"};
-    if (load() + 1 > bound())
+    const auto isFull = load() + 1 > bound();
+    if (isFull && !message.mayWait)
         return Rejection{refusalOf(ErrorKind::Overloaded, Run::NotRun, "at its bound"), holder,
                          "bound"};
-    if (running < slots && queue.size() == 0)
+    if (!isFull && running < slots && queue.size() == 0)
         return std::nullopt;
     if (queue.size() >= pool.queueLimit)
         return Rejection{refusalOf(ErrorKind::Overloaded, Run::NotRun, "queue is full"), holder,
@@ -198,6 +199,15 @@
     return admissionBound(pool, wholePoolLoad(view(), loads, sums, now), slots);
 }
 
+// What waits beyond the bound starts when others run more. Those that wait do not count towards
+// this mean, or a queue would raise the very bound that holds it back.
+auto SidecarNode::State::runningBound() const -> std::uint32_t
+{
+    auto heard = wholePoolLoad(view(), loads, sums, now);
+    heard.load = heard.running;
+    return std::max(1U, admissionBound(pool, heard, slots));
+}
+
 auto SidecarNode::State::customerOf(const Terms &terms) const -> const settings::Customer *
 {
     const auto team =
