Try partitions in the random schedules

Cause: no schedule cut one half of the routers and sidecars off from the other. Change: a kind "partitions", also drawn in "together": while it lasts, links across are cut, none opens, and digests across are lost. Sides are dealt out by parity, so each has routers and sidecars of both pools. Conclusion: each part goes on answering; the same with real processes is not covered.

--- a/test/schedule/callers.cc
+++ b/test/schedule/callers.cc
@@ -108,6 +108,7 @@
     auto &answer = history_.answers[exchange->second.answer];
     ++answer.finals;
     answer.whole = !failure;
+    history_.tried.wholeWhileApart += answer.whole && apart_ ? 1 : 0;
     answer.failure = std::move(failure);
 }
 
--- a/test/schedule/faults.cc
+++ b/test/schedule/faults.cc
@@ -7,6 +7,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto longestPause = 6s;
+constexpr auto longestPartition = 5s;
 constexpr auto beforeResume = 300ms;
 constexpr auto beforeDrainEnds = 2s;
 
@@ -36,6 +37,7 @@
            [this] { restartRouter(*routers_[below(routers_.size())]); });
     repeat(faults.perSecondEngineCrashes,
            [this] { crashEngine(*sidecars_.at(upstreams_[below(upstreams_.size())])); });
+    repeat(faults.perSecondPartitions, [this] { beginPartition(); });
     repeat(faults.perSecondDrains, [this] {
         auto &sidecar = *sidecars_.at(upstreams_[below(upstreams_.size())]);
         if (sidecar.draining)
@@ -66,6 +68,19 @@
     }
 }
 
+auto World::beginPartition() -> void
+{
+    if (std::exchange(apart_, true))
+        return;
+    ++history_.tried.partitions;
+    for (const auto &[id, link] : std::map(links_)) {
+        if (isApart(*link->router, *link->sidecar))
+            cut(link, true, true);
+    }
+    after(core::Duration(below(core::Duration(longestPartition).count())),
+          [this] { apart_ = false; });
+}
+
 auto World::restartRouter(Router &router) -> void
 {
     ++history_.tried.routerRestarts;
--- a/test/schedule/history.h
+++ b/test/schedule/history.h
@@ -53,6 +53,8 @@
     int routerRestarts = 0;
     int engineCrashes = 0;
     int drains = 0;
+    int partitions = 0;
+    int wholeWhileApart = 0; ///< Answers that ended whole during a partition.
     int resumed = 0;
     int repeatedKeys = 0;
 };
--- a/test/schedule/kinds.cc
+++ b/test/schedule/kinds.cc
@@ -33,6 +33,9 @@
     Faults drains;
     drains.perSecondDrains = 0.5;
 
+    Faults partitions;
+    partitions.perSecondPartitions = 0.5;
+
     Faults together;
     together.dropMessage = 0.005;
     together.doubleMessage = 0.01;
@@ -44,10 +47,11 @@
     together.perSecondRouterRestarts = 0.2;
     together.perSecondEngineCrashes = 0.1;
     together.perSecondDrains = 0.1;
+    together.perSecondPartitions = 0.1;
 
-    return {{"calm", {}},       {"messages", messages}, {"cuts", cuts},
-            {"pauses", pauses}, {"restarts", restarts}, {"poison", poison},
-            {"drains", drains}, {"together", together}};
+    return {{"calm", {}},       {"messages", messages},     {"cuts", cuts},
+            {"pauses", pauses}, {"restarts", restarts},     {"poison", poison},
+            {"drains", drains}, {"partitions", partitions}, {"together", together}};
 }
 
 } // namespace
--- a/test/schedule/links.cc
+++ b/test/schedule/links.cc
@@ -20,7 +20,8 @@
 
 auto World::linkOpened(const LinkPtr &link) -> void
 {
-    if (link->routerEnd && link->sidecar->identity.incarnation == link->sidecarLife)
+    const auto reachable = !isApart(*link->router, *link->sidecar);
+    if (link->routerEnd && reachable && link->sidecar->identity.incarnation == link->sidecarLife)
         toSidecar(*link->sidecar, core::PeerLinkUp{link->id});
     else
         cut(link, true, false);
@@ -66,7 +67,7 @@
 
 auto World::deliver(const LinkPtr &link, bool towardsSidecar, const core::Message &message) -> void
 {
-    if (!link->routerEnd || !link->sidecarEnd)
+    if (!link->routerEnd || !link->sidecarEnd || isApart(*link->router, *link->sidecar))
         return;
     if (towardsSidecar) {
         if (link->sidecar->identity.incarnation != link->sidecarLife)
--- a/test/schedule/schedule-test.cc
+++ b/test/schedule/schedule-test.cc
@@ -35,6 +35,8 @@
         sum.routerRestarts += history.tried.routerRestarts;
         sum.engineCrashes += history.tried.engineCrashes;
         sum.drains += history.tried.drains;
+        sum.partitions += history.tried.partitions;
+        sum.wholeWhileApart += history.tried.wholeWhileApart;
         sum.resumed += history.tried.resumed;
         sum.repeatedKeys += history.tried.repeatedKeys;
     }
@@ -96,6 +98,15 @@
     BOOST_TEST(tryAll("drains").drains > 0);
 }
 
+// Half of the routers and sidecars cannot reach the other half for seconds at a time. Each part
+// goes on answering with the upstreams that it reaches.
+BOOST_AUTO_TEST_CASE(halves_cut_off_from_each_other)
+{
+    const auto tried = tryAll("partitions");
+    BOOST_TEST(tried.partitions > 0);
+    BOOST_TEST(tried.wholeWhileApart > 0);
+}
+
 // Everything at once, so that each pair of failures falls together somewhere.
 BOOST_AUTO_TEST_CASE(all_failures_together)
 {
@@ -103,6 +114,7 @@
     BOOST_TEST(tried.linksCut > 0);
     BOOST_TEST(tried.pauses > 0);
     BOOST_TEST(tried.sidecarRestarts > 0);
+    BOOST_TEST(tried.partitions > 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/schedule/world-impl.h
+++ b/test/schedule/world-impl.h
@@ -11,6 +11,7 @@
     std::unique_ptr<core::RouterNode> node;
     core::Duration clockOffset{0};
     std::uint64_t life = 0;
+    std::size_t side = 0; ///< Of a partition.
     core::Instant pausedUntil{};
     std::deque<core::RouterEvent> inbox; ///< What arrived during a pause.
     std::map<core::UpstreamId, LinkPtr> links;
@@ -34,6 +35,7 @@
     core::Instant engineDownUntil{};
     std::uint64_t engineEpoch = 1;
     bool model = true;
+    std::size_t side = 0; ///< Of a partition.
     bool draining = false;
     std::set<core::RunId> running; ///< Runs of this life.
     std::map<std::string, HeldStream> held;
@@ -62,4 +64,10 @@
     std::uint64_t routerLife = 0;
 };
 
+template <typename Left, typename Right>
+auto World::isApart(const Left &left, const Right &right) const -> bool
+{
+    return apart_ && left.side != right.side;
+}
+
 } // namespace applehatch::schedule
--- a/test/schedule/world.cc
+++ b/test/schedule/world.cc
@@ -68,6 +68,7 @@
             sidecar->identity = {"team", name, member.name, member.dataCenter, 0, random_()};
             sidecar->clockOffset = std::chrono::seconds(below(1000));
             sidecar->model = pool.kind == settings::PoolKind::Model;
+            sidecar->side = upstreams_.size() % 2;
             upstreams_.push_back(member.id);
             sidecars_[member.id] = std::move(sidecar);
         }
@@ -76,6 +77,7 @@
         auto router = std::make_unique<Router>();
         router->identity = {"router-" + std::to_string(i), "north", random_()};
         router->clockOffset = std::chrono::seconds(below(1000));
+        router->side = routers_.size() % 2;
         routers_.push_back(std::move(router));
     }
 }
@@ -242,6 +244,8 @@
         const auto sidecar = sidecars_.find(digest->upstream);
         if (sidecar == sidecars_.end() || chance(shape_.faults.dropMessage))
             return;
+        if (isApart(router, *sidecar->second))
+            return;
         after(delay(), [this, &target = *sidecar->second, digest = digest->digest] {
             toSidecar(target, core::DigestReceived{digest});
         });
@@ -263,13 +267,16 @@
     } else if (auto *digest = std::get_if<core::SendDigest>(&action)) {
         // Replies to a router's datagram are sent to every router here; the routers only merge.
         const auto target = sidecars_.find(digest->upstream);
-        after(delay(), [this, target, digest = digest->digest] {
+        after(delay(), [this, &sidecar, target, digest = digest->digest] {
             if (target != sidecars_.end()) {
-                toSidecar(*target->second, core::DigestReceived{digest});
+                if (!isApart(sidecar, *target->second))
+                    toSidecar(*target->second, core::DigestReceived{digest});
                 return;
             }
-            for (auto &router : routers_)
-                toRouter(*router, core::DigestReceived{digest});
+            for (auto &router : routers_) {
+                if (!isApart(sidecar, *router))
+                    toRouter(*router, core::DigestReceived{digest});
+            }
         });
     }
 }
--- a/test/schedule/world.h
+++ b/test/schedule/world.h
@@ -31,7 +31,8 @@
     double perSecondRouterRestarts = 0;
     double perSecondEngineCrashes = 0;
     double perSecondDrains = 0;
-    double poisonShare = 0; ///< Share of model calls that crash whichever engine runs them.
+    double perSecondPartitions = 0; ///< Between two halves of the routers and sidecars.
+    double poisonShare = 0;         ///< Share of model calls that crash whichever engine runs them.
 };
 
 struct Shape
@@ -106,6 +107,9 @@
 
     auto scheduleFaults() -> void;
     auto repeat(double perSecond, const std::function<void()> &fault) -> void;
+    auto beginPartition() -> void;
+    template <typename Left, typename Right>
+    [[nodiscard]] auto isApart(const Left &left, const Right &right) const -> bool;
     auto restartRouter(Router &router) -> void;
     auto restartSidecar(Sidecar &sidecar) -> void;
 
@@ -132,6 +136,7 @@
     std::vector<core::UpstreamId> upstreams_;
     std::map<core::LinkId, LinkPtr> links_;
     core::LinkId lastLink_ = 0;
+    bool apart_ = false; ///< While the two halves of the world cannot reach each other.
     std::uint64_t lastRequest_ = 0;
     std::map<std::string, Exchange> exchanges_;
     History history_;
