--- /dev/null
+++ b/test/system/promise-traffic.h
@@ -0,0 +1,77 @@
+/// Steady traffic through a fleet, and what the engines' own records say of the load it made.
+#pragma once
+
+#include "system/expect.h"
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <thread>
+
+namespace applehatch::system_test {
+
+/// Milliseconds of the steady clock that the upstreams' records use.
+[[nodiscard]] inline auto steadyMs() -> std::int64_t
+{
+    const auto now = support::Clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+/// Callers that each send one request after the other until told to stop.
+class Traffic
+{
+public:
+    /// The request of one caller's turn, and the number of the router it goes through.
+    using Request = std::function<CallerRequest(std::size_t caller, std::size_t turn)>;
+    using Route = std::function<std::size_t(std::size_t caller, std::size_t turn)>;
+
+    Traffic(Fleet &fleet, Request request, Route route)
+        : fleet_(fleet)
+        , request_(std::move(request))
+        , route_(std::move(route))
+    { }
+    ~Traffic() { finish(); }
+    Traffic(const Traffic &) = delete;
+    auto operator=(const Traffic &) -> Traffic & = delete;
+
+    /// More callers, numbered on from those before.
+    auto add(std::size_t callers) -> void
+    {
+        for (std::size_t count = 0; count < callers; ++count) {
+            threads_.emplace_back([this, caller = threads_.size()] { run(caller); });
+        }
+    }
+
+    /// Waits for the answers under way.
+    auto finish() -> void
+    {
+        done_ = true;
+        threads_.clear();
+    }
+
+    [[nodiscard]] auto history() const -> const History & { return history_; }
+
+private:
+    auto run(std::size_t caller) -> void
+    {
+        constexpr auto backoff = std::chrono::milliseconds(50);
+        for (std::size_t turn = 0; !done_; ++turn) {
+            const auto request = request_(caller, turn);
+            const auto &router = fleet_.router(route_(caller, turn));
+            const auto answer = support::call(router.callers, request);
+            history_.add(request, answer);
+            if (answer.status != 200) {
+                std::this_thread::sleep_for(backoff);
+            }
+        }
+    }
+
+    Fleet &fleet_;
+    Request request_;
+    Route route_;
+    History history_;
+    std::atomic<bool> done_{false};
+    std::list<std::jthread> threads_;
+};
+
+} // namespace applehatch::system_test
