Test that a sidecar which wakes undoes no newer order

Cause: a sidecar stopped by its host wakes with old settings while another gave newer orders. Change: a sidecar is paused for over 3 s, the pool's model changes under a successor, and the first one wakes; with engines that honor fencing and that ignore it. Fleet::setPool changes what the next publish says. Red with rereading, FencingNumbers::observe and the comparison of next off: the engine that ignores fencing was sent back to the old model; the one that honors it refused by itself and stayed green.

--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -112,6 +112,9 @@
     /// Publishes settings without the members named.
     auto publish(const std::vector<std::string> &without = {}) -> void;
 
+    /// Changes what the next `publish` says of each pool.
+    auto setPool(const nlohmann::json &change) -> void { options_.pool.merge_patch(change); }
+
     /// Gives fault orders to an upstream.
     auto control(FleetMember &member, const nlohmann::json &orders) -> void;
 
