Charge hops to the retry budget, and take a full queue for no room

The proof of retries turned red when hops became free: 800 attempts for 203 requests where 228 are allowed, in a pool whose engines hang with their queues full. Cause: the router saw room below the bound although the queue was full. Ruled out: the budget itself. The queue's limit now counts, and a hop is charged to the budget though never denied.

--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -283,11 +283,13 @@
         exchange.redirect = refusal.redirect;
     }
     leaveUpstream(exchange, std::string(answerFor(failure.kind).name));
-    // Going from a full upstream to one that is known to have room adds no load, so it spends
-    // nothing from the budget; else a sudden rush would be refused while upstreams stand idle.
+    // The next try after a full upstream goes where there is room, or asks to wait; it is always
+    // allowed, else a sudden rush would be refused while upstreams stand idle. It is still charged,
+    // so that hops and retries together stay a share of the requests. A mere guess has to pay.
     const auto hops = failure.kind == ErrorKind::Overloaded && !exchange.mayWait
-        && roomElsewhere(exchange) == Room::Known;
-    advance(exchange, redirects || hops ? AttemptCost::Free : AttemptCost::OneRetry);
+        && roomElsewhere(exchange) != Room::Possible;
+    const auto cost = hops ? AttemptCost::Hop : AttemptCost::OneRetry;
+    advance(exchange, redirects ? AttemptCost::Free : cost);
 }
 
 // A sidecar that does not know a request was perhaps never reached by its submit. Revoking that
--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -64,6 +64,8 @@
 auto RouterNode::State::pay(const Exchange &exchange, AttemptCost cost) -> bool
 {
     auto &budget = budgets_[exchange.terms.team + '/' + exchange.terms.pool];
+    if (cost == AttemptCost::Hop)
+        budget.borrow(now_);
     if (cost == AttemptCost::OneRetry && !budget.spend(now_)) {
         ++counts_.retriesDenied;
         return false;
--- a/src/core/router-budget.cc
+++ b/src/core/router-budget.cc
@@ -19,6 +19,12 @@
     tokens_ = std::min(burst, tokens_ + share);
 }
 
+auto RetryBudget::borrow(Instant now) -> void
+{
+    refill(now);
+    tokens_ = std::max(-burst, tokens_ - 1);
+}
+
 auto RetryBudget::spend(Instant now) -> bool
 {
     refill(now);
--- a/src/core/router-budget.h
+++ b/src/core/router-budget.h
@@ -22,6 +22,9 @@
     /// A request arrived; it earns `share` of a retry.
     auto earn(double share, Instant now) -> void;
 
+    /// Takes one retry whether or not one is left; what is owed is paid before the next `spend`.
+    auto borrow(Instant now) -> void;
+
     /// Takes one retry; false when the budget is spent.
     [[nodiscard]] auto spend(Instant now) -> bool;
 
--- a/src/core/router-choice.cc
+++ b/src/core/router-choice.cc
@@ -138,10 +138,14 @@
             || !obstacle(member, true, now_).empty())
             continue;
         const auto entry = loads_.find(member.id, now_);
-        if (!entry)
+        if (!entry) {
             room = Room::Possible;
-        else if (entry->running + entry->waiting
-                 < loadBound(poolLoad, entry->slots, pool.loadMultiple))
+            continue;
+        }
+        // An upstream below its bound still refuses once its queue is full.
+        const auto most = std::min(loadBound(poolLoad, entry->slots, pool.loadMultiple),
+                                   entry->slots + pool.queueLimit);
+        if (entry->running + entry->waiting < most)
             return Room::Known;
     }
     return room;
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -62,6 +62,7 @@
 enum class AttemptCost {
     First,
     Free,     ///< The last one was never sent, or its refusal named where to go.
+    Hop,      ///< After a full upstream; charged, but never denied.
     OneRetry, ///< Any other repetition.
 };
 
--- a/test/core/router-room-test.cc
+++ b/test/core/router-room-test.cc
@@ -25,7 +25,7 @@
 // Thirty callers come to an idle pool at the same moment. Every upstream still believes that the
 // mean is nothing and refuses its second request; were each refusal paid as a retry, most callers
 // would be turned away while upstreams stand idle.
-BOOST_AUTO_TEST_CASE(going_to_an_upstream_with_room_spends_no_retry)
+BOOST_AUTO_TEST_CASE(going_to_an_upstream_with_room_is_never_denied)
 {
     Bench bench;
     bench.upAll();
@@ -73,6 +73,23 @@
     BOOST_TEST(Bench::sent<Submit>(bench.last).at(0).mayWait);
 }
 
+// Every upstream hangs with its slots taken and its queue full, far below a wide bound. Routers
+// that took that for room would try each of them, for nothing, with every request.
+BOOST_AUTO_TEST_CASE(a_full_queue_is_no_room)
+{
+    auto team = *makeSettings(3)->teams.at("ledger");
+    team.pools.at("drafting").loadMultiple = 10;
+    team.pools.at("drafting").queueLimit = 0;
+    auto all = std::make_shared<applehatch::settings::Settings>();
+    all->teams["ledger"] = std::make_shared<const applehatch::settings::Team>(std::move(team));
+    Bench bench(all);
+    bench.upAll();
+    const auto slots = bench.engines()[0].slots;
+    hear(bench, {slots, slots, slots});
+    bench.feed(chatRequest("r1"));
+    BOOST_TEST(Bench::sent<Submit>(bench.last).at(0).mayWait);
+}
+
 // A request that asked to wait and was refused all the same has met a real limit. Only the budget
 // may send it on.
 BOOST_AUTO_TEST_CASE(a_refusal_of_one_that_would_wait_spends_a_retry)
