--- a/test/bench/measures-sampling.cc
+++ b/test/bench/measures-sampling.cc
@@ -152,6 +152,16 @@
     return static_cast<double>(bytes);
 }
 
+/// Bytes of the host list's reads: an unchanged list is answered by its head alone.
+auto hostListBytes(const standin::PlatformCalls &calls, double wholeRead) -> double
+{
+    constexpr double entityTagHeader = 20;
+    constexpr double bareAnswer = 190; // Request, status line and headers without a body.
+    const auto unchanged = static_cast<double>(calls.hostListUnchanged);
+    const auto whole = static_cast<double>(calls.hostList) - unchanged;
+    return whole * wholeRead + unchanged * (bareAnswer + entityTagHeader);
+}
+
 auto label(const std::string &line, const std::string &name) -> std::string
 {
     const auto start = line.find(name + "=\"");
@@ -194,13 +204,12 @@
     for (auto &[name, kinds] : bytes) {
         kinds["settings-read"] = static_cast<double>(calls.settings) * settingsRead / all;
         if (name.starts_with("sidecar")) {
-            kinds["host-list-read"] = static_cast<double>(calls.hostList) * hostRead / sidecars;
+            kinds["host-list-read"] = hostListBytes(calls, hostRead) / sidecars;
         }
     }
     for (auto &router : fleet.routers()) {
         if (const auto found = bytes.find(router.name); found != bytes.end()) {
-            found->second["host-list-read"] =
-                static_cast<double>(router.hostList->calls().hostList) * hostRead;
+            found->second["host-list-read"] = hostListBytes(router.hostList->calls(), hostRead);
         }
     }
 }
--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
@@ -22,7 +23,7 @@
 }
 
 TemporaryFile::TemporaryFile(const std::string &content)
-    : path_("/tmp/applehatch-test-XXXXXX")
+    : path_(std::string(P_tmpdir) + "/applehatch-test-XXXXXX")
 {
     const auto file = ::mkostemp(path_.data(), O_CLOEXEC);
     if (file < 0) {
