--- a/support/run-tests.sh
+++ b/support/run-tests.sh
@@ -6,10 +6,10 @@
 build=$1
 known=$(grep -vE '^\s*(#|$)' KNOWN-RED.txt 2>/dev/null | cut -d'|' -f1 | sed 's/ *$//' | paste -sd'|' - || true)
 if [ -z "$known" ]; then
-  ctest --test-dir "$build" --parallel 4 --timeout 240 --output-on-failure --no-tests=error
+  ctest --test-dir "$build" --parallel 4 --timeout 900 --output-on-failure --no-tests=error
   exit
 fi
 echo "known red, run but passed over:"
 grep -vE '^\s*(#|$)' KNOWN-RED.txt
 ctest --test-dir "$build" --output-on-failure -R "^($known)\$" || echo "known red tests failed as listed"
-ctest --test-dir "$build" --parallel 4 --timeout 240 --output-on-failure --no-tests=error -E "^($known)\$"
+ctest --test-dir "$build" --parallel 4 --timeout 900 --output-on-failure --no-tests=error -E "^($known)\$"
