Make the emulator, the experiments and the schedules packages of their own

Cause: the stand-ins, the fleet harness, the measures and the schedules are tools that operators and developers run, yet stood under test/.

Behaviour is unchanged.

--- a/test/standin/engine-answer.h
+++ b/include/applehatch/emulator/engine-answer.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 /// Ends every whole stream.
 inline constexpr std::string_view streamEnd = "data: [DONE]\n\n";
@@ -40,4 +40,4 @@
     bool stream_ = false;
 };
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/engine-cache.h
+++ b/include/applehatch/emulator/engine-cache.h
@@ -1,7 +1,7 @@
 /// The prefix cache of the engine stand-in, and the late and gappy word about it.
 #pragma once
 
-#include "standin/upstream-server.h"
+#include "applehatch/emulator/upstream-server.h"
 
 #include <deque>
 #include <list>
@@ -9,7 +9,7 @@
 #include <mutex>
 #include <string>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 /// Holds the contexts of a limited number of chats, the least recently used going first.
 /// Thread-safe.
@@ -47,4 +47,4 @@
     std::uint64_t sequence_ = 0;
 };
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/engine.h
+++ b/include/applehatch/emulator/engine.h
@@ -1,16 +1,16 @@
 /// A model engine's stand-in: what docs/protocols.md says of engines, with faults to order.
 #pragma once
 
-#include "standin/engine-answer.h"
-#include "standin/engine-cache.h"
-#include "standin/upstream-server.h"
+#include "applehatch/emulator/engine-answer.h"
+#include "applehatch/emulator/engine-cache.h"
+#include "applehatch/emulator/upstream-server.h"
 
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 /// How one engine behaves.
 struct EngineOptions
@@ -106,4 +106,4 @@
     std::unique_ptr<HttpServer> server_; ///< Last, so that it stops before what it uses.
 };
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/platform.h
+++ b/include/applehatch/emulator/platform.h
@@ -10,7 +10,7 @@
 
 struct mg_connection;
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 enum class Service {
     Settings,
@@ -86,4 +86,4 @@
     std::unique_ptr<State> state_;
 };
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/upstream-main.h
+++ b/include/applehatch/emulator/program.h
@@ -6,7 +6,7 @@
 #include <csignal>
 #include <string>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 /// Blocks SIGTERM and SIGINT for all later threads, so that one thread can wait for them.
 class StopSignals
@@ -25,4 +25,4 @@
 /// Prints `ready ip:port`, for whoever started the process.
 auto announce(const core::Address &address) -> void;
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/service.h
+++ b/include/applehatch/emulator/service.h
@@ -1,13 +1,13 @@
 /// A plain service's stand-in: counts what it was asked to do, with faults to order.
 #pragma once
 
-#include "standin/service-answer.h"
-#include "standin/upstream-server.h"
+#include "applehatch/emulator/service-answer.h"
+#include "applehatch/emulator/upstream-server.h"
 
 #include <memory>
 #include <string>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 /// How one service behaves.
 struct PlainServiceOptions
@@ -41,4 +41,4 @@
     std::unique_ptr<HttpServer> server_; ///< Last, so that it stops before what it uses.
 };
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/tree.h
+++ b/include/applehatch/emulator/tree.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 /// The whole tree at one index.
 struct Snapshot
@@ -43,4 +43,4 @@
 /// The answer of a recursive read, values in base64.
 [[nodiscard]] auto snapshotJson(const Snapshot &snapshot) -> std::string;
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/upstream-server.h
+++ b/include/applehatch/emulator/upstream-server.h
@@ -18,7 +18,7 @@
 #include <string_view>
 #include <vector>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
@@ -151,4 +151,4 @@
 /// 16 hexadecimal digits.
 [[nodiscard]] auto hex(std::uint64_t value) -> std::string;
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/support/caller.h
+++ b/include/applehatch/experiment/caller.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "applehatch/core/message.h"
-#include "support/socket.h"
+#include "applehatch/experiment/socket.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 /// One request to a router.
 struct CallerRequest
@@ -105,4 +105,4 @@
 /// True when `stream` ends with the engines' end marker.
 [[nodiscard]] auto streamIsWhole(const std::string &stream) -> bool;
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/support/eventually.h
+++ b/include/applehatch/experiment/eventually.h
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <thread>
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
@@ -27,4 +27,4 @@
     return true;
 }
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/support/fleet.h
+++ b/include/applehatch/experiment/fleet.h
@@ -1,10 +1,10 @@
 /// Routers, sidecars and stand-ins as real processes on loopback.
 #pragma once
 
-#include "standin/platform.h"
-#include "support/caller.h"
-#include "support/process.h"
-#include "support/relay.h"
+#include "applehatch/emulator/platform.h"
+#include "applehatch/experiment/caller.h"
+#include "applehatch/experiment/process.h"
+#include "applehatch/experiment/relay.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 /// What to start.
 struct FleetOptions
@@ -60,7 +60,7 @@
     core::Address listens;
     core::Address admin;
     std::unique_ptr<Relay> relay;
-    std::unique_ptr<standin::Platform> hostList; ///< Only with `ownHostLists`.
+    std::unique_ptr<emulator::Platform> hostList; ///< Only with `ownHostLists`.
     std::unique_ptr<TemporaryFile> config;
     std::unique_ptr<Process> process;
 };
@@ -97,7 +97,7 @@
     [[nodiscard]] auto engine(std::size_t number) -> FleetMember &;
     [[nodiscard]] auto service(std::size_t number) -> FleetMember &;
     [[nodiscard]] auto members() -> std::vector<FleetMember> & { return members_; }
-    [[nodiscard]] auto platform() -> standin::Platform & { return *platform_; }
+    [[nodiscard]] auto platform() -> emulator::Platform & { return *platform_; }
 
     /// A chat request of `tokens` tokens as a caller sends it; `mark` makes its body its own.
     [[nodiscard]] auto chat(const std::string &mark, std::size_t tokens, bool stream = true) const
@@ -150,9 +150,9 @@
 
     FleetOptions options_;
     std::string network_; ///< The first two numbers of every address.
-    std::unique_ptr<standin::Platform> platform_;
+    std::unique_ptr<emulator::Platform> platform_;
     std::vector<FleetMember> members_;
     std::vector<FleetRouter> routers_;
 };
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/support/process.h
+++ b/include/applehatch/experiment/process.h
@@ -1,7 +1,7 @@
 /// Child processes of tests, ended with the object that started them.
 #pragma once
 
-#include "support/eventually.h"
+#include "applehatch/experiment/eventually.h"
 
 #include <sys/types.h>
 
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 /// Where the build puts programs.
 [[nodiscard]] auto programPath(const std::string &name) -> std::string;
@@ -76,4 +76,4 @@
     std::optional<ExitStatus> status_;
 };
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/support/relay.h
+++ b/include/applehatch/experiment/relay.h
@@ -1,7 +1,7 @@
 /// A TCP relay that spoils connections on order.
 #pragma once
 
-#include "support/socket.h"
+#include "applehatch/experiment/socket.h"
 
 #include <deque>
 #include <list>
@@ -9,7 +9,7 @@
 #include <mutex>
 #include <thread>
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 /// Stands between two processes on one hop. Thread-safe.
 class Relay
@@ -74,4 +74,4 @@
     std::thread thread_;
 };
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/support/socket.h
+++ b/include/applehatch/experiment/socket.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "applehatch/core/identity.h"
-#include "support/eventually.h"
+#include "applehatch/experiment/eventually.h"
 
 #include <atomic>
 #include <functional>
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <thread>
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 /// One end of a TCP connection. Receiving and sending may be on two threads.
 class Socket
@@ -97,4 +97,4 @@
     std::thread acceptor_;
 };
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/schedule/kinds.h
+++ b/include/applehatch/schedule/kinds.h
@@ -1,7 +1,7 @@
 /// The kinds of failure that schedules are drawn for.
 #pragma once
 
-#include "schedule/world.h"
+#include "applehatch/schedule/world.h"
 
 #include <optional>
 #include <string_view>
--- a/test/schedule/world.h
+++ b/include/applehatch/schedule/world.h
@@ -1,7 +1,7 @@
 /// A few decision nodes, joined by queues that deliver late, twice, crossed or never.
 #pragma once
 
-#include "schedule/history.h"
+#include "applehatch/schedule/history.h"
 
 #include "applehatch/core/router-node.h"
 #include "applehatch/core/sidecar-node.h"
--- a/test/bench/slopes-fleet.cc
+++ b/src/bench/slopes-fleet.cc
@@ -1,7 +1,7 @@
 /// Prints what real processes cost as JSON lines: idle fleets by size, and one router that relays
 /// ever more streams. Processor time and resident memory from `/proc`, bytes from `/metrics`.
+#include "applehatch/experiment/fleet.h"
 #include "slopes.h"
-#include "support/fleet.h"
 
 #include <poll.h>
 #include <unistd.h>
@@ -19,9 +19,9 @@
 using namespace applehatch;
 using namespace std::chrono_literals;
 using bench::Point;
-using support::CallerConnection;
-using support::Clock;
-using support::Fleet;
+using experiment::CallerConnection;
+using experiment::Clock;
+using experiment::Fleet;
 
 constexpr auto idleWindow = 10s;
 constexpr auto relayWindow = 8s;
@@ -64,7 +64,7 @@
 
 auto controlBytes(const core::Address &admin) -> double
 {
-    std::istringstream lines(support::get(admin, "/metrics").body);
+    std::istringstream lines(experiment::get(admin, "/metrics").body);
     double bytes = 0;
     for (std::string line; std::getline(lines, line);) {
         if (line.starts_with("applehatch_traffic_bytes_total")
@@ -74,7 +74,7 @@
     return bytes;
 }
 
-auto usageOf(const support::Process &process, const core::Address &admin) -> Usage
+auto usageOf(const experiment::Process &process, const core::Address &admin) -> Usage
 {
     const auto control = controlBytes(admin);
     return {processorSeconds(process.id()), residentBytes(process.id()), control};
@@ -118,7 +118,7 @@
 
 auto idle(std::size_t engines) -> FleetUsage
 {
-    support::FleetOptions options;
+    experiment::FleetOptions options;
     options.engines = engines;
     options.routers = 2;
     Fleet fleet(options);
@@ -147,7 +147,7 @@
             auto once = false;
             const auto &answer =
                 stream->connection.read([&once](const auto &) { return std::exchange(once, true); },
-                                        support::milliseconds(0));
+                                        experiment::milliseconds(0));
             auto at = answer.body.find(eventStart, stream->parsed);
             for (; at != std::string::npos; at = answer.body.find(eventStart, stream->parsed)) {
                 ++tokens;
@@ -161,7 +161,7 @@
 auto relay(std::size_t count, double rate) -> FleetUsage
 {
     constexpr std::size_t engines = 6;
-    support::FleetOptions options;
+    experiment::FleetOptions options;
     options.engines = engines;
     options.slots = static_cast<std::uint32_t>(count);
     options.tokensPerSecond = rate;
--- a/test/bench/slopes-platform.cc
+++ b/src/bench/slopes-platform.cc
@@ -1,8 +1,8 @@
 // What the platform publishes, read by the real clients: each read of the host list and the tree.
+#include "applehatch/emulator/platform.h"
+#include "applehatch/experiment/caller.h"
 #include "applehatch/platform/settings-client.h"
 #include "slopes.h"
-#include "standin/platform.h"
-#include "support/caller.h"
 
 #include <ctime>
 
@@ -16,7 +16,7 @@
 constexpr double hostsAtFull = 390 + 730;
 constexpr int reads = 20;
 
-auto publish(standin::Platform &platform, std::size_t hosts) -> void
+auto publish(emulator::Platform &platform, std::size_t hosts) -> void
 {
     for (std::size_t i = 0; i < hosts; ++i)
         platform.setHost("10.1." + std::to_string(i / 250) + '.' + std::to_string(i % 250 + 1),
@@ -32,15 +32,15 @@
 
 auto listBytes(std::size_t hosts) -> double
 {
-    standin::Platform platform;
+    emulator::Platform platform;
     publish(platform, hosts);
-    return static_cast<double>(support::get(platform.address(), "/v1/hosts").body.size());
+    return static_cast<double>(experiment::get(platform.address(), "/v1/hosts").body.size());
 }
 
 /// Of the reading thread alone: the server runs in this process too.
 auto listCost(std::size_t hosts) -> double
 {
-    standin::Platform platform;
+    emulator::Platform platform;
     publish(platform, hosts);
     const platform::HostListClient client(platform.address());
     core::HostList list;
--- a/test/standin/engine-answer.cc
+++ b/src/emulator/engine-answer.cc
@@ -1,11 +1,11 @@
-#include "standin/engine-answer.h"
+#include "applehatch/emulator/engine-answer.h"
 
 #include "applehatch/core/identity.h"
-#include "standin/upstream-server.h"
+#include "applehatch/emulator/upstream-server.h"
 
 #include <nlohmann/json.hpp>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 namespace {
 
@@ -62,4 +62,4 @@
     return document.dump();
 }
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/engine-cache.cc
+++ b/src/emulator/engine-cache.cc
@@ -1,6 +1,6 @@
-#include "standin/engine-cache.h"
+#include "applehatch/emulator/engine-cache.h"
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 EngineCache::EngineCache(std::size_t chats, milliseconds eventDelay, std::uint64_t gapEvery)
     : chats_(chats)
@@ -64,4 +64,4 @@
     return {{"next", next}, {"gap", gap}, {"events", list}};
 }
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/engine-main.cc
+++ b/src/emulator/engine-main.cc
@@ -1,6 +1,6 @@
 /// The engine's stand-in as a process.
-#include "standin/engine.h"
-#include "standin/upstream-main.h"
+#include "applehatch/emulator/engine.h"
+#include "applehatch/emulator/program.h"
 
 #include <gflags/gflags.h>
 
@@ -22,7 +22,7 @@
 
 namespace {
 
-using namespace applehatch::standin;
+using namespace applehatch::emulator;
 
 auto optionsFromFlags() -> EngineOptions
 {
--- a/test/standin/engine.cc
+++ b/src/emulator/engine.cc
@@ -1,9 +1,9 @@
-#include "standin/engine.h"
+#include "applehatch/emulator/engine.h"
 
 #include <algorithm>
 #include <random>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 namespace {
 
@@ -365,4 +365,4 @@
     }
 }
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/platform-main.cc
+++ b/src/emulator/platform-main.cc
@@ -1,5 +1,5 @@
 /// The stand-in platform as a program, for tests with real processes.
-#include "standin/platform.h"
+#include "applehatch/emulator/platform.h"
 
 #include <gflags/gflags.h>
 
@@ -21,7 +21,7 @@
 
 auto main(int argc, char **argv) -> int
 {
-    using applehatch::standin::Platform;
+    using applehatch::emulator::Platform;
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::signal(SIGTERM, [](int) { stopRequested = 1; });
     std::signal(SIGINT, [](int) { stopRequested = 1; });
--- a/test/standin/platform.cc
+++ b/src/emulator/platform.cc
@@ -1,6 +1,6 @@
-#include "standin/platform.h"
+#include "applehatch/emulator/platform.h"
 
-#include "standin/tree.h"
+#include "applehatch/emulator/tree.h"
 
 #include <civetweb.h>
 #include <nlohmann/json.hpp>
@@ -22,7 +22,7 @@
 #include <stop_token>
 #include <thread>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 namespace {
 
@@ -466,4 +466,4 @@
     return changes;
 }
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/upstream-main.cc
+++ b/src/emulator/program.cc
@@ -1,9 +1,9 @@
-#include "standin/upstream-main.h"
+#include "applehatch/emulator/program.h"
 
 #include <cstdio>
 #include <cstdlib>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 StopSignals::StopSignals()
 {
@@ -38,4 +38,4 @@
     std::fflush(stdout);
 }
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/service-main.cc
+++ b/src/emulator/service-main.cc
@@ -1,6 +1,6 @@
 /// The plain service's stand-in as a process.
-#include "standin/service.h"
-#include "standin/upstream-main.h"
+#include "applehatch/emulator/program.h"
+#include "applehatch/emulator/service.h"
 
 #include <gflags/gflags.h>
 
@@ -13,7 +13,7 @@
 
 auto main(int argc, char **argv) -> int
 {
-    using namespace applehatch::standin;
+    using namespace applehatch::emulator;
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const StopSignals signals;
     PlainServiceOptions options;
--- a/test/standin/service.cc
+++ b/src/emulator/service.cc
@@ -1,8 +1,8 @@
-#include "standin/service.h"
+#include "applehatch/emulator/service.h"
 
 #include <random>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 auto serviceAnswer(const std::string &method, const std::string &path, const std::string &body,
                    std::size_t pad) -> std::string
@@ -77,4 +77,4 @@
     return early ? "ended-early" : "whole";
 }
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/tree.cc
+++ b/src/emulator/tree.cc
@@ -1,10 +1,10 @@
-#include "standin/tree.h"
+#include "applehatch/emulator/tree.h"
 
 #include <nlohmann/json.hpp>
 
 #include <iterator>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 namespace {
 
@@ -72,4 +72,4 @@
     return rows.dump();
 }
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/standin/upstream-server.cc
+++ b/src/emulator/upstream-server.cc
@@ -1,4 +1,4 @@
-#include "standin/upstream-server.h"
+#include "applehatch/emulator/upstream-server.h"
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -9,7 +9,7 @@
 #include <stdexcept>
 #include <thread>
 
-namespace applehatch::standin {
+namespace applehatch::emulator {
 
 namespace {
 
@@ -294,4 +294,4 @@
     return text;
 }
 
-} // namespace applehatch::standin
+} // namespace applehatch::emulator
--- a/test/support/caller.cc
+++ b/src/experiment/caller.cc
@@ -1,10 +1,10 @@
-#include "support/caller.h"
+#include "applehatch/experiment/caller.h"
 
 #include <algorithm>
 #include <cctype>
 #include <sstream>
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 namespace {
 
@@ -222,4 +222,4 @@
     return stream.ends_with("data: [DONE]\n\n");
 }
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/support/fleet.cc
+++ b/src/experiment/fleet.cc
@@ -1,6 +1,6 @@
-#include "support/fleet.h"
+#include "applehatch/experiment/fleet.h"
 
-#include "standin/upstream-server.h"
+#include "applehatch/emulator/upstream-server.h"
 
 #include <unistd.h>
 
@@ -9,7 +9,7 @@
 #include <sstream>
 #include <stdexcept>
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 namespace {
 
@@ -61,7 +61,7 @@
 Fleet::Fleet(FleetOptions options)
     : options_(std::move(options))
     , network_(nextNetwork())
-    , platform_(std::make_unique<standin::Platform>(core::Address{network_ + ".4.1", 0}))
+    , platform_(std::make_unique<emulator::Platform>(core::Address{network_ + ".4.1", 0}))
 {
     for (std::size_t number = 0; number < options_.engines; ++number) {
         addMember(enginePool, number);
@@ -131,7 +131,7 @@
     }
     router.callers = front(router.relay, router.listens);
     if (options_.ownHostLists) {
-        router.hostList = std::make_unique<standin::Platform>(
+        router.hostList = std::make_unique<emulator::Platform>(
             core::Address{network_ + ".4." + std::to_string(number + 2), 0});
         for (const auto &member : members_) {
             router.hostList->setHost(member.ip, core::HostState::Live);
@@ -165,7 +165,7 @@
 {
     const auto isEngine = member.pool == enginePool;
     std::vector<std::string> command = {
-        programPath(isEngine ? "standin-engine" : "standin-service"),
+        programPath(isEngine ? "emulated-engine" : "emulated-service"),
         "--listen",
         text(member.upstreamAt),
         "--log",
@@ -358,7 +358,7 @@
 auto Fleet::runsOf(const CallerRequest &request) const -> std::vector<RunEntry>
 {
     auto entries = runs();
-    const auto hash = standin::hex(core::stableHash(request.body));
+    const auto hash = emulator::hex(core::stableHash(request.body));
     std::erase_if(entries, [&](const RunEntry &entry) {
         return entry.operation != "start" || entry.bodyHash != hash;
     });
@@ -377,4 +377,4 @@
     return all;
 }
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/bench/measures.cc
+++ b/src/experiment/measures-main.cc
@@ -1,7 +1,7 @@
 /// The three measures (cache reuse, skew, control traffic) on the real programs on loopback.
 #include "measures-report.h"
 
-#include "standin/upstream-server.h"
+#include "applehatch/emulator/upstream-server.h"
 
 #include <gflags/gflags.h>
 
@@ -19,8 +19,8 @@
 namespace {
 
 using namespace applehatch;
-using namespace measures;
-using support::Clock;
+using namespace experiment;
+using experiment::Clock;
 
 constexpr std::chrono::seconds warmUp{3};
 
@@ -42,9 +42,9 @@
             {"default", "default", true, 4.0}};
 }
 
-auto fleetOptions(const Deployment &deployment, const Variant &variant) -> support::FleetOptions
+auto fleetOptions(const Deployment &deployment, const Variant &variant) -> experiment::FleetOptions
 {
-    support::FleetOptions options;
+    experiment::FleetOptions options;
     options.engines = deployment.engines;
     options.services = deployment.services;
     options.routers = deployment.routers;
@@ -61,7 +61,7 @@
     return options;
 }
 
-auto writeLogs(const support::Fleet &fleet, const Reuse &reuse) -> void
+auto writeLogs(const experiment::Fleet &fleet, const Reuse &reuse) -> void
 {
     if (FLAGS_logs.empty()) {
         return;
@@ -80,7 +80,7 @@
     }
     const milliseconds length = std::chrono::seconds(FLAGS_seconds);
     const auto chats = planChats(deployment, length, FLAGS_seed);
-    support::Fleet fleet(fleetOptions(deployment, variant));
+    experiment::Fleet fleet(fleetOptions(deployment, variant));
     Churn churn(fleet, length, FLAGS_seed);
     const auto begin = Clock::now();
     churn.start();
@@ -96,7 +96,7 @@
     scraper.join();
     const auto live = churn.finish();
     const auto events = readEvents(fleet);
-    const Window window{standin::clockMs(begin + warmUp), standin::clockMs(begin + length)};
+    const Window window{emulator::clockMs(begin + warmUp), emulator::clockMs(begin + length)};
     Result result;
     result.variant = variant;
     result.deployment = deployment.name;
--- a/test/bench/measures-report.cc
+++ b/src/experiment/measures-report.cc
@@ -3,7 +3,7 @@
 #include <array>
 #include <cstdio>
 
-namespace applehatch::measures {
+namespace applehatch::experiment {
 
 namespace {
 
@@ -109,4 +109,4 @@
     return text;
 }
 
-} // namespace applehatch::measures
+} // namespace applehatch::experiment
--- a/test/bench/measures-report.h
+++ b/src/experiment/measures-report.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace applehatch::measures {
+namespace applehatch::experiment {
 
 /// One way to route the same workload.
 struct Variant
@@ -35,4 +35,4 @@
 /// A Markdown table of all variants, and one of the first variant's control traffic by kind.
 [[nodiscard]] auto table(const std::vector<Result> &results) -> std::string;
 
-} // namespace applehatch::measures
+} // namespace applehatch::experiment
--- a/test/bench/measures-sampling.h
+++ b/src/experiment/measures-sampling.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace applehatch::measures {
+namespace applehatch::experiment {
 
 /// One line of an engine's record.
 struct EngineEvent
@@ -24,7 +24,7 @@
 /// By the engine's name, oldest first.
 using EngineEvents = std::map<std::string, std::vector<EngineEvent>>;
 
-[[nodiscard]] auto readEvents(support::Fleet &fleet) -> EngineEvents;
+[[nodiscard]] auto readEvents(experiment::Fleet &fleet) -> EngineEvents;
 
 /// How often returning chats found their context.
 struct Reuse
@@ -70,7 +70,7 @@
 
 /// Counters of all processes that answer; datagrams with their UDP and IP headers, reads of host
 /// list and settings as calls times the size of one.
-[[nodiscard]] auto readControl(support::Fleet &fleet) -> ControlBytes;
+[[nodiscard]] auto readControl(experiment::Fleet &fleet) -> ControlBytes;
 
 /// Bytes a second.
 struct Rate
@@ -89,4 +89,4 @@
 /// The value below which `share` of them lie; 0 without any.
 [[nodiscard]] auto quantile(std::vector<double> values, double share) -> double;
 
-} // namespace applehatch::measures
+} // namespace applehatch::experiment
--- a/test/bench/measures-workload.h
+++ b/src/experiment/measures-workload.h
@@ -1,7 +1,7 @@
 /// Returning chats with one seed, driven at the routers of a fleet.
 #pragma once
 
-#include "support/fleet.h"
+#include "applehatch/experiment/fleet.h"
 
 #include <nlohmann/json.hpp>
 
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace applehatch::measures {
+namespace applehatch::experiment {
 
 using std::chrono::milliseconds;
 
@@ -65,8 +65,8 @@
 };
 
 /// Drives all chats and gives every turn once they are over or `length` has passed.
-[[nodiscard]] auto driveChats(support::Fleet &fleet, const Deployment &deployment,
+[[nodiscard]] auto driveChats(experiment::Fleet &fleet, const Deployment &deployment,
                               const std::vector<ChatPlan> &chats, milliseconds length,
                               bool echoToken) -> std::vector<Turn>;
 
-} // namespace applehatch::measures
+} // namespace applehatch::experiment
--- a/test/support/process.cc
+++ b/src/experiment/process.cc
@@ -1,4 +1,4 @@
-#include "support/process.h"
+#include "applehatch/experiment/process.h"
 
 #include <fcntl.h>
 #include <spawn.h>
@@ -15,7 +15,7 @@
 
 extern char **environ;
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 auto programPath(const std::string &name) -> std::string
 {
@@ -143,4 +143,4 @@
     return rest;
 }
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/support/relay.cc
+++ b/src/experiment/relay.cc
@@ -1,4 +1,4 @@
-#include "support/relay.h"
+#include "applehatch/experiment/relay.h"
 
 #include <poll.h>
 #include <sys/socket.h>
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <vector>
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 namespace {
 
@@ -154,4 +154,4 @@
     }
 }
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/support/socket.cc
+++ b/src/experiment/socket.cc
@@ -1,4 +1,4 @@
-#include "support/socket.h"
+#include "applehatch/experiment/socket.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -13,7 +13,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace applehatch::support {
+namespace applehatch::experiment {
 
 namespace {
 
@@ -214,4 +214,4 @@
     }
 }
 
-} // namespace applehatch::support
+} // namespace applehatch::experiment
--- a/test/schedule/history.cc
+++ b/src/schedule/history.cc
@@ -1,4 +1,4 @@
-#include "schedule/history.h"
+#include "applehatch/schedule/history.h"
 
 #include <map>
 
--- a/test/schedule/schedule-run.cc
+++ b/src/schedule/schedule-run.cc
@@ -1,5 +1,5 @@
 // Runs many random schedules, or one again: schedule-run KIND FIRST_SEED COUNT
-#include "schedule/kinds.h"
+#include "applehatch/schedule/kinds.h"
 
 #include <atomic>
 #include <cstdlib>
--- a/test/schedule/world-impl.h
+++ b/src/schedule/world-impl.h
@@ -1,7 +1,7 @@
 /// The state behind `World`; included by its sources only.
 #pragma once
 
-#include "schedule/world.h"
+#include "applehatch/schedule/world.h"
 
 namespace applehatch::schedule {
 
--- a/test/schedule/world.cc
+++ b/src/schedule/world.cc
@@ -1,4 +1,4 @@
-#include "schedule/world-impl.h"
+#include "world-impl.h"
 
 #include <algorithm>
 
--- a/support/package.cmake
+++ b/support/package.cmake
@@ -3,7 +3,7 @@
 function(applehatch_package name)
   cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/*.cc)
-  list(FILTER sources EXCLUDE REGEX "/main\\.cc$")
+  list(FILTER sources EXCLUDE REGEX "[-/](main|run|bench)\\.cc$")
   add_library(applehatch-${name} STATIC ${sources})
   target_include_directories(applehatch-${name} PUBLIC ${PROJECT_SOURCE_DIR}/include)
   target_compile_options(applehatch-${name} PRIVATE -Wall -Wextra -Wshadow -Werror)
@@ -19,6 +19,15 @@
   target_link_libraries(applehatch-${name}-program PRIVATE applehatch-${name})
 endfunction()
 
+# A tool that comes with the sources and is not part of the product.
+function(applehatch_tool name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+  target_compile_options(${name} PRIVATE -Wall -Wextra -Wshadow -Werror)
+  target_link_libraries(${name} PRIVATE ${ARG_LINK})
+endfunction()
+
 # The Boost.Test cases of test/NAME/*-test.cc as one ctest entry.
 function(applehatch_tests name)
   cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
--- a/test/schedule/schedule-test.cc
+++ b/test/schedule/schedule-test.cc
@@ -1,4 +1,4 @@
-#include "schedule/kinds.h"
+#include "applehatch/schedule/kinds.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string_view>
