--- a/src/experiment/measures-churn.cc
+++ b/src/experiment/measures-churn.cc
@@ -12,8 +12,6 @@
 namespace {
 
 using core::HostState;
-using experiment::Clock;
-using experiment::FleetMember;
 using std::chrono::milliseconds;
 
 constexpr auto forGood = std::numeric_limits<std::int64_t>::max();
@@ -32,12 +30,12 @@
 
 } // namespace
 
-Churn::Churn(experiment::Fleet &fleet, milliseconds length, std::uint64_t seed)
+Churn::Churn(Fleet &fleet, milliseconds length, std::uint64_t seed)
     : fleet_(fleet)
     , length_(length)
 {
     for (const auto &member : fleet.members()) {
-        if (member.pool == experiment::Fleet::enginePool) {
+        if (member.pool == Fleet::enginePool) {
             order_.push_back(order_.size());
             spans_[member.name].push_back({0, forGood});
         }
@@ -162,9 +160,9 @@
 auto Churn::awaitReady(FleetMember &member) -> void
 {
     const auto ready = [&] {
-        return experiment::get(member.admin, "/health/ready", milliseconds(1000)).status == 200;
+        return get(member.admin, "/health/ready", milliseconds(1000)).status == 200;
     };
-    if (experiment::eventually(ready)) {
+    if (eventually(ready)) {
         setLive(member, true);
     }
 }
--- a/src/experiment/measures-churn.h
+++ b/src/experiment/measures-churn.h
@@ -25,7 +25,7 @@
 class Churn
 {
 public:
-    Churn(experiment::Fleet &fleet, std::chrono::milliseconds length, std::uint64_t seed);
+    Churn(Fleet &fleet, std::chrono::milliseconds length, std::uint64_t seed);
 
     /// Starts to act, each action at its time.
     auto start() -> void;
@@ -34,22 +34,22 @@
     [[nodiscard]] auto finish() -> LiveSpans;
 
 private:
-    using Action = void (Churn::*)(experiment::FleetMember &);
+    using Action = void (Churn::*)(FleetMember &);
 
     auto at(double share, std::size_t place, Action action) -> void;
-    auto leaveAndJoin(experiment::FleetMember &member) -> void;
-    auto restartSidecar(experiment::FleetMember &member) -> void;
-    auto crashEngine(experiment::FleetMember &member) -> void;
-    auto differHostLists(experiment::FleetMember &member) -> void;
-    auto flapHostLists(experiment::FleetMember &member) -> void;
+    auto leaveAndJoin(FleetMember &member) -> void;
+    auto restartSidecar(FleetMember &member) -> void;
+    auto crashEngine(FleetMember &member) -> void;
+    auto differHostLists(FleetMember &member) -> void;
+    auto flapHostLists(FleetMember &member) -> void;
 
-    auto setLive(const experiment::FleetMember &member, bool live) -> void;
-    auto awaitReady(experiment::FleetMember &member) -> void;
+    auto setLive(const FleetMember &member, bool live) -> void;
+    auto awaitReady(FleetMember &member) -> void;
 
-    experiment::Fleet &fleet_;
+    Fleet &fleet_;
     std::chrono::milliseconds length_;
     std::vector<std::size_t> order_; ///< Engines, shuffled by the seed.
-    experiment::Clock::time_point begin_;
+    Clock::time_point begin_;
     std::vector<std::jthread> actions_;
     std::mutex mutex_;
     LiveSpans spans_;
--- a/src/experiment/measures-main.cc
+++ b/src/experiment/measures-main.cc
@@ -20,7 +20,6 @@
 
 using namespace applehatch;
 using namespace experiment;
-using experiment::Clock;
 
 constexpr std::chrono::seconds warmUp{3};
 
@@ -42,9 +41,9 @@
             {"default", "default", true, 4.0}};
 }
 
-auto fleetOptions(const Deployment &deployment, const Variant &variant) -> experiment::FleetOptions
+auto fleetOptions(const Deployment &deployment, const Variant &variant) -> FleetOptions
 {
-    experiment::FleetOptions options;
+    FleetOptions options;
     options.engines = deployment.engines;
     options.services = deployment.services;
     options.routers = deployment.routers;
@@ -61,7 +60,7 @@
     return options;
 }
 
-auto writeLogs(const experiment::Fleet &fleet, const Reuse &reuse) -> void
+auto writeLogs(const Fleet &fleet, const Reuse &reuse) -> void
 {
     if (FLAGS_logs.empty()) {
         return;
@@ -80,7 +79,7 @@
     }
     const milliseconds length = std::chrono::seconds(FLAGS_seconds);
     const auto chats = planChats(deployment, length, FLAGS_seed);
-    experiment::Fleet fleet(fleetOptions(deployment, variant));
+    Fleet fleet(fleetOptions(deployment, variant));
     Churn churn(fleet, length, FLAGS_seed);
     const auto begin = Clock::now();
     churn.start();
--- a/src/experiment/measures-sampling.cc
+++ b/src/experiment/measures-sampling.cc
@@ -144,7 +144,7 @@
 auto bytesOfRead(const core::Address &server, const std::string &path) -> double
 {
     constexpr std::size_t requestAndStatus = 120;
-    const auto answer = experiment::get(server, path);
+    const auto answer = get(server, path);
     auto bytes = requestAndStatus + path.size() + answer.body.size();
     for (const auto &[name, value] : answer.headers) {
         bytes += name.size() + value.size() + 4;
@@ -176,7 +176,7 @@
 {
     constexpr double datagramHeaders = 28;
     std::map<std::string, double> kinds;
-    std::istringstream lines(experiment::get(admin, "/metrics").body);
+    std::istringstream lines(get(admin, "/metrics").body);
     std::string line;
     while (std::getline(lines, line)) {
         if (label(line, "class") != "control") {
@@ -194,7 +194,7 @@
 }
 
 /// Calls of the platform's services, as bytes of each process that calls them.
-auto addReads(experiment::Fleet &fleet, ControlBytes &bytes) -> void
+auto addReads(Fleet &fleet, ControlBytes &bytes) -> void
 {
     const auto hostRead = bytesOfRead(fleet.platform().address(), "/v1/hosts");
     const auto settingsRead = bytesOfRead(fleet.platform().address(), "/v1/kv/teams/?recurse=true");
@@ -226,11 +226,11 @@
     return returns == 0 ? 0 : static_cast<double>(found) / static_cast<double>(returns);
 }
 
-auto readEvents(experiment::Fleet &fleet) -> EngineEvents
+auto readEvents(Fleet &fleet) -> EngineEvents
 {
     EngineEvents events;
     for (const auto &member : fleet.members()) {
-        if (member.pool != experiment::Fleet::enginePool) {
+        if (member.pool != Fleet::enginePool) {
             continue;
         }
         auto &list = events[member.name];
@@ -298,7 +298,7 @@
     return skew;
 }
 
-auto readControl(experiment::Fleet &fleet) -> ControlBytes
+auto readControl(Fleet &fleet) -> ControlBytes
 {
     ControlBytes bytes;
     for (const auto &member : fleet.members()) {
--- a/src/experiment/measures-sampling.h
+++ b/src/experiment/measures-sampling.h
@@ -24,7 +24,7 @@
 /// By the engine's name, oldest first.
 using EngineEvents = std::map<std::string, std::vector<EngineEvent>>;
 
-[[nodiscard]] auto readEvents(experiment::Fleet &fleet) -> EngineEvents;
+[[nodiscard]] auto readEvents(Fleet &fleet) -> EngineEvents;
 
 /// How often returning chats found their context.
 struct Reuse
@@ -70,7 +70,7 @@
 
 /// Counters of all processes that answer; datagrams with their UDP and IP headers, reads of host
 /// list and settings as calls times the size of one.
-[[nodiscard]] auto readControl(experiment::Fleet &fleet) -> ControlBytes;
+[[nodiscard]] auto readControl(Fleet &fleet) -> ControlBytes;
 
 /// Bytes a second.
 struct Rate
--- a/src/experiment/measures-workload.cc
+++ b/src/experiment/measures-workload.cc
@@ -14,7 +14,6 @@
 
 namespace {
 
-using experiment::Clock;
 using nlohmann::json;
 
 constexpr milliseconds shortestPause{300};
@@ -156,7 +155,7 @@
     return emulator::clockMs(Clock::now());
 }
 
-auto retryAfter(const experiment::CallerAnswer &answer) -> milliseconds
+auto retryAfter(const CallerAnswer &answer) -> milliseconds
 {
     const auto seconds = std::atoi(answer.header("Retry-After").c_str());
     return std::clamp(milliseconds(std::chrono::seconds(seconds)), shortestRetry, longestRetry);
@@ -166,8 +165,8 @@
 class ChatCaller
 {
 public:
-    ChatCaller(experiment::Fleet &fleet, const Deployment &deployment, const ChatPlan &plan,
-               bool echoToken, Clock::time_point end)
+    ChatCaller(Fleet &fleet, const Deployment &deployment, const ChatPlan &plan, bool echoToken,
+               Clock::time_point end)
         : fleet_(fleet)
         , deployment_(deployment)
         , plan_(plan)
@@ -195,13 +194,12 @@
     }
 
 private:
-    auto request(std::size_t number) const -> experiment::CallerRequest
+    auto request(std::size_t number) const -> CallerRequest
     {
         const auto mark = plan_.name + " turn " + std::to_string(number) + " "
             + std::string(deployment_.contextBytes, 'x');
         auto request = fleet_.chat(mark, deployment_.tokens);
-        request.headers.front().second =
-            std::string(experiment::Fleet::team) + "/" + plan_.customer;
+        request.headers.front().second = std::string(Fleet::team) + "/" + plan_.customer;
         request.headers.emplace_back("Applehatch-Chat", plan_.name);
         if (echoToken_ && !token_.empty()) {
             request.headers.emplace_back("Applehatch-Context", token_);
@@ -222,13 +220,13 @@
         return turn;
     }
 
-    auto sendOnce(const experiment::CallerRequest &asked, Turn &turn) -> void
+    auto sendOnce(const CallerRequest &asked, Turn &turn) -> void
     {
         const auto &router = fleet_.router(random_() % fleet_.routers().size());
         turn.sentMs = nowMs();
-        const auto answer = experiment::call(router.callers, asked, answerLimit);
+        const auto answer = call(router.callers, asked, answerLimit);
         constexpr int ok = 200;
-        if (answer.status == ok && experiment::streamIsWhole(answer.streamData())) {
+        if (answer.status == ok && streamIsWhole(answer.streamData())) {
             turn.answered = true;
             turn.request = answer.header("Applehatch-Request");
             turn.warm = answer.header("Applehatch-Cache") == "warm";
@@ -240,7 +238,7 @@
         std::this_thread::sleep_for(retryAfter(answer));
     }
 
-    experiment::Fleet &fleet_;
+    Fleet &fleet_;
     const Deployment &deployment_;
     const ChatPlan &plan_;
     bool echoToken_;
@@ -290,9 +288,8 @@
     return Planner(deployment, length, seed).plan();
 }
 
-auto driveChats(experiment::Fleet &fleet, const Deployment &deployment,
-                const std::vector<ChatPlan> &chats, milliseconds length, bool echoToken)
-    -> std::vector<Turn>
+auto driveChats(Fleet &fleet, const Deployment &deployment, const std::vector<ChatPlan> &chats,
+                milliseconds length, bool echoToken) -> std::vector<Turn>
 {
     const auto begin = Clock::now();
     std::mutex mutex;
--- a/src/experiment/measures-workload.h
+++ b/src/experiment/measures-workload.h
@@ -65,7 +65,7 @@
 };
 
 /// Drives all chats and gives every turn once they are over or `length` has passed.
-[[nodiscard]] auto driveChats(experiment::Fleet &fleet, const Deployment &deployment,
+[[nodiscard]] auto driveChats(Fleet &fleet, const Deployment &deployment,
                               const std::vector<ChatPlan> &chats, milliseconds length,
                               bool echoToken) -> std::vector<Turn>;
 
