Believe a refusal for leaving only of the life that gave it

Cause: in a run of the whole suite beside a build, one of 497 calls was told 'upstream-leaving: no upstream is left to try' while a pool of three was rolled (promise_stop/a_pool_rolled_...). A router kept an upstream's refusal for 5 s although a rolled sidecar is back sooner, so that two members of three could be passed over at once. The failure did not come again in 12 runs, three at a time, of the old programs, so the link to that one run is by its message, not by a repeat.

Ruled out: a shorter memory, which sends chats to an upstream that is still leaving.

Change: a new life, by its link or by a digest, ends the memory. Test: router_refusals/a_refusal_for_leaving_ends_with_the_life_that_gave_it, red before.

--- a/src/core/router-choice.cc
+++ b/src/core/router-choice.cc
@@ -198,11 +198,15 @@
 auto RouterNode::State::ownObstacle(const settings::Member &member, Instant now) const
     -> std::string_view
 {
+    const auto entry = loads_.find(member.id, now);
     const auto link = links_.find(member.id);
+    // A pool that is rolled brings each member back within seconds. Were the refusal of its last
+    // life still believed, two members at once would be passed over, and a caller be told that no
+    // upstream is left.
     if (link != links_.end() && link->second.leavingAt
-        && now - *link->second.leavingAt < links::leavingMemory)
+        && now - *link->second.leavingAt < links::leavingMemory
+        && !(entry && entry->incarnation > link->second.incarnation))
         return "leaving";
-    const auto entry = loads_.find(member.id, now);
     if (entry && entry->state != UpstreamState::Serving) {
         if (entry->state == UpstreamState::Leaving)
             return "leaving";
--- a/src/core/router-link-events.cc
+++ b/src/core/router-link-events.cc
@@ -24,6 +24,8 @@
 {
     auto &link = links_[event.upstream];
     link.phase = LinkPhase::Open;
+    if (link.incarnation != event.incarnation)
+        link.leavingAt.reset();
     link.incarnation = event.incarnation;
     link.readClock(event.clock, now_);
     link.quietSince = now_;
--- a/test/core/router-refusals-test.cc
+++ b/test/core/router-refusals-test.cc
@@ -90,6 +90,26 @@
 
 // An upstream stops. Until digests say so, every chat that lives there would be sent to it first
 // and pay a retry for the refusal.
+// A pool is rolled, one member after the other, each back within seconds. The router still held the
+// first one's refusal against its new life when the second one left, and a caller was told that no
+// upstream was left.
+BOOST_AUTO_TEST_CASE(a_refusal_for_leaving_ends_with_the_life_that_gave_it)
+{
+    Bench bench(makeSettings(2));
+    bench.feed(chatRequest("r1", 5));
+    const auto first = bench.openAsked();
+    bench.from(first, refusal("r1", 1, ErrorKind::UpstreamLeaving, Run::NotRun));
+    const auto second = bench.openAsked();
+    bench.from(second, Head{"r1", 2, 200, {}});
+    bench.now += 1s;
+    Digest digest;
+    digest.entries = {{first, life + 1, 1, 0, 0, 8, UpstreamState::Serving, 0us}};
+    bench.feed(DigestReceived{digest});
+    bench.feed(chatRequest("r2", 5));
+    bench.from(second, refusal("r2", 1, ErrorKind::UpstreamLeaving, Run::NotRun));
+    BOOST_TEST(bench.failures().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_refusal_for_leaving_is_remembered)
 {
     Bench bench;
