Keep the second try after a crash at one upstream, and let it wait for copies

Cause, from the histories of the seeds: the router chose the second try among the members that it held to be up, the sidecars among all configured ones. With the named member down a copy that was refused went to it while the router sent another to the next one. A copy that waited in a queue when the first notice came was started as well. And copies that ran at two members at one instant left no notice in time for the second try.

Ruled out: stopping a running copy when a notice comes, since an engine that crashes all the same leaves no notice then.

Change: router and sidecars name the second try from the configured members whatever is up, passing over only hosts that the platform no longer lists; a waiting copy is refused when its second try is elsewhere; the second try begins 500 ms after the crash at the earliest, and a second notice in that time makes it a suspect. While the named member is down, an innocent that shared a crash is refused with a time to come back.

The seeds 510, 2227, 3408, 5085, 5712, 6221 and 9764 are in the fixed test.

A copy that runs for more than 500 ms before it crashes its engine is not covered.

--- a/include/applehatch/core/crash-book.h
+++ b/include/applehatch/core/crash-book.h
@@ -3,8 +3,10 @@
 
 #include "applehatch/core/digest.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -17,6 +19,9 @@
 class CrashBook
 {
 public:
+    /// How long a notice is kept after its crash.
+    static constexpr Duration lifetime = std::chrono::minutes(10);
+
     explicit CrashBook(std::size_t capacity);
 
     /// Takes a notice from this or another process; true when it was news.
@@ -35,6 +40,9 @@
     [[nodiscard]] auto upstreams(Fingerprint fingerprint, Instant now) const
         -> std::vector<UpstreamId>;
 
+    /// When the last of those crashes happened, on this process's clock; none without one.
+    [[nodiscard]] auto lastAt(Fingerprint fingerprint, Instant now) const -> std::optional<Instant>;
+
     /// Up to `count` notices for a digest, newest first.
     [[nodiscard]] auto notices(std::size_t count, Instant now) const -> std::vector<CrashNotice>;
 
--- a/src/core/crash-book.cc
+++ b/src/core/crash-book.cc
@@ -53,6 +53,17 @@
     return found;
 }
 
+auto CrashBook::lastAt(Fingerprint fingerprint, Instant now) const -> std::optional<Instant>
+{
+    std::optional<Instant> last;
+    for (auto item = held_.lower_bound({fingerprint, 0, 0, 0});
+         item != held_.end() && item->first.fingerprint == fingerprint; ++item) {
+        if (!item->second.withdrawn && item->second.until > now)
+            last = std::max(last, std::optional(item->second.until - lifetime));
+    }
+    return last;
+}
+
 auto CrashBook::crashes(Fingerprint fingerprint, Instant now) const -> std::size_t
 {
     return upstreams(fingerprint, now).size();
--- a/src/core/router-choice.cc
+++ b/src/core/router-choice.cc
@@ -63,24 +63,29 @@
 }
 
 // The order depends on the request alone, so its copies that arrive through other routers meet at
-// the same second upstream and cannot take down one upstream each.
-// When that one refuses it, it is not given a third.
+// the same second upstream and cannot take down one upstream each. Whether that one is up plays no
+// part: routers differ over it for a moment, and each would then name a second upstream of its own.
 auto RouterNode::State::chooseAfterCrash(const Exchange &exchange,
                                          const std::vector<UpstreamId> &crashed)
     -> std::optional<Choice>
 {
     const auto &pool = *exchange.pool.pool;
-    const auto usable = without(poolView(exchange.pool).usable, crashed);
     for (const auto id : rendezvousOrder(pool, exchange.terms.fingerprint, pool.members.size())) {
-        if (!contains(usable, id))
+        if (contains(crashed, id) || isUnlisted(*exchange.pool.member(id)))
             continue;
-        if (contains(exchange.tried, id))
-            return std::nullopt;
-        return Choice{id, "after-crash"};
+        const auto mayTry =
+            !contains(exchange.tried, id) && contains(poolView(exchange.pool).doubtful, id);
+        return mayTry ? std::optional(Choice{id, "after-crash"}) : std::nullopt;
     }
     return std::nullopt;
 }
 
+// The platform no longer lists its host: it may be gone for good.
+auto RouterNode::State::isUnlisted(const settings::Member &member) const -> bool
+{
+    return !hosts_.empty() && !hosts_.contains(member.sidecar.ip);
+}
+
 auto RouterNode::State::chooseByPlacement(Exchange &exchange) -> std::optional<Choice>
 {
     const auto &view = poolView(exchange.pool);
@@ -185,7 +190,7 @@
         return "leaving-host";
     if (const auto own = ownObstacle(member, now); !own.empty() || !weakToo)
         return own;
-    if (!hosts_.empty() && host == hosts_.end())
+    if (isUnlisted(member))
         return "not-listed";
     const auto link = links_.find(member.id);
     if (link != links_.end() && link->second.failedAt
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -115,6 +115,7 @@
         -> std::optional<Choice>;
     auto noteHome(Exchange &exchange, const PlacementView &view, UpstreamId chosen) -> void;
     [[nodiscard]] auto chooseByPlacement(Exchange &exchange) -> std::optional<Choice>;
+    [[nodiscard]] auto isUnlisted(const settings::Member &member) const -> bool;
     [[nodiscard]] auto crashedUpstreams(const Exchange &exchange) const -> std::vector<UpstreamId>;
     [[nodiscard]] auto roomElsewhere(const Exchange &exchange) const -> Room;
     [[nodiscard]] auto poolView(const PoolRef &pool) -> const PoolView &;
--- a/src/core/sidecar-crashes.cc
+++ b/src/core/sidecar-crashes.cc
@@ -1,12 +1,18 @@
 #include "sidecar-state.h"
 
 #include <chrono>
+#include <utility>
 
 namespace applehatch::core {
 
 namespace {
 
-constexpr Duration noticeLifetime = std::chrono::minutes(10);
+// The second try begins no sooner after the crash: copies that ran elsewhere at that instant crash
+// first, and their notices arrive.
+constexpr Duration beforeSecondTry = std::chrono::milliseconds(500);
+
+// A pool of two loses no third upstream.
+constexpr std::size_t largestUnheldPool = 2;
 
 // A report of the same epoch counts only when it cannot have been on its way before the break.
 constexpr Duration reportDelay = std::chrono::milliseconds(300);
@@ -103,7 +109,8 @@
     if (job.terms.fingerprint == 0)
         return;
     crashes.apply(
-        {job.terms.fingerprint, {self, identity.incarnation}, crashSequence, noticeLifetime}, now);
+        {job.terms.fingerprint, {self, identity.incarnation}, crashSequence, CrashBook::lifetime},
+        now);
 }
 
 // The upstream process is another one: nothing that ran in the old one will ever answer.
@@ -142,6 +149,49 @@
     return refusalOf(ErrorKind::UpstreamFailed, Run::Ran, "the upstream broke off");
 }
 
+// After one crash the request has one more try, at an upstream that it names itself. Were any
+// other to take it, repeats that are under way at the same time would each cost an upstream.
+auto SidecarNode::State::secondTryAt(Fingerprint fingerprint) const -> std::optional<UpstreamId>
+{
+    const auto crashedAt = crashes.upstreams(fingerprint, now);
+    if (crashedAt.empty())
+        return std::nullopt;
+    auto candidates = pool.members;
+    std::erase_if(candidates, [&](const settings::Member &member) {
+        return member.id == crashedAt.front() || isGone(member);
+    });
+    if (candidates.empty())
+        return std::nullopt;
+    return rendezvousOwner(fingerprint, candidates);
+}
+
+// Copies that run at several upstreams at one instant would crash each of those and, were the
+// second try to begin at once, its own as well.
+auto SidecarNode::State::mayStartAt(const Job &job) const -> Instant
+{
+    const auto crashedAt = crashes.lastAt(job.terms.fingerprint, now);
+    const auto waits = crashedAt && pool.members.size() > largestUnheldPool;
+    return waits ? *crashedAt + beforeSecondTry : now;
+}
+
+auto SidecarNode::State::watchHeld() -> void
+{
+    const auto watched = std::exchange(held, {});
+    for (const auto run : watched) {
+        const auto found = jobs.find(run);
+        if (found == jobs.end() || found->second.phase != JobPhase::Waiting)
+            continue;
+        auto &job = found->second;
+        if (crashes.isSuspect(job.terms.fingerprint, now))
+            fail(job, refusalOf(ErrorKind::CrashSuspect, Run::NotRun, "crashed two upstreams"),
+                 "crash-suspect");
+        else if (mayStartAt(job) > now)
+            held.insert(run);
+        else
+            enqueue(job);
+    }
+}
+
 auto SidecarNode::State::watchLost() -> void
 {
     settleLost(longestDoubt, false);
--- a/src/core/sidecar-node.cc
+++ b/src/core/sidecar-node.cc
@@ -77,6 +77,7 @@
 {
     watchLinks();
     watchLost();
+    watchHeld();
     watchJobs();
     dispatch();
     considerOrder();
@@ -109,7 +110,7 @@
 
 auto SidecarNode::State::load() const -> std::uint32_t
 {
-    return running + static_cast<std::uint32_t>(queue.size());
+    return running + static_cast<std::uint32_t>(queue.size() + held.size());
 }
 
 auto SidecarNode::State::view() const -> GossipView
--- a/src/core/sidecar-runs.cc
+++ b/src/core/sidecar-runs.cc
@@ -26,6 +26,11 @@
         else if (crashes.isSuspect(job.terms.fingerprint, now))
             fail(job, refusalOf(ErrorKind::CrashSuspect, Run::NotRun, "crashed two upstreams"),
                  "crash-suspect");
+        else if (secondTryAt(job.terms.fingerprint).value_or(self) != self)
+            fail(job, refusalOf(ErrorKind::NoUpstream, Run::NotRun, "crashed an upstream"),
+                 "second-try-elsewhere");
+        else if (mayStartAt(job) > now)
+            held.insert(*next);
         else
             startRun(job);
     }
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -164,6 +164,7 @@
     std::uint32_t crashSequence = 0;
     std::optional<Instant> crashAt;
     std::set<RunId> crashRuns; ///< Running at the last crash, not broken yet.
+    std::set<RunId> held;      ///< Second tries whose copies elsewhere may still crash.
 
     // Orders.
     FencingNumbers fencing;
@@ -221,6 +222,7 @@
     [[nodiscard]] auto attachKnown(LinkId link, const Submit &message) -> bool;
     auto attach(LinkId link, const Submit &message, Job &job, std::string_view cause) -> void;
     auto accept(LinkId link, Submit &&message) -> void;
+    auto enqueue(const Job &job) -> void;
     auto reject(LinkId link, const Submit &message, const Rejection &rejection) -> void;
     auto countRefusal(ErrorKind kind) -> void;
     [[nodiscard]] auto refusalOf(ErrorKind kind, Run run, std::string detail) const -> Failure;
@@ -288,6 +290,9 @@
     [[nodiscard]] auto inPhase(JobPhase phase) const -> std::vector<RunId>;
     auto stopAll() -> void;
     auto watchLost() -> void;
+    [[nodiscard]] auto mayStartAt(const Job &job) const -> Instant;
+    auto watchHeld() -> void;
+    [[nodiscard]] auto secondTryAt(Fingerprint fingerprint) const -> std::optional<UpstreamId>;
 
     // sidecar-leaving.cc
     auto on(const HostListRead &event) -> void;
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -121,23 +121,13 @@
     return checkSecondTry(message);
 }
 
-// After one crash the request has one more try, at an upstream that it names itself. Were any
-// other to take it, repeats that are under way at the same time would each cost an upstream.
 auto SidecarNode::State::checkSecondTry(const Submit &message) const -> std::optional<Rejection>
 {
-    const auto fingerprint = message.terms.fingerprint;
-    const auto crashedAt = crashes.upstreams(fingerprint, now);
-    if (crashedAt.empty())
+    const auto second = secondTryAt(message.terms.fingerprint);
+    if (!second || *second == self)
         return std::nullopt;
-    for (const auto id : rendezvousOrder(fingerprint, pool.members)) {
-        if (id == crashedAt.front())
-            continue;
-        if (id == self)
-            return std::nullopt;
-        return Rejection{refusalOf(ErrorKind::NoUpstream, Run::NotRun, "crashed an upstream"), id,
-                         "second-try-elsewhere"};
-    }
-    return std::nullopt;
+    return Rejection{refusalOf(ErrorKind::NoUpstream, Run::NotRun, "crashed an upstream"), *second,
+                     "second-try-elsewhere"};
 }
 
 auto SidecarNode::State::checkPlace(const Submit &message) const -> std::optional<Rejection>
@@ -259,16 +249,25 @@
     job.call = std::move(message.call);
     byRequest[message.request] = run;
     active.insert(run);
-    auto waiting = asWaiting(job.terms, job.notAfter);
-    waiting.id = run;
-    const auto mustWait = running >= slots || queue.size() != 0;
-    queue.push(waiting, pool.queueOrder);
+    const auto isHeld = mayStartAt(job) > now;
+    const auto mustWait = isHeld || running >= slots || queue.size() != 0;
+    if (isHeld)
+        held.insert(run);
+    else
+        enqueue(job);
     logJob(mustWait ? "queue" : "admit", message.request, job.terms,
            job.movedFrom != 0 ? "moved-here" : "submit");
     read(job, {link, message.request, message.attempt});
     dispatch();
 }
 
+auto SidecarNode::State::enqueue(const Job &job) -> void
+{
+    auto waiting = asWaiting(job.terms, job.notAfter);
+    waiting.id = job.run;
+    queue.push(waiting, pool.queueOrder);
+}
+
 auto SidecarNode::State::reject(LinkId link, const Submit &message, const Rejection &rejection)
     -> void
 {
--- a/test/core/router-refusals-test.cc
+++ b/test/core/router-refusals-test.cc
@@ -1,3 +1,4 @@
+#include "applehatch/core/rendezvous.h"
 #include "core/router-fixture.h"
 
 namespace {
@@ -291,4 +292,24 @@
     }
 }
 
+// The upstream that a crashed request names for its second try is down. Sent to the next one
+// instead, its copies would cost an upstream for each router that knows less of who is down.
+BOOST_AUTO_TEST_CASE(second_try_goes_nowhere_else_while_its_upstream_is_down)
+{
+    Bench bench(makeSettings(6));
+    bench.feed(chatRequest("r1", 5));
+    const auto first = bench.openAsked();
+    const auto fingerprint = Bench::sent<Submit>(bench.last)[0].terms.fingerprint;
+    const auto pool = makeSettings(6)->teams.at("ledger")->pools.at("drafting");
+    auto order = rendezvousOrder(fingerprint, pool.members);
+    std::erase(order, first);
+    Digest digest;
+    digest.entries.push_back({order.front(), life, 1, 0, 0, 4, UpstreamState::Down});
+    bench.feed(DigestReceived{digest});
+    bench.pass(2s, {first});
+    bench.from(first, refusal("r1", 1, ErrorKind::UpstreamCrashed, Run::Ran));
+    BOOST_TEST((onlyFailure(bench).kind == ErrorKind::UpstreamCrashed));
+    BOOST_TEST(onlyFailure(bench).retryAfter.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/core/sidecar-crash-test.cc
+++ b/test/core/sidecar-crash-test.cc
@@ -140,6 +140,50 @@
     }
 }
 
+// Copies run at two upstreams at the same instant and both crash. The second try, told of the first
+// crash only, must not begin before the other copy's notice can have come.
+BOOST_AUTO_TEST_CASE(second_try_waits_for_copies_at_other_upstreams)
+{
+    const auto pool = poolOf(4, 4);
+    const auto first = pool.members[1].id;
+    const auto fingerprint = fingerprintFor(pool, first, pool.members[0].id);
+    for (const auto isPoison : {true, false}) {
+        Sidecar sidecar(pool);
+        sidecar.hear(1, 0).hear(2, 0).hear(3, 0);
+        sidecar.give(withCrashes({{fingerprint, {first, 5}, 1, std::chrono::minutes(10)}}));
+        auto submit = sidecar.request("r1");
+        submit.terms.fingerprint = fingerprint;
+        sidecar.from(submit);
+        BOOST_TEST(sidecar.did<StartRun>().empty());
+        if (isPoison)
+            sidecar.give(
+                withCrashes({{fingerprint, {pool.members[2].id, 5}, 1, std::chrono::minutes(10)}}));
+        sidecar.passAlive(600ms);
+        BOOST_TEST(sidecar.did<StartRun>().size() == (isPoison ? 0U : 1U));
+        if (isPoison)
+            BOOST_TEST(told(sidecar.refusal()) == "crash-suspect/not-run");
+    }
+}
+
+// A copy waits in the queue when the notice of its first crash comes. Started there as well as at
+// the named member, it would cost a third upstream.
+BOOST_AUTO_TEST_CASE(queued_copy_leaves_when_its_second_try_is_elsewhere)
+{
+    const auto pool = poolOf(3, 1);
+    const auto first = pool.members[1].id;
+    Sidecar sidecar(pool);
+    sidecar.hear(1, 0).hear(2, 0);
+    const auto run = sidecar.run(sidecar.request("r1"));
+    auto copy = sidecar.request("r2");
+    copy.mayWait = true;
+    copy.terms.fingerprint = fingerprintFor(pool, first, pool.members[2].id);
+    sidecar.from(copy);
+    sidecar.give(withCrashes({{copy.terms.fingerprint, {first, 5}, 1, 60s}}));
+    sidecar.answer(run, "fine");
+    BOOST_TEST(sidecar.did<StartRun>().empty());
+    BOOST_TEST(told(sidecar.refusal()) == "no-upstream/not-run");
+}
+
 // The same upstream is taken down twice in one life of its sidecar: that is two crashes as well.
 BOOST_AUTO_TEST_CASE(two_crashes_in_one_life)
 {
--- a/test/schedule/schedule-test.cc
+++ b/test/schedule/schedule-test.cc
@@ -1,7 +1,9 @@
 #include "applehatch/schedule/kinds.h"
 
 #include <boost/test/unit_test.hpp>
+#include <numeric>
 #include <string_view>
+#include <vector>
 
 namespace {
 
@@ -9,14 +11,20 @@
 
 constexpr std::uint64_t schedulesEach = 200;
 
-/// Runs the fixed seeds of one kind of failure; gives what was tried over all of them.
-auto tryAll(std::string_view name) -> Tried
+/// Schedules found by long runs: with each a third engine was lost.
+const std::vector<std::uint64_t> poisonSeeds = {510, 2227, 3408, 5085, 5712, 6221, 9764};
+
+/// Runs the fixed seeds of one kind of failure and `further` ones; gives what was tried over all.
+auto tryAll(std::string_view name, const std::vector<std::uint64_t> &further = {}) -> Tried
 {
     const auto faults = findKind(name).value().faults;
     Tried sum;
     std::size_t whole = 0;
     std::size_t answers = 0;
-    for (std::uint64_t seed = 1; seed <= schedulesEach; ++seed) {
+    std::vector<std::uint64_t> seeds(schedulesEach);
+    std::iota(seeds.begin(), seeds.end(), 1);
+    seeds.insert(seeds.end(), further.begin(), further.end());
+    for (const auto seed : seeds) {
         Shape shape;
         shape.seed = seed;
         shape.faults = faults;
@@ -89,7 +97,7 @@
 // Some requests crash every engine that runs them, and their callers send them again and again.
 BOOST_AUTO_TEST_CASE(requests_that_crash_engines)
 {
-    BOOST_TEST(tryAll("poison").engineCrashes > 0);
+    BOOST_TEST(tryAll("poison", poisonSeeds).engineCrashes > 0);
 }
 
 // Sidecars are asked to stop while callers keep coming through routers that do not know yet.
