Take any sign of the other process as proof that a link lives

Cause: both ends of a link with an outstanding answer sent a heartbeat each second, beside a stream of chunks that shows the same.

Change: a router asks a quiet link each second and is answered at once with the sidecar's clock. A sidecar sends its clock when a link opens, when asked, and every 60 s on a link in use. That the router's process lives it sees from the answers to its batches, which the RPC system sends anyway; the link loop reports them at most twice a second for each link. A link is still closed after 4 s without a sign, at each end. A refusal for a deadline that the router's clock says is a second off makes the router ask for the clock.

Ruled out: TCP_USER_TIMEOUT, since the kernel of a frozen process, or a device between the two, goes on taking bytes.

The worlds of the fleet and schedule tests now carry the responses.

--- a/include/applehatch/core/sidecar-node.h
+++ b/include/applehatch/core/sidecar-node.h
@@ -31,6 +31,12 @@
     LinkId link = 0;
 };
 
+/// The process at the other end took what was sent to it. The host need not tell each time.
+struct PeerResponded
+{
+    LinkId link = 0;
+};
+
 struct FromPeer
 {
     LinkId link = 0;
@@ -108,8 +114,8 @@
 };
 
 using SidecarEvent =
-    std::variant<PeerLinkUp, PeerLinkDown, FromPeer, RunHead, RunChunk, RunEnd, RunBroken,
-                 UpstreamReport, CacheEvents, OrderAnswered, HandoffDone, DigestReceived,
+    std::variant<PeerLinkUp, PeerLinkDown, PeerResponded, FromPeer, RunHead, RunChunk, RunEnd,
+                 RunBroken, UpstreamReport, CacheEvents, OrderAnswered, HandoffDone, DigestReceived,
                  SettingsInForce, HostListRead, Tick, DrainRequested>;
 
 /// Carry `message` over an open link.
@@ -194,10 +200,10 @@
     std::size_t tombstones = 100000;                    ///< Revoked attempts.
     Duration answerLifetime = std::chrono::seconds(60); ///< After the end, until acknowledged.
     Duration digestPeriod = std::chrono::seconds(1);
-    std::size_t digestBytes = 1000;         ///< Largest digest datagram.
-    std::size_t replyBytesPerSecond = 1500; ///< Digests sent in reply.
-    Duration heartbeatPeriod = std::chrono::seconds(1);
-    Duration silence = std::chrono::seconds(4); ///< A link without a heartbeat this long is dead.
+    std::size_t digestBytes = 1000;                  ///< Largest digest datagram.
+    std::size_t replyBytesPerSecond = 1500;          ///< Digests sent in reply.
+    Duration clockPeriod = std::chrono::seconds(60); ///< Between readings on a link in use.
+    Duration silence = std::chrono::seconds(4); ///< Without a sign of its router, a link is dead.
     Duration linkGrace = std::chrono::seconds(15); ///< A run without any link is kept this long.
     std::size_t recordBytes = 32U << 20U;          ///< Recorded answers of idempotency keys.
     std::size_t crashNotices = 1000;
--- a/include/applehatch/wire/link-loop.h
+++ b/include/applehatch/wire/link-loop.h
@@ -20,6 +20,8 @@
     std::function<void(LinkId)> onUp;
     std::function<void(LinkId, core::Message)> onMessage;
     std::function<void(LinkId)> onDown;
+    /// The peer's process took a batch that was sent to it; may be empty.
+    std::function<void(LinkId)> onResponded;
 };
 
 /// Bytes and messages carried, by message kind, for the control-traffic measure; called on the
@@ -35,6 +37,7 @@
 struct LinkLimits
 {
     std::size_t queuedBytes = 64U << 20U; ///< Beyond this the link is closed, with `onDown`.
+    core::Duration respondedPeriod = std::chrono::milliseconds(500); ///< Least, of `onResponded`.
     core::Duration connectTimeout = std::chrono::seconds(1); ///< Until `onUp`, else `onDown`.
 };
 
--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -239,6 +239,7 @@
 {
     auto failure = std::move(refusal.failure);
     const auto bound = exchange.boundTo != 0;
+    checkClock(exchange, failure);
     if (failure.kind == ErrorKind::StaleIncarnation) {
         // The life that this was addressed to may have run it before it ended.
         failure.run = Run::Unknown;
@@ -292,6 +293,17 @@
     advance(exchange, redirects ? AttemptCost::Free : cost);
 }
 
+// A host whose clock stood still, as under a frozen virtual machine, reckons deadlines wrongly
+// until it reads the sidecar's clock again. One would see requests refused as late that had time
+// left.
+auto RouterNode::State::checkClock(const Exchange &exchange, const Failure &failure) -> void
+{
+    const auto isEarly = exchange.deadline - now_ > links::clockDoubt;
+    auto &link = links_[exchange.upstream];
+    if (failure.kind == ErrorKind::DeadlineExceeded && isEarly && link.phase == LinkPhase::Open)
+        probe(exchange.upstream, link);
+}
+
 // A sidecar that does not know a request was perhaps never reached by its submit. Revoking that
 // attempt settles it: either it is barred and can be submitted again, or it may have run.
 auto RouterNode::State::settle(Exchange &exchange, Run run) -> bool
--- a/src/core/router-link-events.cc
+++ b/src/core/router-link-events.cc
@@ -27,7 +27,7 @@
     link.incarnation = event.incarnation;
     link.readClock(event.clock, now_);
     link.quietSince = now_;
-    link.heartbeatAt = now_;
+    link.probedAt = now_;
     if (link.failedAt) {
         link.failedAt.reset();
         views_.clear();
@@ -122,10 +122,17 @@
         linkLost(upstream, link);
         return;
     }
-    if (now_ - link.heartbeatAt >= links::heartbeatPeriod) {
-        link.heartbeatAt = now_;
-        send(upstream, Heartbeat{});
-    }
+    const auto isQuiet = now_ - link.quietSince >= links::probeAfter;
+    if (isQuiet && now_ - link.probedAt >= links::probeAfter)
+        probe(upstream, link);
+}
+
+// Its sidecar answers at once with its clock, so that a sidecar that stood still is reckoned with
+// anew as soon as it is back.
+auto RouterNode::State::probe(UpstreamId upstream, Link &link) -> void
+{
+    link.probedAt = now_;
+    send(upstream, Heartbeat{});
 }
 
 } // namespace applehatch::core
--- a/src/core/router-links.h
+++ b/src/core/router-links.h
@@ -26,7 +26,7 @@
     Instant clockReadAt;  ///< When that reading was received.
     Instant openedAt;     ///< Since when it is opening.
     Instant quietSince;   ///< Last message, or when something became outstanding.
-    Instant heartbeatAt;  ///< Last heartbeat sent.
+    Instant probedAt;     ///< Last heartbeat sent.
     std::optional<Instant> failedAt;
     std::optional<Instant> leavingAt; ///< When it last refused because it is leaving.
     std::set<RequestId> exchanges;
@@ -49,11 +49,12 @@
 
 using namespace std::chrono_literals;
 
-inline constexpr Duration heartbeatPeriod = 1s;
-inline constexpr Duration silence = 4s;       ///< Without a message this long, a link is dead.
-inline constexpr Duration openTimeout = 2s;   ///< An answer to a connection attempt.
+inline constexpr Duration probeAfter = 1s;  ///< Quiet this long, it is asked; then each such time.
+inline constexpr Duration silence = 4s;     ///< Without a message this long, a link is dead.
+inline constexpr Duration openTimeout = 2s; ///< An answer to a connection attempt.
 inline constexpr Duration failureMemory = 3s; ///< How long a failed link is passed over.
 inline constexpr Duration leavingMemory = 5s; ///< Until digests say so as well.
+inline constexpr Duration clockDoubt = 1s;    ///< Clocks that differ by more are compared anew.
 inline constexpr Duration lateTick = 1s;      ///< A longer gap between ticks is a pause of ours.
 inline constexpr std::size_t unwantedLimit = 1000;
 
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -159,6 +159,7 @@
     auto onMessage(UpstreamId /*upstream*/, Other & /*message*/) -> void
     { }
     auto refuse(Exchange &exchange, Refusal &refusal) -> void;
+    auto checkClock(const Exchange &exchange, const Failure &failure) -> void;
     [[nodiscard]] auto settle(Exchange &exchange, Run run) -> bool;
     auto crash(Exchange &exchange, const Failure &failure) -> bool;
     auto passOn(Exchange &exchange, std::string data) -> void;
@@ -174,6 +175,7 @@
     auto openLink(UpstreamId upstream) -> void;
     auto linkLost(UpstreamId upstream, Link &link) -> void;
     auto linkLost(Exchange &exchange) -> void;
+    auto probe(UpstreamId upstream, Link &link) -> void;
     auto checkLink(UpstreamId upstream, Link &link) -> void;
     [[nodiscard]] auto isOutstanding(const Link &link) -> bool;
     auto send(UpstreamId upstream, Message message) -> void;
--- a/src/core/router-tick.cc
+++ b/src/core/router-tick.cc
@@ -1,4 +1,4 @@
-// What the passing of time brings: deadlines, heartbeats, digests.
+// What the passing of time brings: deadlines, quiet links, digests.
 #include "router-state.h"
 
 #include <iterator>
--- a/src/core/sidecar-links.cc
+++ b/src/core/sidecar-links.cc
@@ -7,7 +7,7 @@
 auto SidecarNode::State::on(const PeerLinkUp &event) -> void
 {
     links[event.link] = {now, now};
-    heartbeat(event.link);
+    tellClock(event.link);
 }
 
 auto SidecarNode::State::on(const PeerLinkDown &event) -> void
@@ -16,15 +16,23 @@
     dropReaders(event.link);
 }
 
-auto SidecarNode::State::heartbeat(LinkId link) -> void
+auto SidecarNode::State::on(const PeerResponded &event) -> void
 {
-    links[link].heartbeatAt = now;
+    const auto link = links.find(event.link);
+    if (link != links.end())
+        link->second.heardAt = now;
+}
+
+auto SidecarNode::State::tellClock(LinkId link) -> void
+{
+    links[link].clockToldAt = now;
     send(link, Heartbeat{identity.incarnation, now});
 }
 
 // A link can go silent for good while new ones work, because something between the two ends lost
 // track of it. Its router then waits for bytes that never come. Neither end sees an error; only
-// the missing heartbeat shows it, and closing lets the router resume on a new link.
+// that nothing is taken any more shows it, and closing lets the router resume on a new link. A
+// router that hears nothing itself asks each second, so a live one is never without a sign.
 auto SidecarNode::State::watchLinks() -> void
 {
     std::set<LinkId> outstanding;
@@ -41,8 +49,8 @@
             links.erase(found);
             dropReaders(id);
             out.emplace_back(ClosePeer{id});
-        } else if (now - found->second.heartbeatAt >= limits.heartbeatPeriod) {
-            heartbeat(id);
+        } else if (now - found->second.clockToldAt >= limits.clockPeriod) {
+            tellClock(id);
         }
     }
 }
--- a/src/core/sidecar-node.cc
+++ b/src/core/sidecar-node.cc
@@ -69,6 +69,8 @@
         resume(event.link, *toResume);
     else if (const auto *acknowledged = std::get_if<Acknowledge>(&message))
         acknowledge(*acknowledged);
+    else if (std::holds_alternative<Heartbeat>(message))
+        tellClock(event.link);
     else if (const auto *moved = std::get_if<Moved>(&message))
         chats.moved(moved->chat, moved->holder, now);
 }
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -94,8 +94,8 @@
 
 struct PeerLink
 {
-    Instant heardAt;
-    Instant heartbeatAt;
+    Instant heardAt; ///< Last message, or word that its process took ours.
+    Instant clockToldAt;
 };
 
 /// The member list of a moment in the past.
@@ -265,7 +265,8 @@
     // sidecar-links.cc
     auto on(const PeerLinkUp &event) -> void;
     auto on(const PeerLinkDown &event) -> void;
-    auto heartbeat(LinkId link) -> void;
+    auto on(const PeerResponded &event) -> void;
+    auto tellClock(LinkId link) -> void;
     auto watchLinks() -> void;
     auto dropReaders(LinkId link) -> void;
 
--- a/src/schedule/links.cc
+++ b/src/schedule/links.cc
@@ -90,6 +90,8 @@
     if (link->router->life != link->routerLife)
         return;
     const auto *heartbeat = std::get_if<core::Heartbeat>(&message);
+    if (now_ >= link->router->pausedUntil)
+        toSidecar(*link->sidecar, core::PeerResponded{link->id});
     if (link->open || heartbeat == nullptr) {
         toRouter(*link->router, core::FromSidecar{link->upstream, message});
         return;
--- a/src/sidecar/sidecar-host.cc
+++ b/src/sidecar/sidecar-host.cc
@@ -178,6 +178,10 @@
     hooks.onMessage = [this](wire::LinkId link, core::Message message) {
         onMessage(link, std::move(message));
     };
+    hooks.onResponded = [this](wire::LinkId link) {
+        if (!links_.peerOf(link))
+            node_.handle(core::PeerResponded{link});
+    };
     hooks.onDown = [this](wire::LinkId link) {
         if (!links_.takeDown(link))
             node_.handle(core::PeerLinkDown{link});
--- a/src/wire/connection.cc
+++ b/src/wire/connection.cc
@@ -206,10 +206,22 @@
     ++outstanding_;
     KJ_ASSERT_NONNULL(tasks_)->add(request.send().then([this](auto && /*response*/) {
         --outstanding_;
+        responded();
         flush();
     }));
 }
 
+// A report of each batch would cost the receiver of the reports as much as the batch itself.
+auto Connection::responded() -> void
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto isSoon = respondedAt_ && now - *respondedAt_ < limits_.respondedPeriod;
+    if (isSoon || broken_)
+        return;
+    respondedAt_ = now;
+    hooks_.onResponded();
+}
+
 auto Connection::breakOff() -> void
 {
     if (std::exchange(broken_, true))
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -5,10 +5,12 @@
 #include "generated/applehatch.capnp.h"
 
 #include <capnp/rpc-twoparty.h>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <kj/async-io.h>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace applehatch::wire {
@@ -18,7 +20,8 @@
 {
     std::function<void()> onUp;
     std::function<void(core::Message)> onMessage;
-    std::function<void()> onBroken; ///< Closed by the peer, refused, silent or over its cap.
+    std::function<void()> onResponded; ///< A batch was answered.
+    std::function<void()> onBroken;    ///< Closed by the peer, refused, silent or over its cap.
 };
 
 class Connection
@@ -50,6 +53,7 @@
     auto receive(capnp::List<schema::Message>::Reader batch) -> void;
     auto deliver(core::Message message) -> void;
     auto sendBatch() -> void;
+    auto responded() -> void;
     auto breakOff() -> void;
 
     ConnectionHooks hooks_;
@@ -62,6 +66,7 @@
     std::size_t queuedBytes_ = 0;
     std::vector<core::Message> early_; ///< Arrived before the peer's end of the link was known.
     unsigned outstanding_ = 0;         ///< Batches sent and not yet answered.
+    std::optional<std::chrono::steady_clock::time_point> respondedAt_; ///< Last reported.
 
     kj::Own<kj::AsyncIoStream> stream_;
     capnp::TwoPartyVatNetwork network_;
--- a/src/wire/link-loop.cc
+++ b/src/wire/link-loop.cc
@@ -233,6 +233,10 @@
     reports.onMessage = [this, link](core::Message message) {
         hooks.onMessage(link, std::move(message));
     };
+    reports.onResponded = [this, link] {
+        if (hooks.onResponded)
+            hooks.onResponded(link);
+    };
     reports.onBroken = [this, link] { broken(link); };
     auto connection =
         kj::heap<Connection>(kj::mv(stream), std::move(reports), traffic, limits, fromPeer);
--- a/test/core/router-fleet.h
+++ b/test/core/router-fleet.h
@@ -258,6 +258,7 @@
     auto arrive(LinkId link, Message message) -> void
     {
         auto &connection = connections_.at(link);
+        toSidecar(connection.upstream, PeerResponded{link});
         const auto *heartbeat = std::get_if<Heartbeat>(&message);
         if (heartbeat != nullptr && !connection.up) {
             connection.up = true;
--- a/test/wire/link-loop-test.cc
+++ b/test/wire/link-loop-test.cc
@@ -24,6 +24,7 @@
         LinkHooks hooks;
         hooks.onUp = [this](LinkId link) { change([&] { up.push_back(link); }); };
         hooks.onDown = [this](LinkId link) { change([&] { down.push_back(link); }); };
+        hooks.onResponded = [this](LinkId link) { change([&] { responded.push_back(link); }); };
         hooks.onMessage = [this](LinkId link, core::Message message) {
             change([&] { messages.emplace_back(link, std::move(message)); });
         };
@@ -39,6 +40,7 @@
 
     std::vector<LinkId> up;
     std::vector<LinkId> down;
+    std::vector<LinkId> responded;
     std::vector<std::pair<LinkId, core::Message>> messages;
 
 private:
@@ -195,6 +197,34 @@
     BOOST_TEST(near.down == std::vector<LinkId>{link});
 }
 
+// The peer's process is frozen. Its kernel still takes bytes, so only the process's own response
+// tells the two apart; without it an engine would go on for a router that passes nothing on.
+BOOST_AUTO_TEST_CASE(only_a_process_that_takes_messages_responds)
+{
+    std::mutex pause;
+    Recorder near;
+    Recorder far;
+    auto blocking = far.hooks();
+    blocking.onMessage = [&, record = blocking.onMessage](LinkId link, core::Message message) {
+        record(link, std::move(message));
+        const std::lock_guard wait(pause);
+    };
+    LinkLoop server(blocking, {});
+    LinkLimits limits;
+    limits.respondedPeriod = core::Duration(0);
+    LinkLoop client(near.hooks(), {}, limits);
+    const auto link = client.open(listenOn(server));
+    BOOST_REQUIRE(near.waitFor([&] { return !near.up.empty(); }));
+    {
+        const std::unique_lock paused(pause);
+        client.send(link, chunk(0));
+        BOOST_REQUIRE(far.waitFor([&] { return far.messages.size() == 1; }));
+        BOOST_TEST(near.waitFor([&] { return near.responded.empty(); }));
+    }
+    BOOST_REQUIRE(near.waitFor([&] { return !near.responded.empty(); }));
+    BOOST_TEST(near.responded.front() == link);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace applehatch::wire
