--- a/test/system/broken-connection-test.cc
+++ b/test/system/broken-connection-test.cc
@@ -127,6 +127,21 @@
     }
 }
 
+// An entry host stalls half way through an answer, while its kernel still takes what is sent. The
+// sidecar must notice soon, or its engine would go on for a caller that is given nothing.
+BOOST_AUTO_TEST_CASE(a_stalled_router_is_noticed_by_the_sidecar_that_serves_it)
+{
+    Fleet fleet(relayedFleet());
+    const auto request = fleet.chat("stalled router", 1000);
+    CallerConnection connection(fleet.router(0).callers, request);
+    connection.read(hasSomeEvents);
+    auto &member = busyEngine(fleet);
+    fleet.router(0).process->pause();
+    const auto noticed = member.sidecar->waitForLine("event=link-silent", longWait);
+    fleet.router(0).process->resume();
+    BOOST_TEST(noticed.has_value(), fleet.outputs());
+}
+
 // Another customer guesses or finds the position of an answer. It must not be given any of it.
 BOOST_AUTO_TEST_CASE(an_answer_is_resumed_for_its_own_customer_only)
 {
