Tell a suspect so when its second upstream is down

Ruled out: counting the upstream that says so as a crash of its own, which would spread a notice of a crash that did not happen.

Change: the router keeps a sidecar's word for as long as a notice.

--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -240,6 +240,8 @@
     auto failure = std::move(refusal.failure);
     const auto bound = exchange.boundTo != 0;
     checkClock(exchange, failure);
+    if (failure.kind == ErrorKind::CrashSuspect)
+        crashes_.condemn(exchange.terms.fingerprint, now_);
     if (failure.kind == ErrorKind::StaleIncarnation) {
         // The life that this was addressed to may have run it before it ended.
         failure.run = Run::Unknown;
--- a/src/core/router-crashes.cc
+++ b/src/core/router-crashes.cc
@@ -34,6 +34,21 @@
     for (auto &[fingerprint, lives] : held_)
         std::erase_if(lives, [now](const Held &held) { return held.expiresAt <= now; });
     std::erase_if(held_, [](const auto &item) { return item.second.empty(); });
+    std::erase_if(condemned_, [now](const auto &item) { return item.second <= now; });
+}
+
+auto CrashTable::condemn(Fingerprint fingerprint, Instant now) -> void
+{
+    if (fingerprint != 0 && (condemned_.size() < limit || condemned_.contains(fingerprint)))
+        condemned_[fingerprint] = now + lifetime;
+}
+
+auto CrashTable::isSuspect(Fingerprint fingerprint, Instant now) const -> bool
+{
+    const auto told = condemned_.find(fingerprint);
+    if (told != condemned_.end() && told->second > now)
+        return true;
+    return livesOf(fingerprint, now).size() >= suspectAt;
 }
 
 auto CrashTable::livesOf(Fingerprint fingerprint, Instant now) const -> std::vector<UpstreamLife>
--- a/src/core/router-crashes.h
+++ b/src/core/router-crashes.h
@@ -25,6 +25,12 @@
     [[nodiscard]] auto livesOf(Fingerprint fingerprint, Instant now) const
         -> std::vector<UpstreamLife>;
 
+    /// Takes a sidecar's word that `fingerprint` is a suspect, whose notices may not have come yet.
+    auto condemn(Fingerprint fingerprint, Instant now) -> void;
+
+    /// Two lives are known, or a sidecar said so.
+    [[nodiscard]] auto isSuspect(Fingerprint fingerprint, Instant now) const -> bool;
+
     /// Up to `count` notices to pass on.
     [[nodiscard]] auto notices(std::size_t count, Instant now) const -> std::vector<CrashNotice>;
 
@@ -39,6 +45,7 @@
     auto take(const CrashNotice &notice, Instant now) -> void;
 
     std::unordered_map<Fingerprint, std::vector<Held>> held_;
+    std::unordered_map<Fingerprint, Instant> condemned_; ///< Until when.
 };
 
 } // namespace applehatch::core
--- a/src/core/router-requests.cc
+++ b/src/core/router-requests.cc
@@ -85,8 +85,7 @@
 
 auto RouterNode::State::checkCrashes(const Exchange &exchange) -> std::optional<Failure>
 {
-    const auto lives = crashes_.livesOf(exchange.terms.fingerprint, now_);
-    if (lives.size() < CrashTable::suspectAt)
+    if (!crashes_.isSuspect(exchange.terms.fingerprint, now_))
         return std::nullopt;
     return refusal(ErrorKind::CrashSuspect, "it was running when two upstreams died");
 }
--- a/test/core/router-refusals-test.cc
+++ b/test/core/router-refusals-test.cc
@@ -332,4 +332,21 @@
     BOOST_TEST(onlyFailure(bench).retryAfter.has_value());
 }
 
+// A sidecar that saw a request crash a second engine says so and is gone for its routers. Sent
+// again, the request has no upstream left that may try it; its caller must be told that it is final
+// and not to come back.
+BOOST_AUTO_TEST_CASE(a_suspect_is_told_so_when_sent_again_before_the_notices_come)
+{
+    Bench bench(makeSettings(6));
+    bench.feed(chatRequest("r1", 5));
+    const auto first = bench.openAsked();
+    bench.from(first, refusal("r1", 1, ErrorKind::CrashSuspect, Run::Ran));
+    auto again = chatRequest("r2", 5);
+    again.call.body = std::make_shared<const std::string>("body of r1");
+    bench.feed(again);
+    BOOST_REQUIRE(bench.failures().size() == 2U);
+    BOOST_TEST((bench.failures()[1].failure.kind == ErrorKind::CrashSuspect));
+    BOOST_TEST(!bench.failures()[1].failure.retryAfter.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
