Hold back the word that a short answer was taken

Cause: one acknowledgement for each answer, 80 bytes by the codec, was the larger part of what links cost once heartbeats were gone.

Change: a router acknowledges each 128 KB (32 before) and the end of answers at least that long. The end of a shorter one it tells only when somebody waits for it: when the sidecar leaves, which now says so on each link, or when the router itself drains. A sidecar forgets a whole answer after a minute by itself; what it generates in a minute is far below its 64 MB.

Ruled out: one acknowledgement for several answers, which needs a list in the schema; none at all, since a planned stop would last a minute longer.

--- a/src/core/router-answers.cc
+++ b/src/core/router-answers.cc
@@ -194,7 +194,7 @@
     exchange.phase = ExchangePhase::Finished;
     exchange.leftAt = now_;
     if (answer.consumed == answer.received) {
-        acknowledge(exchange, true);
+        acknowledgeEnd(exchange);
         erase(exchange);
     }
 }
@@ -207,16 +207,6 @@
         resume(exchange);
 }
 
-auto RouterNode::State::acknowledge(Exchange &exchange, bool finished) -> void
-{
-    exchange.answer.acknowledged = exchange.answer.consumed;
-    const auto link = links_.find(exchange.upstream);
-    if (link == links_.end() || link->second.phase != LinkPhase::Open)
-        return;
-    const auto offset = finished ? exchange.answer.received : exchange.answer.consumed;
-    send(exchange.upstream, Acknowledge{exchange.origin, offset, finished});
-}
-
 auto RouterNode::State::onMessage(UpstreamId upstream, Refusal &refusal) -> void
 {
     applyLoads(refusal.loads);
--- a/src/core/router-node.cc
+++ b/src/core/router-node.cc
@@ -73,6 +73,11 @@
     if (std::any_of(entries.begin(), entries.end(), changesState))
         views_.clear();
     loads_.apply(entries, now_);
+    const auto tellsOfLeaving = [](const DigestEntry &entry) {
+        return entry.state == UpstreamState::Leaving;
+    };
+    if (std::any_of(entries.begin(), entries.end(), tellsOfLeaving))
+        releaseAcknowledgements([this](UpstreamId each) { return isKnownLeaving(each); });
 }
 
 auto RouterNode::State::recentLoads() -> const std::vector<DigestEntry> &
@@ -87,6 +92,7 @@
 auto RouterNode::State::on(DrainRequested & /*event*/) -> void
 {
     draining_ = true;
+    releaseAcknowledgements([](UpstreamId) { return true; });
 }
 
 auto RouterNode::State::sayDrained() -> void
--- a/src/core/router-requests.cc
+++ b/src/core/router-requests.cc
@@ -128,12 +128,12 @@
     auto &answer = exchange->answer;
     answer.consumed = std::clamp(event.offset, answer.consumed, answer.passedOn);
     if (exchange->phase == ExchangePhase::Finished && answer.consumed == answer.received) {
-        acknowledge(*exchange, true);
+        acknowledgeEnd(*exchange);
         erase(*exchange);
         return;
     }
     if (answer.consumed >= answer.acknowledged + limits::acknowledgeStep)
-        acknowledge(*exchange, false);
+        acknowledge(*exchange);
 }
 
 auto RouterNode::State::on(CallerGone &event) -> void
@@ -144,7 +144,7 @@
     const auto mayComeBack = exchange->answer.stream && exchange->answer.passedOn > 0;
     if (!mayComeBack) {
         if (exchange->phase == ExchangePhase::Finished)
-            acknowledge(*exchange, true);
+            acknowledgeEnd(*exchange);
         else
             revoke(*exchange);
         erase(*exchange);
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -8,6 +8,8 @@
 #include "router-exchange.h"
 #include "router-links.h"
 
+#include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -37,7 +39,8 @@
 inline constexpr std::size_t digestEntries = 8;
 inline constexpr std::size_t digestCrashes = 4;
 inline constexpr std::size_t submitLoads = 4;
-inline constexpr std::uint64_t acknowledgeStep = 32U << 10U;
+inline constexpr std::uint64_t acknowledgeStep = 128U << 10U;
+inline constexpr Duration answerMemory = 60s; ///< Of a sidecar for a whole answer.
 
 } // namespace limits
 
@@ -66,6 +69,15 @@
     OneRetry, ///< Any other repetition.
 };
 
+/// How far a caller has taken an answer.
+struct Taken
+{
+    Instant at;
+    UpstreamId upstream = 0;
+    RequestId origin;
+    std::uint64_t offset = 0;
+};
+
 /// Where a request goes next, and why.
 struct Choice
 {
@@ -128,6 +140,14 @@
     auto addContestedHome(const Exchange &exchange, std::vector<UpstreamId> &usable) const -> void;
     auto writeDecision(const Exchange &exchange) -> void;
 
+    // router-acknowledge.cc
+    auto acknowledge(Exchange &exchange) -> void;
+    auto acknowledge(const Taken &taken, bool finished) -> void;
+    auto acknowledgeEnd(const Exchange &exchange) -> void;
+    [[nodiscard]] auto isKnownLeaving(UpstreamId upstream) const -> bool;
+    auto releaseAcknowledgements(const std::function<bool(UpstreamId)> &isFor) -> void;
+    auto expireAcknowledgements() -> void;
+
     // router-explain.cc
     [[nodiscard]] auto explain(const std::string &teamName, const std::string &poolName,
                                const std::string &chat, const std::string &contextToken,
@@ -166,7 +186,6 @@
     auto passOn(Exchange &exchange, std::string data) -> void;
     auto finish(Exchange &exchange) -> void;
     auto askAgain(Exchange &exchange) -> void;
-    auto acknowledge(Exchange &exchange, bool finished) -> void;
     [[nodiscard]] auto find(const RequestId &request) -> Exchange *;
     [[nodiscard]] auto findAt(UpstreamId upstream, const RequestId &origin) -> Exchange *;
 
@@ -199,6 +218,7 @@
     std::unordered_map<std::string, HostState> hosts_;       ///< Empty while unknown.
     std::unordered_map<std::string, Instant> leavingSaidAt_; ///< Since when lists say so, by IP.
     LinkTable links_;
+    std::deque<Taken> withheld_; ///< Ends of answers that no sidecar waits to hear of.
     RetryBudgets budgets_;
     std::map<std::string, PoolView> views_; ///< By `team/pool`.
     std::map<RequestId, Exchange> exchanges_;
--- a/src/core/router-tick.cc
+++ b/src/core/router-tick.cc
@@ -85,6 +85,7 @@
         return;
     digestAt_ = now_;
     loads_.expire(now_);
+    expireAcknowledgements();
     crashes_.expire(now_);
     std::vector<const Pool *> pools;
     for (const auto &[name, team] : settings_->teams) {
--- a/src/core/sidecar-leaving.cc
+++ b/src/core/sidecar-leaving.cc
@@ -57,6 +57,7 @@
         return;
     log(LogLine("state").add("state", stateName(upstreamState())));
     tellSome();
+    tellRouters();
     if (!isLeaving()) {
         leavingSince.reset();
         handoffs.clear();
@@ -98,6 +99,17 @@
     checkDrained();
 }
 
+// Routers hold back word of answers that were taken until they know that this sidecar leaves. By
+// digests alone some would learn it late, and the stop would wait for their word.
+auto SidecarNode::State::tellRouters() -> void
+{
+    if (!isLeaving())
+        return;
+    const auto leaving = refusalOf(ErrorKind::UpstreamLeaving, Run::NotRun, "");
+    for (const auto &[id, link] : links)
+        send(id, Refusal{"", 0, leaving, 0, freshestFrom(self, loads, 1, now)});
+}
+
 auto SidecarNode::State::checkDrained() -> void
 {
     if (!drainRequested || drainedTold || !active.empty())
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -301,6 +301,7 @@
     auto on(const CacheEvents &event) -> void;
     auto on(const HandoffDone &event) -> void;
     auto leavingChanged(bool before) -> void;
+    auto tellRouters() -> void;
     auto handOffNext() -> void;
     auto checkDrained() -> void;
 
--- a/test/core/router-resume-test.cc
+++ b/test/core/router-resume-test.cc
@@ -50,8 +50,9 @@
     bench.from(upstream, End{"r1", whole.size(), stableHash(whole), {}});
     BOOST_TEST(Bench::of<AnswerEnd>(bench.last).at(0).request == "x1");
     bench.feed(CallerConsumed{"x1", whole.size()});
-    BOOST_TEST(Bench::sent<Acknowledge>(bench.last).at(0).request == "r1");
     BOOST_TEST(bench.node.counts().inFlight == 0U);
+    bench.feed(DrainRequested{});
+    BOOST_TEST(Bench::sent<Acknowledge>(bench.last).at(0).request == "r1");
 }
 
 BOOST_AUTO_TEST_CASE(what_cannot_be_resumed_is_said_at_once)
--- a/test/core/sidecar-leaving-test.cc
+++ b/test/core/sidecar-leaving-test.cc
@@ -50,6 +50,8 @@
         BOOST_TEST(sidecar.node().counts().waiting == 1U);
         leave(sidecar, how);
         BOOST_TEST((sidecar.node().state() == UpstreamState::Leaving), how);
+        BOOST_TEST(sidecar.refusal().loads.at(0).upstream == sidecar.id(0), how);
+        BOOST_TEST((sidecar.refusal().loads.at(0).state == UpstreamState::Leaving), how);
         BOOST_REQUIRE(!sidecar.did<SendDigest>().empty());
         BOOST_TEST(
             (sidecar.did<SendDigest>().at(0).digest.entries.at(0).state == UpstreamState::Leaving));
