--- a/src/bench/slopes-tokens.cc
+++ b/src/bench/slopes-tokens.cc
@@ -87,6 +87,41 @@
     });
 }
 
+/// Control bytes that a router sends for one answer of `bytes`, taken by its caller as it comes.
+auto bytesAcknowledging(std::size_t bytes) -> double
+{
+    constexpr std::size_t reportedEach = 32U << 10U; // As the host reports a caller's progress.
+    const auto pool = poolOf(1);
+    RouterNode node({"router-1", "dc-0", 42});
+    (void)node.handle(SettingsInForce{settingsOf({pool})}, start);
+    const auto upstream = pool.members[0].id;
+    (void)node.handle(LinkUp{upstream, life, start}, start);
+    CallerRequest request;
+    request.request = "router-123-4567890";
+    request.terms.team = "ledger";
+    request.terms.customer = "customer-1";
+    request.terms.model = "model-drafting";
+    request.call.body = std::make_shared<const std::string>("body");
+    const auto id = request.request;
+    (void)node.handle(std::move(request), start);
+    (void)node.handle(FromSidecar{upstream, Head{id, 1, 200, {}, false, false}}, start);
+    std::size_t sent = 0;
+    const auto give = [&](RouterEvent event) {
+        for (const auto &action : node.handle(std::move(event), start)) {
+            const auto *message = std::get_if<SendToSidecar>(&action);
+            if (message != nullptr)
+                sent += wire::encodeMessage(message->message).size();
+        }
+    };
+    const std::string body(bytes, 'x');
+    give(FromSidecar{upstream, Chunk{id, 0, body}});
+    for (auto taken = reportedEach; taken < bytes; taken += reportedEach)
+        give(CallerConsumed{id, taken});
+    give(FromSidecar{upstream, End{id, bytes, stableHash(body), {}}});
+    give(CallerConsumed{id, bytes});
+    return static_cast<double>(sent);
+}
+
 /// Microseconds for one token at the sidecar node, with `streams` open.
 auto sidecarToken(std::size_t streams) -> double
 {
@@ -132,6 +167,9 @@
     const std::vector<std::size_t> streams{30, 100, 300, 1000};
     measureSlope({"router.token", "streams", "us_per_token", 302}, streams, routerToken);
     measureSlope({"sidecar.token", "streams", "us_per_token", 161}, streams, sidecarToken);
+    // An answer of 320 tokens of 64 bytes at full size.
+    measureSlope({"router.acknowledges", "answer_bytes", "bytes_for_one_answer", 20480},
+                 {5120, 20480, 81920, 327680, 1310720}, bytesAcknowledging);
     measureSlope({"chunk.encode.rate", "tokens_per_second", "us_per_second", routerShare},
                  {2000, 6000, 20000}, [](std::size_t rate) {
                      const Message message = chunk(64);
