Refuse at once what higher priorities would always overtake

Cause: the sidecar's estimate of a wait counted what waits now, not what is yet to come. Under overload a low priority found a short queue, was let in, was overtaken by each later request of a higher priority, and was refused when one mean run no longer fitted into its time. Ruled out: a slow router or a wrong mean run time, for most late refusals were the sidecar's own "unmeetable" of requests that had waited.

A first version also counted the first turn when looking again; the existing test unmeetable_deadlines_are_refused_early showed that this refuses too soon.

--- a/include/applehatch/core/admission.h
+++ b/include/applehatch/core/admission.h
@@ -34,6 +34,7 @@
 {
     double ahead = 0; ///< Waiting requests that go first.
     std::uint32_t slots = 1;
+    double takenShare = 0; ///< Of the slots, by requests yet to come that will go first.
 };
 
 /// Until a slot is free for a request behind `backlog`, all slots being taken.
--- a/include/applehatch/core/wait-queue.h
+++ b/include/applehatch/core/wait-queue.h
@@ -36,7 +36,8 @@
 
     auto erase(std::uint64_t id) -> bool;
 
-    /// How many waiting requests would be taken before `waiting` if it were pushed now.
+    /// How many waiting requests would be taken before `waiting` if it were pushed now, or before
+    /// it when it waits already.
     [[nodiscard]] auto ahead(const Waiting &waiting) const -> double;
 
     [[nodiscard]] auto size() const -> std::size_t { return places_.size(); }
--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double newestShare = 0.2;
+constexpr double mostTakenShare = 0.95; ///< Keeps a wait finite.
 constexpr Duration guessedServiceTime = std::chrono::seconds(1);
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration longestRetryAfter = std::chrono::seconds(30);
@@ -35,7 +36,8 @@
 
 auto expectedWait(const Backlog &backlog, Duration serviceTime) -> Duration
 {
-    const auto turns = (backlog.ahead + 1) / std::max(1U, backlog.slots);
+    const auto left = 1 - std::min(backlog.takenShare, mostTakenShare);
+    const auto turns = (backlog.ahead + 1) / std::max(1U, backlog.slots) / left;
     return Duration(static_cast<Duration::rep>(turns * static_cast<double>(serviceTime.count())));
 }
 
--- a/src/core/sidecar-node.cc
+++ b/src/core/sidecar-node.cc
@@ -81,6 +81,7 @@
     watchLost();
     watchHeld();
     watchJobs();
+    reviewQueue();
     dispatch();
     considerOrder();
     exchangeDigest();
--- a/src/core/sidecar-runs.cc
+++ b/src/core/sidecar-runs.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::uint32_t mostReconnects = 2;
+constexpr Duration reviewPeriod = std::chrono::milliseconds(200);
+constexpr std::size_t mostReviewed = 256; ///< A review takes the square of the queue's length.
 
 } // namespace
 
@@ -211,6 +213,22 @@
     }
 }
 
+// A request that could be met on arrival may be overtaken since. Its caller would wait almost to
+// the deadline for a refusal that was certain long before, so the queue is looked through again.
+auto SidecarNode::State::reviewQueue() -> void
+{
+    if (now - reviewedAt < reviewPeriod || queue.size() > mostReviewed)
+        return;
+    reviewedAt = now;
+    for (const auto &waiting : queue.all()) {
+        // What runs now may end at any moment, so the first turn is not counted.
+        if (!canMeet(waiting, queue.ahead(waiting) - 1))
+            fail(jobs.at(waiting.id),
+                 refusalOf(ErrorKind::DeadlineUnmeetable, Run::NotRun, "others go first"),
+                 "overtaken");
+    }
+}
+
 auto SidecarNode::State::watchWaiting(Job &job) -> void
 {
     const auto mean = serviceTime.mean();
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -3,6 +3,7 @@
 
 #include "applehatch/core/admission.h"
 #include "applehatch/core/answer-store.h"
+#include "applehatch/core/arrival-rates.h"
 #include "applehatch/core/chat-pointers.h"
 #include "applehatch/core/crash-book.h"
 #include "applehatch/core/expiring-map.h"
@@ -147,6 +148,8 @@
     ExpiringMap<bool> startedBefore; ///< By request.
     ExpiringMap<bool> redirected;    ///< By request.
     ServiceTime serviceTime;
+    ArrivalRates arrivals;
+    Instant reviewedAt; ///< When the queue was last looked through for hopeless requests.
 
     // Peers and the load plane.
     std::map<LinkId, PeerLink> links;
@@ -247,6 +250,8 @@
     auto leaveUpstream(Job &job) -> void;
     auto watchJobs() -> void;
     auto watchWaiting(Job &job) -> void;
+    auto reviewQueue() -> void;
+    [[nodiscard]] auto canMeet(const Waiting &waiting, double ahead) const -> bool;
     auto watchRunning(Job &job) -> void;
 
     // sidecar-answers.cc
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -173,17 +173,27 @@
     if (queue.size() >= pool.queueLimit)
         return Rejection{refusalOf(ErrorKind::Overloaded, Run::NotRun, "queue is full"), holder,
                          "queue-full"};
-    const auto mean = serviceTime.mean();
-    if (pool.queueOrder != settings::QueueOrder::DeadlineWithRefusal || !mean)
-        return std::nullopt;
-    const auto ahead = queue.ahead(asWaiting(terms, message.notAfter));
-    if (now + expectedWait({ahead, slots}, *mean) + *mean <= message.notAfter)
+    const auto waiting = asWaiting(terms, message.notAfter);
+    if (canMeet(waiting, queue.ahead(waiting)))
         return std::nullopt;
     return Rejection{
         refusalOf(ErrorKind::DeadlineUnmeetable, Run::NotRun, "the queue outlasts the deadline"),
         holder, "unmeetable"};
 }
 
+// Requests of higher priority that are yet to come will go first too. Where they take nearly all
+// slots, a short queue says nothing: its last place would be refused only when its time is up.
+auto SidecarNode::State::canMeet(const Waiting &waiting, double ahead) const -> bool
+{
+    const auto mean = serviceTime.mean();
+    if (pool.queueOrder != settings::QueueOrder::DeadlineWithRefusal || !mean)
+        return true;
+    const auto runTime = std::chrono::duration<double>(*mean).count();
+    const auto taken = arrivals.above(waiting.priority, now) * runTime / std::max(1U, slots);
+    const auto wait = expectedWait({ahead, slots, taken}, *mean);
+    return now + wait + *mean <= waiting.deadline;
+}
+
 auto SidecarNode::State::bound() const -> std::uint32_t
 {
     return admissionBound(pool, wholePoolLoad(view(), loads, sums, now), slots);
@@ -266,6 +276,7 @@
     auto waiting = asWaiting(job.terms, job.notAfter);
     waiting.id = job.run;
     queue.push(waiting, pool.queueOrder);
+    arrivals.record(waiting.priority, now);
 }
 
 auto SidecarNode::State::reject(LinkId link, const Submit &message, const Rejection &rejection)
--- a/src/core/wait-queue.cc
+++ b/src/core/wait-queue.cc
@@ -76,7 +76,10 @@
         double ownBefore = 0;
         if (own != held.flows.end() && priority == waiting.priority) {
             const auto &requests = own->second.requests;
-            const auto later = requests.upper_bound({waiting.deadline, arrivals_ + 1});
+            const auto place = places_.find(waiting.id);
+            const auto later = place == places_.end()
+                ? requests.upper_bound({waiting.deadline, arrivals_ + 1})
+                : requests.find(place->second.rank);
             ownBefore = static_cast<double>(std::distance(requests.begin(), later));
         }
         for (const auto &[customer, flow] : held.flows) {
--- a/src/experiment/overload.cc
+++ b/src/experiment/overload.cc
@@ -97,9 +97,11 @@
                                                           overload.mostTokens);
     std::exponential_distribution<double> gap(overload.capacity() * overload.offered);
     std::vector<DeadlineRequest> requests;
-    for (auto at = gap(random); at < inSeconds(length); at += gap(random)) {
+    const auto end = inSeconds(length + overload.longestDeadline);
+    for (auto at = gap(random); at < end; at += gap(random)) {
         DeadlineRequest request;
         request.start = std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(at));
+        request.counts = at < inSeconds(length);
         request.priorityClass = pickClass(random);
         request.tokens = pickTokens(random);
         request.deadline = between(random, overload.shortestDeadline, overload.longestDeadline);
@@ -126,7 +128,13 @@
         });
     }
     callers.clear();
-    return outcomes;
+    std::vector<DeadlineOutcome> counted;
+    for (std::size_t number = 0; number < requests.size(); ++number) {
+        if (requests[number].counts) {
+            counted.push_back(outcomes[number]);
+        }
+    }
+    return counted;
 }
 
 auto countDeadlines(const std::vector<DeadlineOutcome> &outcomes, std::size_t classes)
--- a/src/experiment/overload.h
+++ b/src/experiment/overload.h
@@ -44,17 +44,20 @@
 struct DeadlineRequest
 {
     std::size_t priorityClass = 0; ///< Place in `Overload::classes`.
+    bool counts = true;            ///< The overload lasts until its deadline.
     milliseconds start{0};
     milliseconds deadline{0}; ///< From when it is sent.
     std::size_t tokens = 0;
     std::size_t router = 0;
 };
 
-/// Poisson arrivals for `length`.
+/// Poisson arrivals for `length`, and for the longest deadline after it: without these, the queue
+/// would be worked off under no load and the last requests counted would end better than in
+/// overload.
 [[nodiscard]] auto planRequests(const Overload &overload, milliseconds length, std::uint64_t seed)
     -> std::vector<DeadlineRequest>;
 
-/// How a request ended for its caller.
+/// How a request ended for its caller; only of those that count.
 struct DeadlineOutcome
 {
     std::size_t priorityClass = 0;
