--- a/src/experiment/measures-report.cc
+++ b/src/experiment/measures-report.cc
@@ -41,6 +41,52 @@
                   sidecar.worst);
 }
 
+auto callRow(const Result &result) -> std::string
+{
+    const auto &calls = result.calls;
+    std::string times;
+    for (const auto &[priority, figures] : result.times) {
+        times += format("%d: %.1f ", priority, percent * figures.share());
+    }
+    return format("| %s | %llu | %zu | %zu | %zu | %zu | %zu | %zu | %s |\n",
+                  result.variant.name.c_str(), static_cast<unsigned long long>(result.seed),
+                  calls.sent, calls.resent, calls.ranOnce, calls.ranTwice, calls.answeredUnrun,
+                  calls.unanswered, times.c_str());
+}
+
+auto callTable(const std::vector<Result> &results) -> std::string
+{
+    std::string text =
+        "\n| variant | seed | run-once calls | sent again | answered, ran once | ran "
+        "twice | answered, not run | unanswered | turns in time %, by priority |\n"
+        "|---|---|---|---|---|---|---|---|---|\n";
+    for (const auto &result : results) {
+        text += callRow(result);
+    }
+    return text;
+}
+
+auto timesJson(const std::map<int, TimeFigures> &times) -> json
+{
+    auto list = json::array();
+    for (const auto &[priority, figures] : times) {
+        list.push_back(
+            {{"priority", priority}, {"turns", figures.turns}, {"inTime", figures.inTime}});
+    }
+    return list;
+}
+
+auto callsJson(const CallFigures &calls) -> json
+{
+    return {{"sent", calls.sent},
+            {"answered", calls.answered},
+            {"resent", calls.resent},
+            {"ranOnce", calls.ranOnce},
+            {"ranTwice", calls.ranTwice},
+            {"answeredUnrun", calls.answeredUnrun},
+            {"unanswered", calls.unanswered}};
+}
+
 auto kindRows(const ControlRates &control) -> std::string
 {
     std::string rows;
@@ -87,6 +133,8 @@
                          {"overRaw", skew.overRaw},
                          {"overRounded", skew.overRounded},
                          {"meanRunning", skew.meanRunning}}},
+                       {"times", timesJson(result.times)},
+                       {"calls", callsJson(result.calls)},
                        {"controlBytesPerSecond", control}};
     return line.dump();
 }
@@ -101,6 +149,7 @@
     for (const auto &result : results) {
         text += row(result);
     }
+    text += callTable(results);
     if (!results.empty()) {
         text += "\n| role | control kind (" + results.front().variant.name
             + ") | median B/s | worst B/s |\n|---|---|---|---|\n"
--- a/src/experiment/measures-report.h
+++ b/src/experiment/measures-report.h
@@ -1,7 +1,10 @@
 /// The figures of one variant, as a line of JSON and as a row of a table.
 #pragma once
 
+#include "measures-calls.h"
 #include "measures-sampling.h"
+#include "measures-times.h"
+#include "timeline.h"
 
 #include <string>
 #include <vector>
@@ -14,7 +17,7 @@
     std::string name;
     std::string placement = "default";
     bool echoToken = true;
-    double loadMultiple = 0; ///< 0 takes the deployment's own.
+    nlohmann::json pool = nlohmann::json::object(); ///< Differs from the deployment's in these.
 };
 
 struct Result
@@ -27,12 +30,16 @@
     Reuse reuse;
     Skew skew;
     ControlRates control;
+    std::map<int, TimeFigures> times; ///< By priority.
+    CallFigures calls;
+    Timeline timeline;
 };
 
 /// One object on one line.
 [[nodiscard]] auto jsonLine(const Result &result) -> std::string;
 
-/// A Markdown table of all variants, and one of the first variant's control traffic by kind.
+/// A Markdown table of all variants, of their calls and times, and of the first one's control
+/// bytes.
 [[nodiscard]] auto table(const std::vector<Result> &results) -> std::string;
 
 } // namespace applehatch::experiment
--- a/src/experiment/measures-sampling.h
+++ b/src/experiment/measures-sampling.h
@@ -26,6 +26,20 @@
 
 [[nodiscard]] auto readEvents(Fleet &fleet) -> EngineEvents;
 
+/// Counts what runs on one engine while time goes on.
+class LoadCursor
+{
+public:
+    /// Requests that run at `atMs`, which never goes back; `events` are always the same.
+    auto advance(const std::vector<EngineEvent> &events, std::int64_t atMs) -> int;
+
+private:
+    std::size_t next_ = 0;
+    int running_ = 0;
+};
+
+[[nodiscard]] auto isLive(const std::vector<LiveSpan> &spans, std::int64_t atMs) -> bool;
+
 /// How often returning chats found their context.
 struct Reuse
 {
