Let a returning chat wait at home while that costs less than a cold start

Cause: a chat whose home was at its bound, or at its customer's limit there, was sent on at once and paid for its whole context again.

Change: a pool setting homeWaitMs (default 1000). A sidecar that holds the context lets the request into its queue past the bound or the limit while the expected wait is at most that. What runs keeps to both: the queue passes over customers at their limit. Routers ask a token's home until its load is at twice its bound.

--- a/include/applehatch/core/wait-queue.h
+++ b/include/applehatch/core/wait-queue.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,8 +32,9 @@
     /// With `FirstCome` a customer's requests keep their order of arrival.
     auto push(const Waiting &waiting, settings::QueueOrder order) -> void;
 
-    /// Takes the next request; none when nothing waits.
-    auto pop() -> std::optional<std::uint64_t>;
+    /// Takes the next request; none when nothing waits. Customers in `passedOver` keep their
+    /// place and are not taken from.
+    auto pop(const std::set<std::string> &passedOver = {}) -> std::optional<std::uint64_t>;
 
     auto erase(std::uint64_t id) -> bool;
 
--- a/include/applehatch/settings/settings.h
+++ b/include/applehatch/settings/settings.h
@@ -68,6 +68,8 @@
     double loadMultiple = 1.25;      ///< Bound on an upstream's load over the mean of its pool.
     std::uint32_t queueLimit = 64;   ///< Requests that may wait at one upstream.
     Duration queueWait = std::chrono::seconds(5); ///< Longest wait before a refusal.
+    /// Longest expected wait that a chat takes at its home rather than start cold elsewhere.
+    Duration homeWait = std::chrono::seconds(1);
     QueueOrder queueOrder = QueueOrder::DeadlineWithRefusal;
     Duration defaultDeadline = std::chrono::seconds(120);
     Duration maxDeadline = std::chrono::seconds(600);
--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -170,7 +170,10 @@
     if (!entry || entry->age > loadFreshness || view.poolLoad.slots == 0)
         return false;
     const auto bound = boundOf(view, *entry);
-    return loadOf(*entry) >= bound + std::max(overMargin, bound / 4);
+    // Chats may wait at home, where their token says that it is: about a bound's worth of them.
+    const auto mayWait = id == view.tokenHome && view.pool.homeWait > Duration::zero();
+    const auto most = mayWait ? 2 * bound : bound;
+    return loadOf(*entry) >= most + std::max(overMargin, bound / 4);
 }
 
 auto placeByContext(const PlacementView &view, Random &random) -> std::vector<UpstreamId>
--- a/src/core/sidecar-runs.cc
+++ b/src/core/sidecar-runs.cc
@@ -17,8 +17,8 @@
 {
     // While it is open whether the upstream crashed, the queue waits rather than be lost with it.
     const auto mayStart = report && report->reachable && inPhase(JobPhase::Lost).empty();
-    while (mayStart && running < slots && running < runningBound()) {
-        const auto next = queue.pop();
+    while (mayStart && queue.size() != 0 && running < slots && running < runningBound()) {
+        const auto next = queue.pop(customersAtLimit());
         if (!next)
             return;
         auto &job = jobs.at(*next);
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -213,12 +213,15 @@
     [[nodiscard]] auto checkSecondTry(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto checkPlace(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto checkLoad(const Submit &message) const -> std::optional<Rejection>;
+    [[nodiscard]] auto mayWaitAtHome(const Submit &message,
+                                     const settings::Customer *customer) const -> bool;
     [[nodiscard]] auto bound() const -> std::uint32_t;
     [[nodiscard]] auto runningBound() const -> std::uint32_t;
     [[nodiscard]] auto mayReconnect(const Job &job) const -> bool;
     auto reconnect(Job &job) -> void;
     [[nodiscard]] auto customerOf(const Terms &terms) const -> const settings::Customer *;
     [[nodiscard]] auto inFlightOf(const Terms &terms) const -> std::uint32_t;
+    [[nodiscard]] auto customersAtLimit() const -> std::set<std::string>;
     [[nodiscard]] auto attemptMemory(Instant notAfter = {}) const -> Instant;
     auto applyEntries(std::vector<DigestEntry> entries) -> void;
     [[nodiscard]] auto asWaiting(const Terms &terms, Instant notAfter) const -> Waiting;
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -161,11 +161,12 @@
     const auto holder = chats.holder(terms.chat, now);
     const auto *customer = customerOf(terms);
     const auto limit = customer == nullptr ? 0 : customer->inFlightLimit;
-    if (limit != 0 && inFlightOf(terms) >= limit)
+    const auto staysHome = mayWaitAtHome(message, customer);
+    if (limit != 0 && inFlightOf(terms) >= limit && !staysHome)
         return Rejection{refusalOf(ErrorKind::CustomerLimit, Run::NotRun, "customer's limit here"),
                          holder, "customer-limit"};
     const auto isFull = load() + 1 > bound();
-    if (isFull && !message.mayWait)
+    if (isFull && !message.mayWait && !staysHome)
         return Rejection{refusalOf(ErrorKind::Overloaded, Run::NotRun, "at its bound"), holder,
                          "bound"};
     if (!isFull && running < slots && queue.size() == 0)
@@ -194,6 +195,28 @@
     return now + wait + *mean <= waiting.deadline;
 }
 
+// A chat that moves pays for its whole context again, and its turn still takes a place elsewhere.
+// It waits here as long as that is the lesser delay; what runs stays within the bound.
+auto SidecarNode::State::mayWaitAtHome(const Submit &message,
+                                       const settings::Customer *customer) const -> bool
+{
+    const auto &terms = message.terms;
+    const auto mean = serviceTime.mean();
+    if (!mean || pool.homeWait <= Duration::zero() || !chats.isWarm(terms.chat, now))
+        return false;
+    const auto places = std::min(slots, runningBound());
+    const auto ahead = queue.ahead(asWaiting(terms, message.notAfter));
+    auto wait = expectedWait({ahead, places}, *mean);
+    if (customer != nullptr && customer->inFlightLimit != 0) {
+        const auto limit = customer->inFlightLimit;
+        const auto inFlight = inFlightOf(terms);
+        if (inFlight >= limit)
+            wait =
+                std::max(wait, expectedWait({static_cast<double>(inFlight - limit), limit}, *mean));
+    }
+    return wait <= pool.homeWait;
+}
+
 auto SidecarNode::State::bound() const -> std::uint32_t
 {
     return admissionBound(pool, wholePoolLoad(view(), loads, sums, now), slots);
@@ -228,6 +251,25 @@
     return count;
 }
 
+// Requests that wait at home for their customer's limit must not start beyond it.
+auto SidecarNode::State::customersAtLimit() const -> std::set<std::string>
+{
+    std::set<std::string> full;
+    if (!settings)
+        return full;
+    std::map<std::string, std::uint32_t> started;
+    for (const auto run : active) {
+        const auto &job = jobs.at(run);
+        if (job.phase == JobPhase::Waiting)
+            continue;
+        const auto *customer = customerOf(job.terms);
+        const auto count = ++started[job.terms.customer];
+        if (customer != nullptr && customer->inFlightLimit != 0 && count >= customer->inFlightLimit)
+            full.insert(job.terms.customer);
+    }
+    return full;
+}
+
 auto SidecarNode::State::asWaiting(const Terms &terms, Instant notAfter) const -> Waiting
 {
     const auto *customer = customerOf(terms);
--- a/src/core/wait-queue.cc
+++ b/src/core/wait-queue.cc
@@ -24,18 +24,20 @@
     places_[waiting.id] = {waiting.priority, waiting.customer, rank};
 }
 
-auto WaitQueue::pop() -> std::optional<std::uint64_t>
+auto WaitQueue::pop(const std::set<std::string> &passedOver) -> std::optional<std::uint64_t>
 {
     for (auto &[priority, held] : classes_) {
         Flow *next = nullptr;
         for (auto &[customer, flow] : held.flows) {
-            if (!flow.requests.empty() && (next == nullptr || flow.start < next->start))
+            const auto mayTake = !flow.requests.empty() && !passedOver.contains(customer);
+            if (mayTake && (next == nullptr || flow.start < next->start))
                 next = &flow;
         }
         if (next == nullptr)
             continue;
         const auto id = next->requests.begin()->second.id;
-        held.virtualTime = next->start;
+        // A customer that was passed over starts behind the others.
+        held.virtualTime = std::max(held.virtualTime, next->start);
         next->finish = next->start + 1.0 / next->weight;
         next->start = next->finish;
         next->requests.erase(next->requests.begin());
--- a/src/settings/pool-parser.cc
+++ b/src/settings/pool-parser.cc
@@ -187,6 +187,7 @@
         reader.real("loadMultiple", loadMultipleRange, pool.loadMultiple);
         reader.whole("queueLimit", Need::Optional, {0, mostQueueLimit}, pool.queueLimit);
         reader.milliseconds("queueWaitMs", {0, mostDeadlineMs}, pool.queueWait);
+        reader.milliseconds("homeWaitMs", {0, mostDeadlineMs}, pool.homeWait);
         readChoice(reader, "queueOrder", Need::Optional, queueOrders, pool.queueOrder);
         reader.milliseconds("defaultDeadlineMs", {1, mostDeadlineMs}, pool.defaultDeadline);
         reader.milliseconds("maxDeadlineMs", {1, mostDeadlineMs}, pool.maxDeadline);
--- a/test/core/sidecar-room-test.cc
+++ b/test/core/sidecar-room-test.cc
@@ -11,6 +11,21 @@
     return submit;
 }
 
+auto turnOf(const Sidecar &sidecar, const RequestId &id, ChatKey chat) -> Submit
+{
+    auto submit = sidecar.request(id);
+    submit.terms.chat = chat;
+    return submit;
+}
+
+// Its context is here then, and the service time is known.
+auto runTurn(Sidecar &sidecar, ChatKey chat, Duration time) -> void
+{
+    const auto run = sidecar.run(turnOf(sidecar, "turn-" + std::to_string(chat), chat));
+    sidecar.pass(time);
+    sidecar.answer(run, "x");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(sidecar_room)
@@ -51,6 +66,51 @@
     }
 }
 
+// A chat comes back while its engine is at the bound. Sent away it would pay for its whole context
+// again, and the caller of a long sheet would wait for that; here it waits for one run to end.
+BOOST_AUTO_TEST_CASE(returning_chat_waits_at_home_while_that_is_short)
+{
+    for (const auto runTime : {300ms, 2000ms}) {
+        Sidecar sidecar(poolOf(3, 8));
+        sidecar.hear(1, 0).hear(2, 0);
+        runTurn(sidecar, 42, runTime);
+        sidecar.hear(1, 0).hear(2, 0);
+        const auto run = sidecar.run(sidecar.request("r1"));
+        sidecar.from(turnOf(sidecar, "stranger", 43));
+        BOOST_TEST(told(sidecar.refusal()) == "overloaded/not-run");
+        sidecar.from(turnOf(sidecar, "home", 42));
+        BOOST_TEST(sidecar.did<StartRun>().empty());
+        if (runTime > 1s) {
+            BOOST_TEST(told(sidecar.refusal()) == "overloaded/not-run");
+            continue;
+        }
+        BOOST_TEST(sidecar.sent<Refusal>().empty());
+        sidecar.answer(run, "x");
+        BOOST_TEST(sidecar.did<StartRun>().size() == 1U);
+    }
+}
+
+// A customer is at its own limit when one of its chats comes back. It waits at home, behind its own
+// customer and nobody else, and the limit on what runs holds meanwhile.
+BOOST_AUTO_TEST_CASE(returning_chat_waits_at_home_for_its_customers_limit)
+{
+    Sidecar sidecar(poolOf(1, 8));
+    sidecar.give(SettingsInForce{settingsOf(sidecar.pool(), 2, {{"c1", {"c1", 1.0, 1}}})});
+    runTurn(sidecar, 42, 300ms);
+    const auto run = sidecar.run(sidecar.request("r1"));
+    sidecar.from(sidecar.request("r2"));
+    BOOST_TEST(told(sidecar.refusal()) == "customer-limit/not-run");
+    sidecar.from(turnOf(sidecar, "home", 42));
+    BOOST_TEST(sidecar.sent<Refusal>().empty());
+    BOOST_TEST(sidecar.did<StartRun>().empty());
+    auto other = sidecar.request("other");
+    other.terms.customer = "c2";
+    sidecar.from(other);
+    BOOST_TEST(sidecar.did<StartRun>().size() == 1U);
+    sidecar.answer(run, "x");
+    BOOST_TEST(sidecar.did<StartRun>().size() == 1U);
+}
+
 // The wait has its limits: a full queue refuses at once, with the time to come back.
 BOOST_AUTO_TEST_CASE(a_full_queue_refuses_one_that_may_wait)
 {
--- a/test/settings/parse-test.cc
+++ b/test/settings/parse-test.cc
@@ -164,6 +164,8 @@
          "found 99999999999"},
         {R"("queueWaitMs": 5000)", R"("queueWaitMs": "5s")", drafting + ".queueWaitMs", 7,
          "a whole number"},
+        {R"("queueWaitMs": 5000)", R"("queueWaitMs": 5000, "homeWaitMs": 3600001)",
+         drafting + ".homeWaitMs", 7, "from 0 to 3600000"},
         {R"("maxDeadlineMs": 600000)", R"("maxDeadlineMs": 0)", drafting + ".maxDeadlineMs", 8,
          "from 1 to 3600000"},
         {R"("defaultDeadlineMs": 120000)", R"("defaultDeadlineMs": 700000)",
