Ask the home of a returning chat although its sidecar has just begun

Change: a chat whose token names such a home asks it while the entry is one of the first four of that life. Ruled out: asking every joining home; one that takes minutes would cost a retry for each of its chats, against the retry budget.

Test returning_chat_asks_a_home_whose_sidecar_has_just_begun seen red first; core-tests green.

--- a/src/core/router-choice.cc
+++ b/src/core/router-choice.cc
@@ -90,8 +90,7 @@
 {
     const auto &view = poolView(exchange.pool);
     auto usable = without(view.usable, exchange.tried);
-    if (!leavingSaidAt_.empty())
-        addContestedHome(exchange, usable);
+    addContestedHome(exchange, usable);
     if (usable.empty())
         usable = without(view.doubtful, exchange.tried);
     if (usable.empty())
@@ -231,6 +230,16 @@
     return entry && entry->age <= limits::contestedLeaving && ownObstacle(member, now_).empty();
 }
 
+// A sidecar that restarts is joining for a moment, and routers hear for seconds that it was. Its
+// engine kept the contexts; passing it over would make each of its returning chats start cold. An
+// upstream that takes long to join has told more entries of this life, and is not asked.
+auto RouterNode::State::hasJustBegun(const settings::Member &member) const -> bool
+{
+    const auto entry = loads_.find(member.id, now_);
+    return entry && entry->version <= limits::entriesOfABeginning
+        && obstacle(member, true, now_) == "joining";
+}
+
 // Host lists differ for seconds, and a wrong one would send a chat away from its context for good.
 // Its sidecar reads the list as well and refuses once it leaves, so a returning chat asks it; if
 // the sidecar never learns of it, the list is obeyed after a few seconds all the same.
@@ -239,7 +248,7 @@
 {
     const auto *home = exchange.pool.member(exchange.tokenHome);
     if (home == nullptr || contains(exchange.tried, home->id) || contains(usable, home->id)
-        || !onlyListedAsLeaving(*home))
+        || (!onlyListedAsLeaving(*home) && !hasJustBegun(*home)))
         return;
     auto next = usable.begin();
     for (const auto &member : exchange.pool.pool->members) {
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -35,7 +35,8 @@
 inline constexpr Duration ticketWait = 10s;    ///< For a link, when giving a ticket.
 inline constexpr Duration digestPeriod = 1s;
 inline constexpr Duration poolViewLifetime = 50ms;
-inline constexpr Duration contestedLeaving = 3s; ///< Then a list's word is final.
+inline constexpr Duration contestedLeaving = 3s;        ///< Then a list's word is final.
+inline constexpr std::uint64_t entriesOfABeginning = 4; ///< A sidecar tells about one a second.
 inline constexpr std::size_t digestEntries = 8;
 inline constexpr std::size_t digestCrashes = 4;
 inline constexpr std::size_t submitLoads = 4;
@@ -138,6 +139,7 @@
         -> std::string_view;
     [[nodiscard]] auto onlyListedAsLeaving(const settings::Member &member) const -> bool;
     auto addContestedHome(const Exchange &exchange, std::vector<UpstreamId> &usable) const -> void;
+    [[nodiscard]] auto hasJustBegun(const settings::Member &member) const -> bool;
     auto writeDecision(const Exchange &exchange) -> void;
 
     // router-acknowledge.cc
--- a/test/core/router-time-test.cc
+++ b/test/core/router-time-test.cc
@@ -217,4 +217,29 @@
     }
 }
 
+// A sidecar is replaced while its engine goes on. For a second routers still hear that it is
+// joining; a chat sent elsewhere meanwhile pays for a context that is there. One that takes long to
+// join is left alone, or each of its chats would cost a retry.
+BOOST_AUTO_TEST_CASE(returning_chat_asks_a_home_whose_sidecar_has_just_begun)
+{
+    struct Row
+    {
+        std::uint32_t version;
+        bool withToken;
+        bool goesHome;
+    };
+    for (const auto &row : {Row{2, true, true}, Row{2, false, false}, Row{9, true, false}}) {
+        Bench bench;
+        const auto home = bench.engines()[1].id;
+        Digest digest;
+        digest.entries = {{home, 1, row.version, 0, 0, 8, UpstreamState::Joining, 1s}};
+        bench.feed(DigestReceived{digest});
+        auto request = chatRequest("r1", 5);
+        if (row.withToken)
+            request.contextToken = formatContext({home, life});
+        bench.feed(request);
+        BOOST_TEST((Bench::of<OpenLink>(bench.last).at(0).upstream == home) == row.goesHome);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
