Name an index and one hash in a pull of settings

Cause: each pull listed every (team, index) pair held, once in 5 s and after news, 15.3 KB at 420 teams: 3.1 KB/s each way, more than the whole budget.

Change: a pull names the index up to which all was offered and the sum of a hash of each pair. The peer sends texts newer than that index and tells when the hashes still differ; after three such answers in a row the next pull lists all. A hash collision cannot hide a change for good: one idle pull of 120, in ten minutes, lists all whatever the hash. So does the pull after a cut reply. Ruled out: the hash alone, with a list when it differs (15.3 KB for each change and peer asked, as two peers differ whenever a change spreads).

Tests: with lists put off for good (both constants at a million) the test of a difference at one index failed, 4 checks; the test of orders failed once as it was written wrongly (asked a process that still wanted lists). Run and passed: core's settings_replica suites, wire, process, platform, core-purity, schedule, generated-code, promise_settings. In the last whole run of core only these two new cases failed, since corrected; core whole was not run again.

--- a/include/applehatch/core/message.h
+++ b/include/applehatch/core/message.h
@@ -149,8 +149,10 @@
 /// Asks a peer for subtrees newer than those held.
 struct SettingsPull
 {
-    std::map<std::string, SettingsIndex> held; ///< Team to index in force.
-    bool onlyIndices = false;
+    std::map<std::string, SettingsIndex> held; ///< Team to index in force; empty when `brief`.
+    bool brief = false;                        ///< `since` and `hash` stand for `held`.
+    SettingsIndex since = 0;                   ///< Everything up to here was offered to the asker.
+    std::uint64_t hash = 0;                    ///< Over all teams and indices held, in any order.
 };
 
 /// One team's last accepted text.
@@ -166,6 +168,7 @@
 {
     SettingsIndex index = 0;
     std::vector<SettingsText> texts;
+    bool differs = false; ///< After `texts`, the asker of a brief pull may still hold others.
 };
 
 using Message = std::variant<Submit, Revoke, Resume, Acknowledge, Heartbeat, Head, Chunk, End,
--- a/src/bench/slopes-settings.cc
+++ b/src/bench/slopes-settings.cc
@@ -86,12 +86,25 @@
     return pull;
 }
 
+auto briefPull() -> SettingsPull
+{
+    return {{}, true, 420, 0x123456789abcdef0};
+}
+
 auto measureReplica() -> void
 {
     const std::vector<std::size_t> teams{10, 100, 420};
     measureSlope({"settings.pull.bytes", "teams", "bytes", 420}, teams, [](std::size_t size) {
         return static_cast<double>(wire::encodeMessage(pullOf(size)).size());
     });
+    measureSlope({"settings.pull.brief.bytes", "teams", "bytes", 420}, teams,
+                 [](std::size_t /*size*/) {
+                     return static_cast<double>(wire::encodeMessage(briefPull()).size());
+                 });
+    measureSlope({"settings.reply.nothing", "teams", "bytes", 420}, teams,
+                 [](std::size_t /*size*/) {
+                     return static_cast<double>(wire::encodeMessage(SettingsReply{420, {}}).size());
+                 });
     measureSlope({"settings.pull.cpu", "teams", "us_per_pull_answered", 420}, teams,
                  [](std::size_t size) {
                      auto &replica = replicaWith(size);
--- a/src/core/settings-replica-table.cc
+++ b/src/core/settings-replica-table.cc
@@ -84,23 +84,33 @@
     return indices;
 }
 
+auto SubtreeTable::hash() const -> std::uint64_t
+{
+    std::uint64_t sum = 0;
+    for (const auto &[team, subtree] : subtrees_) {
+        sum += stableHash(team, std::max(subtree.inForce, subtree.refused));
+    }
+    return sum;
+}
+
 /// Refused texts go along while they fit, so that every process can show why; they are never the
 /// reason to ask again, as the asker could not take them into force.
 auto SubtreeTable::answer(const SettingsPull &pull, std::size_t limit) const -> SettingsReply
 {
     SettingsReply reply{index_, {}};
+    reply.differs = pull.brief && pull.since >= index_ && pull.hash != hash();
     std::size_t bytes = 0;
     const auto fits = [&](const std::shared_ptr<const std::string> &text) {
         bytes += text == nullptr ? 0 : text->size();
         return reply.texts.empty() || bytes <= limit;
     };
     const auto heldBy = [&pull](const std::string &team) {
+        if (pull.brief) {
+            return pull.since;
+        }
         const auto held = pull.held.find(team);
         return held == pull.held.end() ? 0 : held->second;
     };
-    if (pull.onlyIndices) {
-        return reply;
-    }
     for (const auto &[team, subtree] : subtrees_) {
         if (subtree.inForce <= heldBy(team)) {
             continue;
--- a/src/core/settings-replica-table.h
+++ b/src/core/settings-replica-table.h
@@ -44,6 +44,10 @@
     /// unless `acceptedOnly`: then a peer also sends texts that came before it.
     [[nodiscard]] auto indices(bool acceptedOnly) const -> std::map<std::string, SettingsIndex>;
 
+    /// One number over all that `indices(false)` gives; the order in which it came to be held does
+    /// not count.
+    [[nodiscard]] auto hash() const -> std::uint64_t;
+
     /// Texts newer than those the asker holds, up to `limit` bytes but at least one. An index of 0
     /// tells that more is left.
     [[nodiscard]] auto answer(const SettingsPull &pull, std::size_t limit) const -> SettingsReply;
--- a/src/core/settings-replica.cc
+++ b/src/core/settings-replica.cc
@@ -26,6 +26,11 @@
 constexpr Duration refusedPeriod = seconds(120);
 /// A peer is asked for news about this often even when no digest told of any.
 constexpr Duration idlePeriod = seconds(5);
+/// Idle pulls of which one lists every index held.
+constexpr unsigned idlePullsPerList = 120;
+/// Answers in a row that told of a difference before the indices are listed. While a change spreads
+/// two peers differ for a moment, and listing then would cost more than the change.
+constexpr unsigned differingAnswers = 3;
 /// Between direct reads that did not bring what peers speak of.
 constexpr Duration firstDirectWait = seconds(4);
 constexpr Duration longestDirectWait = seconds(300);
@@ -73,6 +78,9 @@
     Instant nextAudit;
     Instant nextIdlePull;
     Instant nextRefusedPull;
+    unsigned differing = 0; ///< Answers in a row that told of a difference.
+    bool listNext = false;  ///< The next pull lists every index held.
+    unsigned idlePulls = 0; ///< Since one listed every index held.
     bool behindLogged = false;
 
     auto log(LogLine line) -> void { actions.emplace_back(WriteLog{std::move(line)}); }
@@ -127,7 +135,9 @@
         }
         table.completeUpTo(reply.index);
         peerAnswered = peerAnswered || reply.index != 0;
+        noteDifference(reply);
         if (partial) {
+            listNext = true; // `since` has not risen, and would bring the same part again.
             pursuit.partial(now);
             return;
         }
@@ -138,6 +148,15 @@
         pursuit.unsatisfied(now, random);
     }
 
+    auto noteDifference(const SettingsReply &reply) -> void
+    {
+        differing = reply.differs ? differing + 1 : 0;
+        if (differing >= differingAnswers) {
+            differing = 0;
+            listNext = true;
+        }
+    }
+
     auto take(const SettingsPull &pull, Instant /*now*/) -> void
     {
         auto reply = started ? table.answer(pull, replyBytes) : SettingsReply();
@@ -301,7 +320,19 @@
         }
         const auto peer = nextPeer();
         pursuit.sent(peer, now, random);
-        actions.emplace_back(PullFromPeer{peer, {table.indices(peersToAsk > 0), false}});
+        actions.emplace_back(PullFromPeer{peer, nextPull()});
+    }
+
+    /// At full size a list of all indices is 15 KB, so that a pull names their hash instead. Two
+    /// sets with the same hash would hide a change for good; so one idle pull in ten minutes lists
+    /// them whatever the hash.
+    [[nodiscard]] auto nextPull() -> SettingsPull
+    {
+        const auto acceptedOnly = peersToAsk > 0;
+        if (std::exchange(listNext, false) || acceptedOnly) {
+            return {table.indices(acceptedOnly), false, 0, 0};
+        }
+        return {{}, true, table.index(), table.hash()};
     }
 
     /// Digests are datagrams: a process behind a lossy link may hear of a change late. One small
@@ -313,7 +344,11 @@
         }
         nextIdlePull = now + between(idlePeriod * 3 / 4, idlePeriod * 5 / 4, random);
         const auto peer = peers.pick({}, PeerChoice::Any, random);
-        actions.emplace_back(PullFromPeer{peer, {table.indices(false), false}});
+        if (++idlePulls >= idlePullsPerList) {
+            idlePulls = 0;
+            listNext = true;
+        }
+        actions.emplace_back(PullFromPeer{peer, nextPull()});
     }
 
     /// The peer whose answer was cut, else the one said to hold the index, else one at random.
--- a/src/wire/applehatch.capnp
+++ b/src/wire/applehatch.capnp
@@ -170,7 +170,10 @@
 
 struct SettingsPull {
   held @0 :List(TeamIndex);
-  onlyIndices @1 :Bool;
+  unused @1 :Bool;
+  brief @2 :Bool;     # `since` and `hash` stand for `held`.
+  since @3 :UInt64;
+  hash @4 :UInt64;
 }
 
 struct SettingsText {
@@ -182,6 +185,7 @@
 struct SettingsReply {
   index @0 :UInt64;
   texts @1 :List(SettingsText);
+  differs @2 :Bool;
 }
 
 struct Message {
--- a/src/wire/schema-read.cc
+++ b/src/wire/schema-read.cc
@@ -191,7 +191,9 @@
     core::SettingsPull pull;
     for (const auto entry : from.getHeld())
         pull.held.emplace(text(entry.getTeam()), entry.getIndex());
-    pull.onlyIndices = from.getOnlyIndices();
+    pull.brief = from.getBrief();
+    pull.since = from.getSince();
+    pull.hash = from.getHash();
     return pull;
 }
 
@@ -199,6 +201,7 @@
 {
     core::SettingsReply reply;
     reply.index = from.getIndex();
+    reply.differs = from.getDiffers();
     for (const auto entry : from.getTexts()) {
         auto subtree = entry.hasText() ? sharedBytes(entry.getText()) : nullptr;
         reply.texts.push_back({text(entry.getTeam()), entry.getIndex(), std::move(subtree)});
--- a/src/wire/schema-write.cc
+++ b/src/wire/schema-write.cc
@@ -234,13 +234,16 @@
             entry.setTeam(text(team));
             entry.setIndex(index);
         }
-        pull.setOnlyIndices(from.onlyIndices);
+        pull.setBrief(from.brief);
+        pull.setSince(from.since);
+        pull.setHash(from.hash);
     }
 
     auto operator()(const core::SettingsReply &from) -> void
     {
         auto reply = to.initSettingsReply();
         reply.setIndex(from.index);
+        reply.setDiffers(from.differs);
         auto texts = reply.initTexts(from.texts.size());
         unsigned position = 0;
         for (const auto &subtree : from.texts) {
--- a/test/core/settings-replica-test.cc
+++ b/test/core/settings-replica-test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace {
 
@@ -87,6 +88,13 @@
         pass(10s);
     }
 
+    /// What a process that started alone asks for.
+    auto hearTwoPeers(SettingsIndex index) -> void
+    {
+        give(SettingsReply{index, {}});
+        give(SettingsReply{index, {}});
+    }
+
     auto inForce(const std::string &team) const -> SettingsIndex
     {
         const auto found = replica.current()->teams.find(team);
@@ -413,4 +421,74 @@
     BOOST_TEST(to.replica.current()->index == 20U);
 }
 
+// A peer told of an index without one of its texts, so that two processes at the same index hold
+// different sets; a customer would meet the old limit at one of them for good. With a hash that
+// happens to be equal on both sides only the rare list can tell.
+BOOST_AUTO_TEST_CASE(a_difference_at_the_same_index_is_found_even_under_an_equal_hash)
+{
+    struct Row
+    {
+        const char *name;
+        bool hashesEqual;
+        Duration within;
+    };
+    for (const auto &row : {Row{"hashes differ", false, 30s}, Row{"hashes equal", true, 800s}}) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Bench whole;
+            whole.start({60, {text("t", 50, good(1)), text("u", 55, good(1))}});
+            Bench lacking;
+            lacking.start({10, {text("t", 9, good(1))}});
+            lacking.hearTwoPeers(10);
+            lacking.give(SettingsReply{60, {text("t", 50, good(1))}});
+            std::size_t lists = 0;
+            for (const auto until = lacking.now + row.within; lacking.now < until;) {
+                for (const auto &action : lacking.pass(50ms)) {
+                    const auto *asked = std::get_if<PullFromPeer>(&action);
+                    if (asked == nullptr) {
+                        continue;
+                    }
+                    lists += asked->pull.brief ? 0 : 1;
+                    auto answer = std::get<AnswerPull>(whole.give(asked->pull).front()).reply;
+                    answer.differs = answer.differs && !row.hashesEqual;
+                    lacking.give(answer);
+                }
+            }
+            BOOST_TEST(lacking.inForce("u") == 55U);
+            BOOST_TEST(lists == 1U);
+        }
+    }
+}
+
+// Two processes read the same changes in different orders. Did their hashes differ, each pull
+// between them would list everything, and control traffic would pass its budget at 420 teams.
+BOOST_AUTO_TEST_CASE(the_same_set_held_in_any_order_is_told_by_one_hash)
+{
+    const auto hashOf = [](Bench &bench) {
+        for (const auto &action : bench.pass(10s)) {
+            if (const auto *asked = std::get_if<PullFromPeer>(&action)) {
+                BOOST_TEST(asked->pull.brief);
+                BOOST_TEST(asked->pull.held.empty());
+                return asked->pull.hash;
+            }
+        }
+        return std::uint64_t(0);
+    };
+    const auto first = text("t", 11, good(2));
+    const auto second = text("u", 12, good(2));
+    std::array<Bench, 3> benches;
+    for (auto &bench : benches) {
+        bench.start({10, {text("t", 9, good(1)), text("u", 10, good(1))}});
+        bench.hearTwoPeers(10);
+    }
+    benches[0].give(SettingsReply{11, {first}});
+    benches[0].give(SettingsReply{12, {second}});
+    benches[1].give(SettingsReply{10, {second}});
+    benches[1].give(SettingsRead{12, {second, first}});
+    benches[2].give(SettingsReply{11, {first}});
+    const auto hash = hashOf(benches[0]);
+    BOOST_TEST(hash == hashOf(benches[1]));
+    BOOST_TEST(hash != hashOf(benches[2]));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/wire/message-generators.h
+++ b/test/wire/message-generators.h
@@ -89,13 +89,13 @@
     auto operator()(const core::Moved &m) -> void { put(m.chat, m.holder); }
     auto operator()(const core::SettingsPull &m) -> void
     {
-        put(m.onlyIndices);
+        put(m.brief, m.since, m.hash);
         for (const auto &[team, index] : m.held)
             put(team, index);
     }
     auto operator()(const core::SettingsReply &m) -> void
     {
-        put(m.index);
+        put(m.index, m.differs);
         for (const auto &subtree : m.texts) {
             put(subtree.team, subtree.index);
             put(subtree.text);
@@ -300,7 +300,8 @@
         case 8:
             return core::Moved{any<Index>(), any<Index>()};
         default:
-            return core::SettingsPull{any<std::map<std::string, Index>>(), any<bool>()};
+            return core::SettingsPull{any<std::map<std::string, Index>>(), any<bool>(),
+                                      any<Index>(), any<Index>()};
         }
     }
 
