Set two halves of a real fleet apart, digests included

Until now a partition was proved in virtual time only, since the harness could not cut digests.

A relay for datagrams stands before each sidecar for the other half, beside one for links, and each half reads a platform of its own that names these.

--- a/include/applehatch/experiment/fleet.h
+++ b/include/applehatch/experiment/fleet.h
@@ -3,11 +3,13 @@
 
 #include "applehatch/emulator/platform.h"
 #include "applehatch/experiment/caller.h"
+#include "applehatch/experiment/datagram-relay.h"
 #include "applehatch/experiment/process.h"
 #include "applehatch/experiment/relay.h"
 
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,6 +32,8 @@
     std::string control = "{}";                          ///< Fault orders for each engine.
     std::vector<std::string> routerFlags;                ///< Further ones for each router.
     nlohmann::json customers = nlohmann::json::object(); ///< Added to the two of every fleet.
+    bool halves = false; ///< Even and odd members and routers meet through relays only, each half
+                         ///< with a platform of its own.
     bool ownHostLists = false; ///< Each router reads a host list of its own, so that they differ.
 };
 
@@ -46,6 +50,9 @@
     core::Address upstreamAt;             ///< Where the upstream listens.
     std::unique_ptr<Relay> linkRelay;     ///< Between routers and the sidecar.
     std::unique_ptr<Relay> upstreamRelay; ///< Between the sidecar and the upstream.
+    std::size_t half = 0;
+    std::unique_ptr<Relay> farLinks; ///< For the other half, with `halves`.
+    std::unique_ptr<DatagramRelay> farDigest;
     std::unique_ptr<TemporaryFile> runLog;
     std::unique_ptr<TemporaryFile> config;
     std::unique_ptr<Process> upstream;
@@ -59,6 +66,7 @@
     core::Address callers; ///< Where callers go: the relay where there is one.
     core::Address listens;
     core::Address admin;
+    std::size_t half = 0;
     std::unique_ptr<Relay> relay;
     std::unique_ptr<emulator::Platform> hostList; ///< Only with `ownHostLists`.
     std::unique_ptr<TemporaryFile> config;
@@ -113,6 +121,13 @@
     /// Waits until every process is ready and every router has heard that every upstream serves.
     auto waitReady() -> void;
 
+    /// With `halves`: whether anything at all is carried between them.
+    auto setApart(bool apart) -> void;
+
+    /// State of each upstream in the eyes of `router`, by name.
+    [[nodiscard]] auto states(const FleetRouter &router) const
+        -> std::map<std::string, std::string>;
+
     /// Changes every host list that there is.
     auto setHost(const std::string &ip, core::HostState state) -> void;
 
@@ -143,14 +158,18 @@
     auto addMember(const std::string &pool, std::size_t number) -> void;
     auto addRouter(std::size_t number) -> void;
     [[nodiscard]] auto poolSettings(const std::string &pool,
-                                    const std::vector<std::string> &without) const
+                                    const std::vector<std::string> &without, std::size_t half) const
         -> nlohmann::json;
+    auto publishTo(emulator::Platform &platform, std::size_t half,
+                   const std::vector<std::string> &without) -> void;
+    [[nodiscard]] auto platformOf(std::size_t half) const -> emulator::Platform &;
     [[nodiscard]] auto seesAllServing(const FleetRouter &router) const -> bool;
-    [[nodiscard]] auto peers() const -> nlohmann::json;
+    [[nodiscard]] auto peers(std::size_t half) const -> nlohmann::json;
 
     FleetOptions options_;
     std::string network_; ///< The first two numbers of every address.
     std::unique_ptr<emulator::Platform> platform_;
+    std::unique_ptr<emulator::Platform> otherPlatform_; ///< Of the second half, with `halves`.
     std::vector<FleetMember> members_;
     std::vector<FleetRouter> routers_;
 };
--- a/include/applehatch/experiment/socket.h
+++ b/include/applehatch/experiment/socket.h
@@ -68,6 +68,20 @@
 
 /// Sends one datagram.
 auto sendDatagram(const core::Address &to, std::string_view data) -> void;
+auto sendDatagram(const Socket &from, const core::Address &to, std::string_view data) -> void;
+
+/// Takes datagrams at `address`; its port 0 is replaced by the one taken. Throws
+/// `std::runtime_error`.
+[[nodiscard]] auto bindDatagrams(core::Address &address) -> Socket;
+
+struct Datagram
+{
+    core::Address from;
+    std::string data;
+};
+
+/// One that has arrived already; none when there is none.
+[[nodiscard]] auto receiveDatagram(const Socket &socket) -> std::optional<Datagram>;
 
 /// Accepts connections and hands each to `serve` on a thread of its own; closes it afterwards.
 class RawServer
--- /dev/null
+++ b/src/experiment/datagram-relay.cc
@@ -0,0 +1,98 @@
+#include "applehatch/experiment/datagram-relay.h"
+
+#include <poll.h>
+
+#include <vector>
+
+namespace applehatch::experiment {
+
+namespace {
+
+constexpr auto idleWait = 5;
+
+} // namespace
+
+DatagramRelay::DatagramRelay(const std::string &ip, core::Address target)
+    : address_{ip, 0}
+    , target_(std::move(target))
+    , listener_(bindDatagrams(address_))
+    , thread_([this] { loop(); })
+{ }
+
+DatagramRelay::~DatagramRelay()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    thread_.join();
+}
+
+auto DatagramRelay::setPartitioned(bool partitioned) -> void
+{
+    const std::lock_guard lock(mutex_);
+    partitioned_ = partitioned;
+}
+
+auto DatagramRelay::carried() const -> std::size_t
+{
+    const std::lock_guard lock(mutex_);
+    return carried_;
+}
+
+auto DatagramRelay::lost() const -> std::size_t
+{
+    const std::lock_guard lock(mutex_);
+    return lost_;
+}
+
+auto DatagramRelay::mayCarry() -> bool
+{
+    ++(partitioned_ ? lost_ : carried_);
+    return !partitioned_;
+}
+
+auto DatagramRelay::forward() -> void
+{
+    while (const auto datagram = receiveDatagram(listener_)) {
+        if (!mayCarry()) {
+            continue;
+        }
+        const Source source{datagram->from.ip, datagram->from.port};
+        auto found = sources_.find(source);
+        if (found == sources_.end()) {
+            core::Address own{address_.ip, 0};
+            found = sources_.emplace(source, bindDatagrams(own)).first;
+        }
+        sendDatagram(found->second, target_, datagram->data);
+    }
+}
+
+auto DatagramRelay::giveBack(const Source &source, Socket &socket) -> void
+{
+    while (const auto datagram = receiveDatagram(socket)) {
+        if (mayCarry()) {
+            sendDatagram(listener_, {source.first, source.second}, datagram->data);
+        }
+    }
+}
+
+auto DatagramRelay::loop() -> void
+{
+    std::vector<pollfd> waited;
+    while (true) {
+        (void)::poll(waited.data(), waited.size(), idleWait);
+        const std::lock_guard lock(mutex_);
+        if (stopping_) {
+            return;
+        }
+        forward();
+        waited.assign(1, {listener_.descriptor(), POLLIN, 0});
+        for (auto &[source, socket] : sources_) {
+            giveBack(source, socket);
+            waited.push_back({socket.descriptor(), POLLIN, 0});
+        }
+    }
+}
+
+} // namespace applehatch::experiment
--- a/src/experiment/fleet.cc
+++ b/src/experiment/fleet.cc
@@ -43,6 +43,19 @@
     return relay ? relay->address() : behind;
 }
 
+/// Where a process of `half` finds the links of `member`.
+auto linksFor(const FleetMember &member, std::size_t half) -> core::Address
+{
+    const auto isFar = member.farLinks && member.half != half;
+    return isFar ? member.farLinks->address() : front(member.linkRelay, member.links);
+}
+
+auto digestFor(const FleetMember &member, std::size_t half) -> core::Address
+{
+    const auto isFar = member.farDigest && member.half != half;
+    return isFar ? member.farDigest->address() : member.digest;
+}
+
 auto isReady(const core::Address &address, const Process &process) -> bool
 {
     // Before its settings are in force a process may serve what it is no member of.
@@ -63,6 +76,10 @@
     , network_(nextNetwork())
     , platform_(std::make_unique<emulator::Platform>(core::Address{network_ + ".4.1", 0}))
 {
+    if (options_.halves) {
+        otherPlatform_ =
+            std::make_unique<emulator::Platform>(core::Address{network_ + ".4.200", 0});
+    }
     for (std::size_t number = 0; number < options_.engines; ++number) {
         addMember(enginePool, number);
     }
@@ -114,8 +131,13 @@
         member.upstreamRelay =
             std::make_unique<Relay>(member.ip, member.upstreamAt, freePort(member.ip));
     }
+    if (options_.halves) {
+        member.half = number % 2;
+        member.farLinks = std::make_unique<Relay>(member.ip, member.links, freePort(member.ip));
+        member.farDigest = std::make_unique<DatagramRelay>(member.ip, member.digest);
+    }
     member.runLog = std::make_unique<TemporaryFile>();
-    platform_->setHost(member.ip, core::HostState::Live);
+    setHost(member.ip, core::HostState::Live);
     members_.push_back(std::move(member));
 }
 
@@ -123,6 +145,7 @@
 {
     FleetRouter router;
     router.name = "router-" + std::to_string(number + 1);
+    router.half = options_.halves ? number % 2 : 0;
     const auto ip = network_ + ".3." + std::to_string(number + 1);
     router.listens = listening(ip);
     router.admin = listening(ip);
@@ -137,26 +160,40 @@
             router.hostList->setHost(member.ip, core::HostState::Live);
         }
     }
-    const auto &hostList = router.hostList ? *router.hostList : *platform_;
+    const auto &platform = platformOf(router.half);
+    const auto &hostList = router.hostList ? *router.hostList : platform;
     const json config = {{"name", router.name},
                          {"dataCenter", options_.dataCenters[number % options_.dataCenters.size()]},
                          {"callers", text(router.listens)},
                          {"admin", text(router.admin)},
                          {"digest", text(listening(ip))},
-                         {"settings", text(platform_->address())},
+                         {"settings", text(platform.address())},
                          {"hostList", text(hostList.address())},
-                         {"bootstrapPeers", peers()},
+                         {"bootstrapPeers", peers(router.half)},
                          {"drainDeadlineMs", 20000}};
     router.config = std::make_unique<TemporaryFile>(config.dump(1));
-    platform_->setHost(ip, core::HostState::Live);
+    setHost(ip, core::HostState::Live);
     routers_.push_back(std::move(router));
 }
 
-auto Fleet::peers() const -> json
+auto Fleet::platformOf(std::size_t half) const -> emulator::Platform &
+{
+    return half == 0 ? *platform_ : *otherPlatform_;
+}
+
+auto Fleet::setApart(bool apart) -> void
+{
+    for (auto &member : members_) {
+        member.farLinks->setPartitioned(apart);
+        member.farDigest->setPartitioned(apart);
+    }
+}
+
+auto Fleet::peers(std::size_t half) const -> json
 {
     auto list = json::array();
     for (const auto &member : members_) {
-        list.push_back(text(front(member.linkRelay, member.links)));
+        list.push_back(text(linksFor(member, half)));
     }
     return list;
 }
@@ -190,6 +227,7 @@
 
 auto Fleet::startSidecar(FleetMember &member) -> void
 {
+    const auto platform = text(platformOf(member.half).address());
     const json config = {{"name", "sidecar-" + member.name},
                          {"dataCenter", member.dataCenter},
                          {"links", text(member.links)},
@@ -199,10 +237,10 @@
                          {"team", team},
                          {"pool", member.pool},
                          {"member", member.name},
-                         {"settings", text(platform_->address())},
-                         {"hostList", text(platform_->address())},
-                         {"weights", text(platform_->address())},
-                         {"bootstrapPeers", peers()},
+                         {"settings", platform},
+                         {"hostList", platform},
+                         {"weights", platform},
+                         {"bootstrapPeers", peers(member.half)},
                          {"drainDeadlineMs", 20000}};
     member.config = std::make_unique<TemporaryFile>(config.dump(1));
     member.sidecar = std::make_unique<Process>(std::vector<std::string>{
@@ -220,6 +258,9 @@
 auto Fleet::setHost(const std::string &ip, core::HostState state) -> void
 {
     platform_->setHost(ip, state);
+    if (otherPlatform_) {
+        otherPlatform_->setHost(ip, state);
+    }
     for (auto &router : routers_) {
         if (router.hostList) {
             router.hostList->setHost(ip, state);
@@ -246,23 +287,31 @@
 
 auto Fleet::seesAllServing(const FleetRouter &router) const -> bool
 {
+    const auto seen = states(router);
     return std::all_of(members_.begin(), members_.end(), [&](const FleetMember &member) {
-        const auto path = std::string("/admin/v1/teams/") + team + "/pools/" + member.pool;
-        const auto answer = call(router.admin,
-                                 {"GET",
-                                  path + "/upstreams",
-                                  {{"Authorization", std::string("Bearer ") + operatorToken}},
-                                  {}});
-        const auto list = json::parse(answer.body, nullptr, false);
-        return list.is_array() && std::any_of(list.begin(), list.end(), [&](const json &entry) {
-                   return entry.value("upstream", "") == member.name
-                       && entry.value("state", "") == "serving";
-               });
+        const auto found = seen.find(member.name);
+        return found != seen.end() && found->second == "serving";
     });
 }
 
-auto Fleet::poolSettings(const std::string &pool, const std::vector<std::string> &without) const
-    -> json
+auto Fleet::states(const FleetRouter &router) const -> std::map<std::string, std::string>
+{
+    std::map<std::string, std::string> seen;
+    for (const auto *pool : {enginePool, servicePool}) {
+        const auto path = std::string("/admin/v1/teams/") + team + "/pools/" + pool + "/upstreams";
+        const auto answer =
+            call(router.admin,
+                 {"GET", path, {{"Authorization", std::string("Bearer ") + operatorToken}}, {}});
+        const auto list = json::parse(answer.body, nullptr, false);
+        for (const auto &entry : list.is_array() ? list : json::array()) {
+            seen[entry.value("upstream", "")] = entry.value("state", "");
+        }
+    }
+    return seen;
+}
+
+auto Fleet::poolSettings(const std::string &pool, const std::vector<std::string> &without,
+                         std::size_t half) const -> json
 {
     json settings = pool == enginePool ? json{{"kind", "model"}, {"models", {model}}}
                                        : json{{"kind", "service"}, {"pathPrefix", "/jobs"}};
@@ -273,8 +322,8 @@
             list.push_back({{"name", member.name},
                             {"dataCenter", member.dataCenter},
                             {"slots", options_.slots},
-                            {"sidecar", text(front(member.linkRelay, member.links))},
-                            {"digest", text(member.digest)},
+                            {"sidecar", text(linksFor(member, half))},
+                            {"digest", text(digestFor(member, half))},
                             {"upstream", text(member.upstreamAt)}});
         }
     }
@@ -284,6 +333,15 @@
 }
 
 auto Fleet::publish(const std::vector<std::string> &without) -> void
+{
+    publishTo(*platform_, 0, without);
+    if (otherPlatform_) {
+        publishTo(*otherPlatform_, 1, without);
+    }
+}
+
+auto Fleet::publishTo(emulator::Platform &platform, std::size_t half,
+                      const std::vector<std::string> &without) -> void
 {
     json settings = {
         {"adminTokenHash", operatorTokenHash},
@@ -291,12 +349,12 @@
         {"customers", {{"branch-east", {{"weight", 1.0}}}, {"branch-west", {{"weight", 1.0}}}}}};
     settings["customers"].update(options_.customers);
     if (options_.engines > 0) {
-        settings["pools"][enginePool] = poolSettings(enginePool, without);
+        settings["pools"][enginePool] = poolSettings(enginePool, without, half);
     }
     if (options_.services > 0) {
-        settings["pools"][servicePool] = poolSettings(servicePool, without);
+        settings["pools"][servicePool] = poolSettings(servicePool, without, half);
     }
-    platform_->putTeam(team, settings.dump(1));
+    platform.putTeam(team, settings.dump(1));
 }
 
 auto Fleet::chat(const std::string &mark, std::size_t tokens, bool stream) const -> CallerRequest
--- a/src/experiment/socket.cc
+++ b/src/experiment/socket.cc
@@ -165,12 +165,47 @@
 
 auto sendDatagram(const core::Address &to, std::string_view data) -> void
 {
-    const Socket socket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+    sendDatagram(Socket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0)), to, data);
+}
+
+auto sendDatagram(const Socket &from, const core::Address &to, std::string_view data) -> void
+{
     auto native = toNative(to);
-    (void)::sendto(socket.descriptor(), data.data(), data.size(), 0,
+    (void)::sendto(from.descriptor(), data.data(), data.size(), 0,
                    reinterpret_cast<sockaddr *>(&native), sizeof native);
 }
 
+auto bindDatagrams(core::Address &address) -> Socket
+{
+    Socket socket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+    auto native = toNative(address);
+    auto *generic = reinterpret_cast<sockaddr *>(&native);
+    if (::bind(socket.descriptor(), generic, sizeof native) != 0) {
+        throw std::runtime_error("cannot take datagrams on " + address.ip);
+    }
+    socklen_t size = sizeof native;
+    (void)::getsockname(socket.descriptor(), generic, &size);
+    address.port = ntohs(native.sin_port);
+    return socket;
+}
+
+auto receiveDatagram(const Socket &socket) -> std::optional<Datagram>
+{
+    constexpr std::size_t largest = 65536;
+    std::array<char, largest> buffer{};
+    sockaddr_in from{};
+    socklen_t fromSize = sizeof from;
+    const auto size = ::recvfrom(socket.descriptor(), buffer.data(), buffer.size(), MSG_DONTWAIT,
+                                 reinterpret_cast<sockaddr *>(&from), &fromSize);
+    if (size < 0) {
+        return std::nullopt;
+    }
+    std::array<char, INET_ADDRSTRLEN> ip{};
+    (void)inet_ntop(AF_INET, &from.sin_addr, ip.data(), ip.size());
+    return Datagram{{ip.data(), ntohs(from.sin_port)},
+                    {buffer.data(), static_cast<std::size_t>(size)}};
+}
+
 RawServer::RawServer(const std::string &ip, Serve serve, std::uint16_t port)
     : serve_(std::move(serve))
     , address_{ip, port}
