--- a/src/core/sidecar-runs.cc
+++ b/src/core/sidecar-runs.cc
@@ -221,10 +221,11 @@
         return;
     reviewedAt = now;
     for (const auto &waiting : queue.all()) {
-        // What runs now may end at any moment, so the first turn is not counted.
-        if (!canMeet(waiting, queue.ahead(waiting) - 1))
-            fail(jobs.at(waiting.id),
-                 refusalOf(ErrorKind::DeadlineUnmeetable, Run::NotRun, "others go first"),
+        auto &job = jobs.at(waiting.id);
+        // What runs now may end at any moment, so the first turn is not counted. A stream that is
+        // to be continued ran already, so it must not be called "not run" here.
+        if (!job.continued && !canMeet(waiting, queue.ahead(waiting) - 1))
+            fail(job, refusalOf(ErrorKind::DeadlineUnmeetable, Run::NotRun, "others go first"),
                  "overtaken");
     }
 }
