Let a stream resumed at another router outlive the first one's revoke

Cause: a revoke dropped every reader of the attempt, also the one of the router to which the caller had moved; with no reader left the run was cancelled, 10 s after the caller left the first router.

Change: a reader that asked for the rest over another link stays. A stream whose link went silent unnoticed and that is given up over a new one now ends with the old link, up to 19 s later than before, if it had been resumed on the old one.

Test: sidecar_silence/a_stream_resumed_at_another_router_outlives_the_first_ones_revoke; before the change the run was cancelled and the second link got no chunk.

--- a/src/core/sidecar-answers.cc
+++ b/src/core/sidecar-answers.cc
@@ -91,7 +91,9 @@
     if (job != nullptr && fullCustomer(job->terms) == message.customer) {
         logJob("resume", message.request, job->terms, "asked");
         answers.acknowledge(job->run, message.offset);
-        read(*job, {link, message.request, lastAttempt(*job, message.request), message.offset});
+        Reader reader{link, message.request, lastAttempt(*job, message.request), message.offset};
+        reader.resumed = true;
+        read(*job, std::move(reader));
         return;
     }
     const auto isGone =
@@ -149,17 +151,21 @@
         && std::any_of(job->attempts.begin(), job->attempts.end(), [&](const auto &seen) {
                              return seen.first == message.request && seen.second == message.attempt;
                          });
-    const auto run = isOfJob ? revokeJob(*job, message) : revokeUnknown(message);
+    const auto run = isOfJob ? revokeJob(*job, link, message) : revokeUnknown(message);
     endedAttempts.put(attemptHash(message.request, message.attempt), run, attemptMemory());
     log(LogLine("revoke").add("request", message.request).add("run", runName(run)));
     send(link, Revoked{message.request, message.attempt, run});
     dispatch();
 }
 
-auto SidecarNode::State::revokeJob(Job &job, const Revoke &message) -> Run
+// A router gives up a stream 10 s after its caller left. The caller may have come back through
+// another router, under the same name, and would lose the rest of its answer with the first one's.
+auto SidecarNode::State::revokeJob(Job &job, LinkId link, const Revoke &message) -> Run
 {
     std::erase_if(job.readers, [&](const Reader &reader) {
-        return reader.request == message.request && reader.attempt == message.attempt;
+        const auto isOfAnother = reader.resumed && reader.link != link;
+        return !isOfAnother && reader.request == message.request
+            && reader.attempt == message.attempt;
     });
     if (job.phase == JobPhase::Whole)
         return Run::Ran;
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -39,6 +39,7 @@
     std::uint64_t next = 0; ///< Offset of the next byte to send.
     bool headSent = false;
     bool replayed = false; ///< It came after the answer was whole.
+    bool resumed = false;  ///< It asked for the rest, perhaps through another router.
 };
 
 enum class JobPhase {
@@ -263,7 +264,7 @@
     auto continueStream(LinkId link, const Resume &message) -> void;
     auto acknowledge(const Acknowledge &message) -> void;
     auto revoke(LinkId link, const Revoke &message) -> void;
-    [[nodiscard]] auto revokeJob(Job &job, const Revoke &message) -> Run;
+    [[nodiscard]] auto revokeJob(Job &job, LinkId link, const Revoke &message) -> Run;
     [[nodiscard]] auto revokeUnknown(const Revoke &message) -> Run;
     auto answersGivenUp(const std::vector<RunId> &runs) -> void;
     auto forgetJob(RunId run) -> void;
--- a/test/core/sidecar-silence-test.cc
+++ b/test/core/sidecar-silence-test.cc
@@ -67,4 +67,21 @@
     BOOST_TEST(told(sidecar.refusal()) == "upstream-failed/ran");
 }
 
+// A caller in a tunnel loses its connection and goes on through another router. The first router
+// gives the stream up when its 10 s are over; the caller must still get the rest.
+BOOST_AUTO_TEST_CASE(a_stream_resumed_at_another_router_outlives_the_first_ones_revoke)
+{
+    Sidecar sidecar(poolOf(1, 4));
+    const auto run = sidecar.run(streamed(sidecar.request("r1")));
+    sidecar.give(RunHead{run, 200, {}, false}).give(RunChunk{run, "begin "});
+    sidecar.give(PeerLinkUp{2}).from(Resume{"r1", "tai/c1", 6}, 2);
+    sidecar.from(Revoke{"r1", 1, 7});
+    BOOST_TEST(sidecar.did<CancelRun>().empty());
+    sidecar.give(RunChunk{run, "rest"});
+    BOOST_TEST(sidecar.sent<Chunk>().empty());
+    BOOST_TEST(sidecar.sent<Chunk>(2).size() == 1U);
+    sidecar.from(Revoke{"r1", 1, 7}, 2);
+    BOOST_TEST(sidecar.did<CancelRun>().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
