--- a/src/experiment/process.cc
+++ b/src/experiment/process.cc
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -109,9 +110,14 @@
     (void)wait();
 }
 
+// A stop signal returns before it has reached each thread. One would see a process act on news that
+// was published after its pause.
 auto Process::pause() -> void
 {
     signal(SIGSTOP);
+    siginfo_t stopped{};
+    while (::waitid(P_PID, static_cast<id_t>(id_), &stopped, WSTOPPED | WEXITED | WNOWAIT) != 0
+           && errno == EINTR) { }
 }
 
 auto Process::resume() -> void
