Let callers of the steady traffic wait for the end of each answer

Cause: promise_partition was red once beside a full build, 'not whole or not own' for two streams with status 200 and no error. They were open across the cut, and the harness stopped reading after 10 s, while a router seeks a lost answer for 4 + 10 s before it tells an error. Ruled out: a shorter search at the router, which would give up streams that a new link still brings back.

Change: steady traffic reads for 30 s, so that each answer is seen to its end. Not yet repeated under the same load.

--- a/test/system/promise-traffic.h
+++ b/test/system/promise-traffic.h
@@ -17,6 +17,10 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+/// Longer than a router seeks a lost answer (14 s), so that each answer is seen to its end: whole,
+/// or an error.
+inline constexpr std::chrono::seconds answerLimit{30};
+
 /// Callers that each send one request after the other until told to stop.
 class Traffic
 {
@@ -58,7 +62,7 @@
         for (std::size_t turn = 0; !done_; ++turn) {
             const auto request = request_(caller, turn);
             const auto &router = fleet_.router(route_(caller, turn));
-            const auto answer = experiment::call(router.callers, request);
+            const auto answer = experiment::call(router.callers, request, answerLimit);
             history_.add(request, answer);
             if (answer.status != 200) {
                 std::this_thread::sleep_for(backoff);
