Try the same failure twice at once, and a killed router beside another failure

Pairs were tried of four different failures at the members only. Added: each failure at an engine's and a service's sidecar at once, and a killed router beside each of the four, with callers that come back at the other router by the last event id. Each pair now ends after 25 whole answers, not after 25 answers of any kind, which a dead router gives at once.

--- a/test/system/promise-pairs-test.cc
+++ b/test/system/promise-pairs-test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <functional>
 
 namespace {
@@ -14,6 +15,8 @@
 
 constexpr std::size_t engines = 4;
 constexpr std::size_t answersUnderFaults = 25;
+constexpr std::size_t tokensAtKill = 60;
+constexpr std::size_t openAtKill = 4; ///< Of 12 callers, half of which go to each router.
 
 /// A failure that begins at one member, shows that it did, and ends.
 struct Fault
@@ -57,13 +60,56 @@
     return all;
 }
 
-auto requestOf(Fleet &fleet) -> Traffic::Request
+auto routerKilled() -> const Fault &
 {
-    return [&fleet](std::size_t caller, std::size_t turn) {
+    static const Fault fault = {
+        "kill router", [](Fleet &fleet, FleetMember &) { fleet.router(0).process->kill(); },
+        [](Fleet &fleet, FleetMember &) { return !fleet.router(0).process->running(); },
+        [](Fleet &fleet, FleetMember &) { fleet.startRouter(fleet.router(0)); }};
+    return fault;
+}
+
+auto resumeAt(const core::Address &router, const std::string &lastEventId) -> CallerAnswer
+{
+    CallerRequest rest;
+    rest.method = "GET";
+    rest.path = "/v1/answers";
+    rest.headers = {{"Applehatch-Customer", std::string(Fleet::team) + "/branch-east"},
+                    {"Last-Event-ID", lastEventId}};
+    return experiment::call(router, rest);
+}
+
+/// A caller whose stream breaks comes back at the other router with the last id it saw; `resumed`
+/// counts the answers that became whole so.
+auto resuming(Fleet &fleet, std::atomic<std::size_t> &resumed) -> Traffic::Ask
+{
+    return [&fleet, &resumed](std::size_t router, const CallerRequest &request) {
+        auto answer = experiment::call(fleet.router(router).callers, request);
+        if (answer.framed || !answer.problem().is_null()) {
+            return answer;
+        }
+        const auto lastEventId = answer.lastEventId();
+        const auto rest = lastEventId.empty()
+            ? CallerAnswer()
+            : resumeAt(fleet.router(1 - router).callers, lastEventId);
+        if (rest.status != 200 || (!rest.framed && rest.problem().is_null())) {
+            return rest.status == 200 ? CallerAnswer() : rest;
+        }
+        answer.body.erase(answer.body.rfind("\n\n") + 2);
+        answer.body += rest.body;
+        answer.framed = rest.framed;
+        resumed += isWholeAndOwn(request, answer) ? 1U : 0U;
+        return answer;
+    };
+}
+
+auto requestOf(Fleet &fleet, std::size_t tokens = 20) -> Traffic::Request
+{
+    return [&fleet, tokens](std::size_t caller, std::size_t turn) {
         const auto mark = std::to_string(caller) + "/" + std::to_string(turn);
         const auto keyed = with(fleet.job(mark), "Idempotency-Key", mark);
         return caller % 4 == 3 ? with(keyed, "Applehatch-First-Send", "true")
-                               : fleet.chat(mark, 20, caller % 2 == 0);
+                               : fleet.chat(mark, tokens, caller % 2 == 0);
     };
 }
 
@@ -79,26 +125,40 @@
     return options;
 }
 
-/// Both failures at once at an engine and at a service, until enough callers were answered under
-/// them.
+/// Both failures at once at an engine and at a service, until enough callers have a whole answer
+/// under them.
 auto runPair(Fleet &fleet, const History &history, const Fault &first, const Fault &second) -> void
 {
     auto &one = fleet.engine(0);
     auto &other = fleet.service(0);
-    const auto before = history.size();
+    const auto before = history.whole();
     first.begin(fleet, one);
     second.begin(fleet, other);
     BOOST_TEST_CONTEXT(first.name << " with " << second.name)
     {
         BOOST_TEST(eventually([&] { return first.happened(fleet, one); }));
         BOOST_TEST(eventually([&] { return second.happened(fleet, other); }));
-        BOOST_TEST(eventually([&] { return history.size() >= before + answersUnderFaults; }));
+        BOOST_TEST(eventually([&] { return history.whole() >= before + answersUnderFaults; }));
     }
     first.end(fleet, one);
     second.end(fleet, other);
     fleet.waitReady();
 }
 
+auto expectPromisesKept(const Fleet &fleet, Traffic &traffic) -> void
+{
+    traffic.finish();
+    const auto &history = traffic.history();
+    for (const auto &violation : history.violations(fleet)) {
+        BOOST_ERROR(violation);
+    }
+    for (const auto &[problem, count] : history.problems()) {
+        BOOST_TEST_MESSAGE(count << " times " << problem);
+    }
+    BOOST_TEST_MESSAGE(history.whole() << " of " << history.size() << " whole");
+    BOOST_TEST(history.whole() > history.size() / 2);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(promise_pairs)
@@ -116,16 +176,46 @@
             runPair(fleet, traffic.history(), faults()[first], faults()[second]);
         }
     }
-    traffic.finish();
-    const auto &history = traffic.history();
-    for (const auto &violation : history.violations(fleet)) {
-        BOOST_ERROR(violation);
+    expectPromisesKept(fleet, traffic);
+}
+
+// The same failure strikes an engine's and a service's sidecar in the same second. No promise may
+// hang on one of the two being whole.
+BOOST_AUTO_TEST_CASE(the_same_failure_twice_at_once_breaks_no_promise)
+{
+    Fleet fleet(pairsFleet());
+    Traffic traffic(fleet, requestOf(fleet),
+                    [](std::size_t caller, std::size_t turn) { return (caller + turn) % 2; });
+    traffic.add(12);
+    for (const auto &fault : faults()) {
+        runPair(fleet, traffic.history(), fault, fault);
     }
-    for (const auto &[problem, count] : history.problems()) {
-        BOOST_TEST_MESSAGE(count << " times " << problem);
+    expectPromisesKept(fleet, traffic);
+}
+
+// An entry host loses power while a sidecar stalls, is cut off or the settings cannot be read. Its
+// callers come back at the other router and must get exactly the rest of their answers.
+BOOST_AUTO_TEST_CASE(a_killed_router_beside_another_failure_breaks_no_promise)
+{
+    Fleet fleet(pairsFleet());
+    std::atomic<std::size_t> resumed = 0;
+    Traffic traffic(
+        fleet, requestOf(fleet, tokensAtKill),
+        [](std::size_t caller, std::size_t /*turn*/) { return caller / 2 % 2; },
+        resuming(fleet, resumed));
+    traffic.add(12);
+    for (const auto &fault : faults()) {
+        const auto before = resumed.load();
+        const auto whole = traffic.history().whole() + answersUnderFaults;
+        BOOST_TEST(eventually([&] {
+            return traffic.history().whole() >= whole
+                && fleet.router(0).relay->open() >= openAtKill;
+        }));
+        runPair(fleet, traffic.history(), routerKilled(), fault);
+        BOOST_TEST(eventually([&] { return resumed > before; }), fault.name);
     }
-    BOOST_TEST_MESSAGE(history.whole() << " of " << history.size() << " whole");
-    BOOST_TEST(history.whole() > history.size() / 2);
+    expectPromisesKept(fleet, traffic);
+    BOOST_TEST_MESSAGE(resumed << " whole after they were resumed");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/system/promise-traffic.h
+++ b/test/system/promise-traffic.h
@@ -24,12 +24,21 @@
     /// The request of one caller's turn, and the number of the router it goes through.
     using Request = std::function<CallerRequest(std::size_t caller, std::size_t turn)>;
     using Route = std::function<std::size_t(std::size_t caller, std::size_t turn)>;
+    /// How a caller gets its answer, given the number of the router it goes to first.
+    using Ask = std::function<CallerAnswer(std::size_t router, const CallerRequest &request)>;
 
-    Traffic(Fleet &fleet, Request request, Route route)
+    Traffic(Fleet &fleet, Request request, Route route, Ask ask = {})
         : fleet_(fleet)
         , request_(std::move(request))
         , route_(std::move(route))
-    { }
+        , ask_(std::move(ask))
+    {
+        if (!ask_) {
+            ask_ = [this](std::size_t router, const CallerRequest &asked) {
+                return experiment::call(fleet_.router(router).callers, asked);
+            };
+        }
+    }
     ~Traffic() { finish(); }
     Traffic(const Traffic &) = delete;
     auto operator=(const Traffic &) -> Traffic & = delete;
@@ -57,8 +66,7 @@
         constexpr auto backoff = std::chrono::milliseconds(50);
         for (std::size_t turn = 0; !done_; ++turn) {
             const auto request = request_(caller, turn);
-            const auto &router = fleet_.router(route_(caller, turn));
-            const auto answer = experiment::call(router.callers, request);
+            const auto answer = ask_(route_(caller, turn), request);
             history_.add(request, answer);
             if (answer.status != 200) {
                 std::this_thread::sleep_for(backoff);
@@ -69,6 +77,7 @@
     Fleet &fleet_;
     Request request_;
     Route route_;
+    Ask ask_;
     History history_;
     std::atomic<bool> done_{false};
     std::list<std::jthread> threads_;
