Never call a stream of an earlier life not run

Cause: a stream that a restarted sidecar is asked to go on with waits in the queue like a request, and was refused there as 'not run' when it waited too long, though the earlier life ran it. Found by reading. Ruled out: a check at each refusal of a waiting request; fail() is where all of them meet.

Test: sidecar_answers/stream_of_an_earlier_life_that_waited_too_long_is_never_called_not_run, red before.

--- a/src/core/sidecar-runs.cc
+++ b/src/core/sidecar-runs.cc
@@ -173,6 +173,10 @@
 {
     queue.erase(job.run);
     job.phase = JobPhase::Failed;
+    // An earlier life ran it, whatever became of it here; told otherwise, its caller would run it
+    // a second time.
+    if (job.continued && failure.run == Run::NotRun)
+        failure.run = Run::Unknown;
     job.failure = std::move(failure);
     active.erase(job.run);
     closeKey(job, job.failure.run);
--- a/test/core/sidecar-answers-test.cc
+++ b/test/core/sidecar-answers-test.cc
@@ -88,6 +88,19 @@
     BOOST_TEST(sidecar.node().counts().running == 0U);
 }
 
+// A sidecar restarts under a stream, and its caller comes back while the engine is full. The stream
+// waits too long and is given up; told that it was not run, the caller would send it again although
+// the earlier life ran it.
+BOOST_AUTO_TEST_CASE(stream_of_an_earlier_life_that_waited_too_long_is_never_called_not_run)
+{
+    Sidecar sidecar(poolOf(1, 1));
+    (void)sidecar.run(sidecar.request("busy"));
+    sidecar.from(Resume{"earlier", "ledger/c1", 100});
+    sidecar.passAlive(6s);
+    BOOST_REQUIRE(!sidecar.sent<Refusal>().empty());
+    BOOST_TEST((sidecar.sent<Refusal>().back().failure.run == Run::Unknown));
+}
+
 // The sidecar restarted under a stream that its engine still holds.
 BOOST_AUTO_TEST_CASE(streams_go_on_after_a_restart)
 {
