Move what both hosts do with settings into SettingsFeed

Cause: router-host.cc and sidecar-host.cc held the same code twice: the replica's identity, the feed's hooks, pulls with the bootstrap peers' turn, answers to pulls, the address book's update with the links it leaves unused, and the poll of the host list.

Ruled out: a base class of both hosts, since a host's destructor ends its parts in an order that would then be split over two classes; further hooks, which keep the lines in both hosts.

Change: the feed takes the process file, the host's address book, loop and links, and does all of it. A host tells it only what its node wants to know: settings in force, a host list read. Node ticks stay in the hosts; they are one line each. A host now stops the whole feed first, where it ended only the host list's polls: the feed's other threads went on until its destructor, after the digest socket and the run table, on which the node acts, were gone.

Conclusion: one place decides what a process does with settings and host list.

--- a/include/applehatch/process/settings-feed.h
+++ b/include/applehatch/process/settings-feed.h
@@ -1,37 +1,44 @@
-/// Keeps this process's settings current: the replica, its reads of the service and its peers.
+/// Keeps this process's settings and host list current: the replica, its reads of the platform and
+/// its peers.
 #pragma once
 
 #include "applehatch/core/settings-replica.h"
 #include "applehatch/platform/settings-client.h"
+#include "applehatch/process/address-book.h"
+#include "applehatch/process/peer-links.h"
 #include "applehatch/process/periodic.h"
+#include "applehatch/settings/process-file.h"
+#include "applehatch/wire/link-loop.h"
 
 #include <condition_variable>
+#include <cstddef>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
 namespace applehatch::process {
 
-/// What the feed asks of its host; called without the feed's lock, from any thread.
+/// What the feed tells its host; called from any thread, without the lock that `status` takes.
 struct SettingsFeedHooks
 {
+    /// The address book has these settings; links to members they no longer name close afterwards.
     std::function<void(core::SettingsPtr)> inForce;
-    /// Peer 0 leaves the choice among the bootstrap peers to the host.
-    std::function<void(core::UpstreamId peer, core::SettingsPull)> pull;
-    std::function<void(const core::LogLine &)> log;
+    /// The host list was read, changed or not.
+    std::function<void(const core::HostList &)> hostList;
 };
 
 class SettingsFeed
 {
 public:
-    using Reply = std::function<void(core::SettingsReply)>;
+    /// All references must outlive the feed.
+    SettingsFeed(std::shared_ptr<const settings::ProcessFile> file, AddressBook &addresses,
+                 wire::LinkLoop &loop, PeerLinks &links, SettingsFeedHooks hooks);
 
-    SettingsFeed(core::ReplicaIdentity identity, const core::Address &service,
-                 SettingsFeedHooks hooks);
-
-    /// Ends a read of the service under way.
+    /// As `stop`.
     ~SettingsFeed();
     SettingsFeed(const SettingsFeed &) = delete;
     auto operator=(const SettingsFeed &) -> SettingsFeed & = delete;
@@ -39,10 +46,14 @@
     /// Starts reading.
     auto start() -> void;
 
-    auto onPull(const core::SettingsPull &pull, const Reply &answer) -> void;
-    auto onReply(core::SettingsReply reply) -> void;
+    /// Ends a read of the service under way and joins the feed's threads; from then on only what
+    /// the host itself hands in can call a hook.
+    auto stop() -> void;
+
+    /// Takes a message about settings, and answers a pull over `link`; false for any other message,
+    /// which is left as it is.
+    [[nodiscard]] auto onMessage(wire::LinkId link, core::Message &message) -> bool;
     auto onIndexHeard(core::SettingsIndex index) -> void;
-    auto onHostList(const core::HostList &list) -> void;
 
     [[nodiscard]] auto status() -> std::vector<core::SubtreeStatus>;
     [[nodiscard]] auto current() -> core::SettingsPtr;
@@ -52,16 +63,27 @@
     static constexpr core::Duration watchWait = std::chrono::seconds(8);
 
 private:
-    auto handle(core::SettingsEvent event, const Reply &answer) -> void;
-    auto act(std::vector<core::SettingsAction> &actions, const Reply &answer) -> void;
+    /// `asker` is the link of the pull that is handled.
+    auto handle(core::SettingsEvent event, std::optional<wire::LinkId> asker = {}) -> void;
+    auto act(core::SettingsAction &action, std::optional<wire::LinkId> asker) -> void;
+    auto putInForce(core::SettingsPtr settings) -> void;
+    auto pull(core::PullFromPeer wanted) -> void;
     auto readLoop() -> void;
     auto readOnce(const core::ReadService &wanted) -> void;
+    auto readHostList() -> void;
 
+    std::shared_ptr<const settings::ProcessFile> file_;
+    AddressBook &addresses_;
+    wire::LinkLoop &loop_;
+    PeerLinks &links_;
     platform::SettingsClient client_;
+    platform::HostListClient hostListClient_;
+    core::HostList hostList_; ///< As read last; touched by the polling thread only.
     SettingsFeedHooks hooks_;
 
-    std::mutex actMutex_; ///< Held while actions are carried out; taken before `mutex_`.
-    std::mutex mutex_;    ///< Guards the members below.
+    std::mutex actMutex_;           ///< Held while actions are carried out; taken before `mutex_`.
+    std::size_t bootstrapTurn_ = 0; ///< Guarded by `actMutex_`.
+    std::mutex mutex_;              ///< Guards the members below.
     core::SettingsReplica replica_;
     std::deque<core::ReadService> reads_;
     std::condition_variable changed_;
@@ -69,6 +91,7 @@
 
     std::thread reader_;
     std::unique_ptr<Periodic> ticks_;
+    std::unique_ptr<Periodic> hostListPolls_;
 };
 
 } // namespace applehatch::process
--- a/src/process/settings-feed.cc
+++ b/src/process/settings-feed.cc
@@ -1,6 +1,7 @@
 #include "applehatch/process/settings-feed.h"
 
 #include "applehatch/process/clock.h"
+#include "applehatch/telemetry/logger.h"
 
 #include <utility>
 
@@ -9,18 +10,48 @@
 namespace {
 
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(100);
+constexpr core::Duration hostListPeriod = std::chrono::seconds(1);
+
+auto identityOf(const settings::ProcessFile &file) -> core::ReplicaIdentity
+{
+    core::ReplicaIdentity identity;
+    if (!file.member.empty())
+        identity.self = settings::upstreamId(file.team, file.pool, file.member);
+    identity.dataCenter = file.dataCenter;
+    identity.seed = core::stableHash(file.name, wallMicroseconds());
+    return identity;
+}
 
 } // namespace
 
-SettingsFeed::SettingsFeed(core::ReplicaIdentity identity, const core::Address &service,
+SettingsFeed::SettingsFeed(std::shared_ptr<const settings::ProcessFile> file,
+                           AddressBook &addresses, wire::LinkLoop &loop, PeerLinks &links,
                            SettingsFeedHooks hooks)
-    : client_(service)
+    : file_(std::move(file))
+    , addresses_(addresses)
+    , loop_(loop)
+    , links_(links)
+    , client_(file_->settings)
+    , hostListClient_(file_->hostList)
     , hooks_(std::move(hooks))
-    , replica_(std::move(identity))
+    , replica_(identityOf(*file_))
 { }
 
 SettingsFeed::~SettingsFeed()
 {
+    stop();
+}
+
+auto SettingsFeed::start() -> void
+{
+    reader_ = std::thread([this] { readLoop(); });
+    ticks_ = std::make_unique<Periodic>(tickPeriod, [this] { handle(core::SettingsTick{}); });
+    hostListPolls_ = std::make_unique<Periodic>(hostListPeriod, [this] { readHostList(); });
+}
+
+auto SettingsFeed::stop() -> void
+{
+    hostListPolls_.reset();
     ticks_.reset();
     client_.stop();
     {
@@ -32,30 +63,20 @@
         reader_.join();
 }
 
-auto SettingsFeed::start() -> void
-{
-    reader_ = std::thread([this] { readLoop(); });
-    ticks_ = std::make_unique<Periodic>(tickPeriod, [this] { handle(core::SettingsTick{}, {}); });
-}
-
-auto SettingsFeed::onPull(const core::SettingsPull &pull, const Reply &answer) -> void
+auto SettingsFeed::onMessage(wire::LinkId link, core::Message &message) -> bool
 {
-    handle(pull, answer);
-}
-
-auto SettingsFeed::onReply(core::SettingsReply reply) -> void
-{
-    handle(std::move(reply), {});
+    if (auto *reply = std::get_if<core::SettingsReply>(&message))
+        handle(std::move(*reply));
+    else if (auto *pull = std::get_if<core::SettingsPull>(&message))
+        handle(std::move(*pull), link);
+    else
+        return false;
+    return true;
 }
 
 auto SettingsFeed::onIndexHeard(core::SettingsIndex index) -> void
 {
-    handle(core::SettingsIndexHeard{index}, {});
-}
-
-auto SettingsFeed::onHostList(const core::HostList &list) -> void
-{
-    handle(core::HostListRead{list}, {});
+    handle(core::SettingsIndexHeard{index});
 }
 
 auto SettingsFeed::status() -> std::vector<core::SubtreeStatus>
@@ -72,7 +93,7 @@
 
 // `actMutex_` spans the decision and its actions: two threads that each put settings in force could
 // otherwise hand them to the node in the wrong order, and the older would stay.
-auto SettingsFeed::handle(core::SettingsEvent event, const Reply &answer) -> void
+auto SettingsFeed::handle(core::SettingsEvent event, std::optional<wire::LinkId> asker) -> void
 {
     const std::lock_guard acting(actMutex_);
     std::vector<core::SettingsAction> actions;
@@ -80,29 +101,46 @@
         const std::lock_guard lock(mutex_);
         actions = replica_.handle(std::move(event), steadyNow());
     }
-    act(actions, answer);
+    for (auto &action : actions)
+        act(action, asker);
 }
 
-auto SettingsFeed::act(std::vector<core::SettingsAction> &actions, const Reply &answer) -> void
+auto SettingsFeed::act(core::SettingsAction &action, std::optional<wire::LinkId> asker) -> void
 {
-    for (auto &action : actions) {
-        if (auto *read = std::get_if<core::ReadService>(&action)) {
-            const std::lock_guard lock(mutex_);
-            reads_.push_back(*read);
-            changed_.notify_all();
-        } else if (auto *pull = std::get_if<core::PullFromPeer>(&action)) {
-            hooks_.pull(pull->peer, std::move(pull->pull));
-        } else if (auto *reply = std::get_if<core::AnswerPull>(&action)) {
-            if (answer)
-                answer(std::move(reply->reply));
-        } else if (auto *settings = std::get_if<core::PutInForce>(&action)) {
-            hooks_.inForce(std::move(settings->settings));
-        } else if (auto *log = std::get_if<core::WriteLog>(&action)) {
-            hooks_.log(log->line);
-        }
+    if (auto *read = std::get_if<core::ReadService>(&action)) {
+        const std::lock_guard lock(mutex_);
+        reads_.push_back(*read);
+        changed_.notify_all();
+    } else if (auto *wanted = std::get_if<core::PullFromPeer>(&action)) {
+        pull(std::move(*wanted));
+    } else if (auto *answer = std::get_if<core::AnswerPull>(&action)) {
+        if (asker)
+            loop_.send(*asker, std::move(answer->reply));
+    } else if (auto *settings = std::get_if<core::PutInForce>(&action)) {
+        putInForce(std::move(settings->settings));
+    } else if (auto *log = std::get_if<core::WriteLog>(&action)) {
+        telemetry::writeLog(telemetry::LogLevel::Info, log->line.text());
     }
 }
 
+auto SettingsFeed::putInForce(core::SettingsPtr settings) -> void
+{
+    const auto unused = addresses_.update(*settings);
+    hooks_.inForce(std::move(settings));
+    for (const auto &address : unused)
+        links_.drop(address);
+}
+
+auto SettingsFeed::pull(core::PullFromPeer wanted) -> void
+{
+    auto address = addresses_.sidecar(wanted.peer);
+    const auto &bootstrap = file_->bootstrapPeers;
+    if (!address && !bootstrap.empty())
+        address = bootstrap[bootstrapTurn_++ % bootstrap.size()];
+    if (address && *address != file_->links)
+        links_.send(*address, std::move(wanted.pull));
+}
+
 auto SettingsFeed::readLoop() -> void
 {
     std::unique_lock lock(mutex_);
@@ -122,9 +160,17 @@
 {
     core::SettingsRead read;
     if (client_.read(wanted.waitFor, watchWait, read))
-        handle(core::SettingsReadFailed{}, {});
+        handle(core::SettingsReadFailed{});
     else
-        handle(std::move(read), {});
+        handle(std::move(read));
+}
+
+auto SettingsFeed::readHostList() -> void
+{
+    if (hostListClient_.read(hostListPeriod, hostList_))
+        return;
+    handle(core::HostListRead{hostList_});
+    hooks_.hostList(hostList_);
 }
 
 } // namespace applehatch::process
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
-constexpr core::Duration hostListPeriod = std::chrono::seconds(1);
 
 auto identityOf(const settings::ProcessFile &file) -> core::RouterIdentity
 {
@@ -19,14 +18,6 @@
     return {file.name, file.dataCenter, seed};
 }
 
-auto replicaIdentityOf(const settings::ProcessFile &file) -> core::ReplicaIdentity
-{
-    core::ReplicaIdentity identity;
-    identity.dataCenter = file.dataCenter;
-    identity.seed = core::stableHash(file.name, process::wallMicroseconds());
-    return identity;
-}
-
 // Names this life of this router, so that no two requests in the fleet share an id.
 auto requestPrefix(const settings::ProcessFile &file) -> std::string
 {
@@ -43,8 +34,7 @@
             options_.placement)
     , loop_(linkHooks(), traffic_.linkHooks())
     , links_(loop_)
-    , feed_(replicaIdentityOf(*options_.file), options_.file->settings, feedHooks())
-    , hostList_(options_.file->hostList)
+    , feed_(options_.file, addresses_, loop_, links_, feedHooks())
     , digests_(digestHooks())
     , admin_(metrics_, health(), adminSource())
 {
@@ -55,7 +45,7 @@
 RouterHost::~RouterHost()
 {
     waitForCallers();
-    hostListPolls_.reset();
+    feed_.stop();
     ticks_.reset();
     loop_.stop();
 }
@@ -76,8 +66,6 @@
     feed_.start();
     ticks_ =
         std::make_unique<process::Periodic>(tickPeriod, [this] { node_.handle(core::Tick{}); });
-    hostListPolls_ =
-        std::make_unique<process::Periodic>(hostListPeriod, [this] { pollHostList(); });
     return {};
 }
 
@@ -172,16 +160,8 @@
 
 auto RouterHost::onMessage(wire::LinkId link, core::Message message) -> void
 {
-    if (auto *reply = std::get_if<core::SettingsReply>(&message)) {
-        feed_.onReply(std::move(*reply));
-        return;
-    }
-    if (const auto *pull = std::get_if<core::SettingsPull>(&message)) {
-        feed_.onPull(*pull, [this, link](core::SettingsReply answer) {
-            loop_.send(link, std::move(answer));
-        });
+    if (feed_.onMessage(link, message))
         return;
-    }
     const auto peer = links_.peerOf(link);
     const auto upstream = peer ? addresses_.upstreamAt(*peer) : 0;
     if (upstream == 0)
@@ -214,41 +194,12 @@
 
 auto RouterHost::feedHooks() -> process::SettingsFeedHooks
 {
-    process::SettingsFeedHooks hooks;
-    hooks.inForce = [this](core::SettingsPtr settings) { onSettings(std::move(settings)); };
-    hooks.pull = [this](core::UpstreamId peer, core::SettingsPull pull) {
-        pullSettings(peer, std::move(pull));
-    };
-    hooks.log = [](const core::LogLine &line) {
-        telemetry::writeLog(telemetry::LogLevel::Info, line.text());
+    return {
+        [this](core::SettingsPtr settings) {
+            node_.handle(core::SettingsInForce{std::move(settings)});
+        },
+        [this](const core::HostList &list) { node_.handle(core::HostListRead{list}); },
     };
-    return hooks;
-}
-
-auto RouterHost::onSettings(core::SettingsPtr settings) -> void
-{
-    const auto unused = addresses_.update(*settings);
-    node_.handle(core::SettingsInForce{std::move(settings)});
-    for (const auto &address : unused)
-        links_.drop(address);
-}
-
-auto RouterHost::pullSettings(core::UpstreamId peer, core::SettingsPull pull) -> void
-{
-    auto address = addresses_.sidecar(peer);
-    const auto &bootstrap = options_.file->bootstrapPeers;
-    if (!address && !bootstrap.empty())
-        address = bootstrap[bootstrapTurn_++ % bootstrap.size()];
-    if (address)
-        links_.send(*address, std::move(pull));
-}
-
-auto RouterHost::pollHostList() -> void
-{
-    if (hostList_.read(hostListPeriod, hosts_))
-        return;
-    feed_.onHostList(hosts_);
-    node_.handle(core::HostListRead{hosts_});
 }
 
 auto RouterHost::health() -> process::Health
--- a/src/router/router-host.h
+++ b/src/router/router-host.h
@@ -4,7 +4,6 @@
 #include "applehatch/admin/api.h"
 #include "applehatch/core/placement.h"
 #include "applehatch/core/router-node.h"
-#include "applehatch/platform/settings-client.h"
 #include "applehatch/process/address-book.h"
 #include "applehatch/process/admin-server.h"
 #include "applehatch/process/drain.h"
@@ -76,9 +75,6 @@
     auto onMessage(wire::LinkId link, core::Message message) -> void;
     auto onHeartbeat(wire::LinkId link, core::UpstreamId upstream, const core::Heartbeat &heartbeat)
         -> bool;
-    auto onSettings(core::SettingsPtr settings) -> void;
-    auto pullSettings(core::UpstreamId peer, core::SettingsPull pull) -> void;
-    auto pollHostList() -> void;
     auto addMetrics() -> void;
 
     auto serveCaller(process::HttpExchange &exchange) -> void;
@@ -95,7 +91,6 @@
     process::AddressBook addresses_;
     std::string requestPrefix_;
     std::atomic<std::uint64_t> requests_{0};
-    std::atomic<std::size_t> bootstrapTurn_{0};
 
     std::mutex callersMutex_; ///< Guards `callers_`; the queues have their own locks.
     std::condition_variable callersLeft_;
@@ -105,11 +100,8 @@
     wire::LinkLoop loop_;
     process::PeerLinks links_;
     process::SettingsFeed feed_;
-    platform::HostListClient hostList_;
-    core::HostList hosts_;       ///< As read last; touched by the polling thread only.
     wire::DigestSocket digests_; ///< After the feed, which its thread calls.
     std::unique_ptr<process::Periodic> ticks_;
-    std::unique_ptr<process::Periodic> hostListPolls_;
     process::AdminServer admin_;
     process::HttpServer server_; ///< Last: stops first, while all that its callers need still runs.
 };
--- a/src/sidecar/sidecar-host.cc
+++ b/src/sidecar/sidecar-host.cc
@@ -12,7 +12,6 @@
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
 constexpr core::Duration statePeriod = std::chrono::milliseconds(500);
 constexpr core::Duration cachePeriod = std::chrono::milliseconds(500);
-constexpr core::Duration hostListPeriod = std::chrono::seconds(1);
 
 // Streams pause for less than this between two bytes; the client allows four times as much before
 // the first of a long prompt.
@@ -33,15 +32,6 @@
     return identity;
 }
 
-auto replicaIdentityOf(const settings::ProcessFile &file) -> core::ReplicaIdentity
-{
-    core::ReplicaIdentity identity;
-    identity.self = settings::upstreamId(file.team, file.pool, file.member);
-    identity.dataCenter = file.dataCenter;
-    identity.seed = core::stableHash(file.name, process::wallMicroseconds());
-    return identity;
-}
-
 } // namespace
 
 SidecarHost::SidecarHost(std::shared_ptr<const settings::ProcessFile> file)
@@ -51,8 +41,7 @@
     , node_([this](core::SidecarAction &action) { act(action); }, identityOf(*file_))
     , loop_(linkHooks(), traffic_.linkHooks())
     , links_(loop_)
-    , feed_(replicaIdentityOf(*file_), file_->settings, feedHooks())
-    , hostList_(file_->hostList)
+    , feed_(file_, addresses_, loop_, links_, feedHooks())
     , workers_(mostWorkers)
     , runs_(upstream_, workers_,
             [this](core::SidecarEvent event) { node_.handle(std::move(event)); })
@@ -65,7 +54,7 @@
 // Threads that call into members end before any member does.
 SidecarHost::~SidecarHost()
 {
-    hostListPolls_.reset();
+    feed_.stop();
     cachePolls_.reset();
     statePolls_.reset();
     ticks_.reset();
@@ -87,7 +76,6 @@
     ticks_ = std::make_unique<Periodic>(tickPeriod, [this] { node_.handle(core::Tick{}); });
     statePolls_ = std::make_unique<Periodic>(statePeriod, [this] { pollState(); });
     cachePolls_ = std::make_unique<Periodic>(cachePeriod, [this] { pollCacheEvents(); });
-    hostListPolls_ = std::make_unique<Periodic>(hostListPeriod, [this] { pollHostList(); });
     return {};
 }
 
@@ -191,15 +179,8 @@
 
 auto SidecarHost::onMessage(wire::LinkId link, core::Message message) -> void
 {
-    if (auto *reply = std::get_if<core::SettingsReply>(&message)) {
-        feed_.onReply(std::move(*reply));
-    } else if (const auto *pull = std::get_if<core::SettingsPull>(&message)) {
-        feed_.onPull(*pull, [this, link](core::SettingsReply answer) {
-            loop_.send(link, std::move(answer));
-        });
-    } else if (!links_.peerOf(link)) {
+    if (!feed_.onMessage(link, message) && !links_.peerOf(link))
         node_.handle(core::FromPeer{link, std::move(message)});
-    }
 }
 
 auto SidecarHost::digestHooks() -> wire::DigestHooks
@@ -230,20 +211,14 @@
 
 auto SidecarHost::feedHooks() -> process::SettingsFeedHooks
 {
-    process::SettingsFeedHooks hooks;
-    hooks.inForce = [this](core::SettingsPtr settings) { onSettings(std::move(settings)); };
-    hooks.pull = [this](core::UpstreamId peer, core::SettingsPull pull) {
-        pullSettings(peer, std::move(pull));
-    };
-    hooks.log = [](const core::LogLine &line) {
-        telemetry::writeLog(telemetry::LogLevel::Info, line.text());
+    return {
+        [this](core::SettingsPtr settings) { onSettings(std::move(settings)); },
+        [this](const core::HostList &list) { node_.handle(core::HostListRead{list}); },
     };
-    return hooks;
 }
 
 auto SidecarHost::onSettings(core::SettingsPtr settings) -> void
 {
-    const auto unused = addresses_.update(*settings);
     const auto team = settings->teams.find(file_->team);
     if (team != settings->teams.end()) {
         const auto pool = team->second->pools.find(file_->pool);
@@ -251,18 +226,6 @@
             pool != team->second->pools.end() && pool->second.kind == settings::PoolKind::Model;
     }
     node_.handle(core::SettingsInForce{std::move(settings)});
-    for (const auto &address : unused)
-        links_.drop(address);
-}
-
-auto SidecarHost::pullSettings(core::UpstreamId peer, core::SettingsPull pull) -> void
-{
-    auto address = addresses_.sidecar(peer);
-    const auto &bootstrap = file_->bootstrapPeers;
-    if (!address && !bootstrap.empty())
-        address = bootstrap[bootstrapTurn_++ % bootstrap.size()];
-    if (address && *address != file_->links)
-        links_.send(*address, std::move(pull));
 }
 
 auto SidecarHost::pollState() -> void
@@ -279,14 +242,6 @@
         node_.handle(std::move(events));
 }
 
-auto SidecarHost::pollHostList() -> void
-{
-    if (hostList_.read(hostListPeriod, hosts_))
-        return;
-    feed_.onHostList(hosts_);
-    node_.handle(core::HostListRead{hosts_});
-}
-
 auto SidecarHost::health() -> process::Health
 {
     using core::UpstreamState;
--- a/src/sidecar/sidecar-host.h
+++ b/src/sidecar/sidecar-host.h
@@ -3,7 +3,6 @@
 
 #include "applehatch/admin/api.h"
 #include "applehatch/core/sidecar-node.h"
-#include "applehatch/platform/settings-client.h"
 #include "applehatch/platform/upstream-client.h"
 #include "applehatch/process/address-book.h"
 #include "applehatch/process/admin-server.h"
@@ -67,10 +66,8 @@
     auto onMessage(wire::LinkId link, core::Message message) -> void;
     auto onDigest(core::Digest digest, const core::Address &from) -> void;
     auto onSettings(core::SettingsPtr settings) -> void;
-    auto pullSettings(core::UpstreamId peer, core::SettingsPull pull) -> void;
     auto pollState() -> void;
     auto pollCacheEvents() -> void;
-    auto pollHostList() -> void;
     auto addMetrics() -> void;
 
     std::shared_ptr<const settings::ProcessFile> file_;
@@ -78,7 +75,6 @@
     process::Traffic traffic_;
     process::Drain drain_;
     process::AddressBook addresses_;
-    std::atomic<std::size_t> bootstrapTurn_{0};
     std::atomic<bool> isEngine_{false}; ///< Plain services have no cache to ask about.
     std::uint64_t cacheSequence_ = 0;   ///< The polling thread's.
 
@@ -87,15 +83,12 @@
     wire::LinkLoop loop_;
     process::PeerLinks links_; ///< Opened here, to other sidecars.
     process::SettingsFeed feed_;
-    platform::HostListClient hostList_;
-    core::HostList hosts_; ///< As read last; touched by the polling thread only.
     WorkerPool workers_;
     RunTable runs_;
     wire::DigestSocket digests_; ///< After the feed, which its thread calls.
     std::unique_ptr<process::Periodic> ticks_;
     std::unique_ptr<process::Periodic> statePolls_;
     std::unique_ptr<process::Periodic> cachePolls_;
-    std::unique_ptr<process::Periodic> hostListPolls_;
     process::AdminServer admin_;
 };
 
