Record the end of a run before its caller has the last byte

A sidecar with requests waiting starts the next one as soon as it has that end, so the record could show more runs at once than there ever were, and a returning chat could find its context not yet stored.

Change: an engine and a plain service are done with a run in their record, and its slot is free, before the last bytes go. An answer whose caller left at the very end counts as whole: it was made.

--- a/include/applehatch/emulator/engine.h
+++ b/include/applehatch/emulator/engine.h
@@ -80,9 +80,11 @@
     [[nodiscard]] auto admit(const StreamPtr &stream) -> bool;
     auto release() -> void;
     auto store(const std::string &chat) -> void;
-    auto answerStream(const HttpRequest &request, const StreamPtr &stream, std::size_t from)
+    auto sendTokens(const HttpRequest &request, const StreamPtr &stream, std::size_t from)
         -> std::string;
-    auto answerPlain(const HttpRequest &request, const StreamPtr &stream) -> std::string;
+    auto endStream(const HttpRequest &request, const std::string &outcome) -> void;
+    [[nodiscard]] auto makePlain(const StreamPtr &stream) -> std::string;
+    auto sendPlain(const HttpRequest &request, const StreamPtr &stream) const -> void;
     auto finishUnread(const StreamPtr &stream) -> std::string;
     [[nodiscard]] auto cancelled(const StreamPtr &stream) const -> bool;
     [[nodiscard]] auto waitForToken(const StreamPtr &stream, std::size_t number) -> bool;
--- a/include/applehatch/emulator/service.h
+++ b/include/applehatch/emulator/service.h
@@ -33,7 +33,7 @@
 
 private:
     auto serve(const HttpRequest &request) -> void;
-    auto run(const HttpRequest &request) -> std::string;
+    auto sendAnswer(const HttpRequest &request, bool early) const -> void;
 
     PlainServiceOptions options_;
     std::string epoch_;
--- a/src/emulator/engine.cc
+++ b/src/emulator/engine.cc
@@ -118,13 +118,20 @@
     run.warm = stream->warm;
     const auto number = record_.begin(run);
     record_.crashIfMarked(request.body);
-    const auto outcome = stream->answer.wantsStream() ? answerStream(request, stream, 0)
-                                                      : answerPlain(request, stream);
+    const auto streams = stream->answer.wantsStream();
+    const auto outcome = streams ? sendTokens(request, stream, 0) : makePlain(stream);
     if (outcome != "cancelled") {
         store(chat);
     }
+    // Recorded after the last bytes, the end would follow the start of the run that those bytes let
+    // in, and the record would show an engine above its bound that never was.
     record_.finish(number, outcome);
     release();
+    if (streams) {
+        endStream(request, outcome);
+    } else if (outcome != "cancelled") {
+        sendPlain(request, stream);
+    }
 }
 
 auto Engine::admit(const StreamPtr &stream) -> bool
@@ -191,7 +198,7 @@
     return false;
 }
 
-auto Engine::answerStream(const HttpRequest &request, const StreamPtr &stream, std::size_t from)
+auto Engine::sendTokens(const HttpRequest &request, const StreamPtr &stream, std::size_t from)
     -> std::string
 {
     const auto faults = record_.faults();
@@ -218,28 +225,35 @@
             return finishUnread(stream);
         }
     }
-    (void)sendChunk(request, {});
     return "whole";
 }
 
-auto Engine::answerPlain(const HttpRequest &request, const StreamPtr &stream) -> std::string
+auto Engine::endStream(const HttpRequest &request, const std::string &outcome) -> void
+{
+    if (outcome == "whole") {
+        (void)sendChunk(request, {});
+    }
+}
+
+auto Engine::makePlain(const StreamPtr &stream) -> std::string
 {
     if (!waitForToken(stream, stream->answer.tokens())) {
         return "cancelled";
     }
+    return record_.faults().endEarlyAfter >= 0 ? "ended-early" : "whole";
+}
+
+auto Engine::sendPlain(const HttpRequest &request, const StreamPtr &stream) const -> void
+{
     auto body = stream->answer.plain();
     const auto length = body.size();
-    const auto early = record_.faults().endEarlyAfter >= 0;
-    if (early) {
+    if (record_.faults().endEarlyAfter >= 0) {
         body.resize(length / 2);
     }
     const auto text = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Cache: "
         + std::string(stream->warm ? "warm" : "cold")
         + "\r\nContent-Length: " + std::to_string(length) + "\r\nConnection: close\r\n\r\n" + body;
-    if (mg_write(request.connection, text.data(), text.size()) <= 0) {
-        return "abandoned";
-    }
-    return early ? "ended-early" : "whole";
+    (void)mg_write(request.connection, text.data(), text.size());
 }
 
 auto Engine::finishUnread(const StreamPtr &stream) -> std::string
@@ -278,7 +292,7 @@
         answerJson(request, 410, {{"error", "no such stream"}});
         return;
     }
-    (void)answerStream(request, stream, from);
+    endStream(request, sendTokens(request, stream, from));
 }
 
 auto Engine::serveCancel(const HttpRequest &request) -> void
--- a/src/emulator/service.cc
+++ b/src/emulator/service.cc
@@ -54,27 +54,27 @@
     entry.bodyHash = core::stableHash(request.body);
     const auto number = record_.begin(entry);
     record_.crashIfMarked(request.body);
-    record_.finish(number, run(request));
+    const auto done = record_.sleep(options_.delay);
+    const auto early = record_.faults().endEarlyAfter >= 0;
+    const auto *outcome = early ? "ended-early" : "whole";
+    // As at an engine, a call is over before its caller has the last byte.
+    record_.finish(number, done ? outcome : "abandoned");
+    if (done) {
+        sendAnswer(request, early);
+    }
 }
 
-auto PlainService::run(const HttpRequest &request) -> std::string
+auto PlainService::sendAnswer(const HttpRequest &request, bool early) const -> void
 {
-    if (!record_.sleep(options_.delay)) {
-        return "abandoned";
-    }
     const auto path = request.query.empty() ? request.path : request.path + "?" + request.query;
     auto body = serviceAnswer(request.method, path, request.body, options_.answerPad);
     const auto length = body.size();
-    const auto early = record_.faults().endEarlyAfter >= 0;
     if (early) {
         body.resize(length / 2);
     }
     const auto text = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
         + std::to_string(length) + "\r\nConnection: close\r\n\r\n" + body;
-    if (mg_write(request.connection, text.data(), text.size()) <= 0) {
-        return "abandoned";
-    }
-    return early ? "ended-early" : "whole";
+    (void)mg_write(request.connection, text.data(), text.size());
 }
 
 } // namespace applehatch::emulator
--- a/test/emulator/upstream-test.cc
+++ b/test/emulator/upstream-test.cc
@@ -100,6 +100,23 @@
     }
 }
 
+// A sidecar starts the next run as soon as it has the end of one. Were the end written down only
+// afterwards, the record would show more runs at once than there ever were, and tests of the bound
+// would blame the fleet.
+BOOST_AUTO_TEST_CASE(a_run_is_over_in_the_record_before_its_caller_has_the_end)
+{
+    constexpr auto answers = 40;
+    const experiment::TemporaryFile log;
+    auto options = quickEngine();
+    options.logPath = log.path();
+    emulator::Engine engine(options);
+    for (auto number = 0; number < answers; ++number) {
+        const auto stream = number % 2 == 0;
+        BOOST_TEST(runCall(engine.address(), startRun(chatBody(3, stream), stream)).outcome.whole);
+        BOOST_TEST(engine.record().running() == 0U);
+    }
+}
+
 // A sidecar that lost its connection asks the engine for the rest. Were the offset wrong by a
 // byte, the caller's answer would hold a part twice or miss one.
 BOOST_AUTO_TEST_CASE(streams_resume_at_any_offset)
