Keep the link to a member that left the settings until its answers are whole

The router forgot its address with the new settings and closed the link at once, so the rest of the answers had nowhere to come from; its callers heard so 14 s later. Every answer that ran longer than the change took was cut: taking an upstream out of the settings is a planned stop, which must cut none.

Ruled out: a late refusal by the sidecar (it ran each of them to the end), and the caller's limit.

Change: the address book keeps a member that the settings no longer name until it is forgotten. A router counts such a member as leaving, so that the word that callers have its answers is not held back.

--- a/include/applehatch/core/router-node.h
+++ b/include/applehatch/core/router-node.h
@@ -257,6 +257,8 @@
     [[nodiscard]] auto draining() const -> bool;
     [[nodiscard]] auto loads() const -> const LoadTable &;
     [[nodiscard]] auto settings() const -> SettingsPtr;
+    /// Whether a request under way, or an answer just given, hangs on the link to `upstream`.
+    [[nodiscard]] auto uses(UpstreamId upstream) const -> bool;
 
 private:
     struct State;
--- a/include/applehatch/process/settings-feed.h
+++ b/include/applehatch/process/settings-feed.h
@@ -25,10 +25,13 @@
 /// What the feed tells its host; called from any thread, without the lock that `status` takes.
 struct SettingsFeedHooks
 {
-    /// The address book has these settings; links to members they no longer name close afterwards.
+    /// The address book has these settings.
     std::function<void(core::SettingsPtr)> inForce;
     /// The host list was read, changed or not.
     std::function<void(const core::HostList &)> hostList;
+    /// Whether work under way hangs on the link to a member that the settings no longer name; the
+    /// link closes, and its address is forgotten, once none does. Not set, none ever does.
+    std::function<bool(core::UpstreamId)> isInUse = {};
 };
 
 class SettingsFeed
@@ -67,7 +70,9 @@
     auto handle(core::SettingsEvent event, std::optional<wire::LinkId> asker = {}) -> void;
     auto act(core::SettingsAction &action, std::optional<wire::LinkId> asker) -> void;
     auto putInForce(core::SettingsPtr settings) -> void;
+    auto dropRetired() -> void;
     auto pull(core::PullFromPeer wanted) -> void;
+    auto tick() -> void;
     auto readLoop() -> void;
     auto readOnce(const core::ReadService &wanted) -> void;
     auto readHostList() -> void;
--- a/src/core/router-acknowledge.cc
+++ b/src/core/router-acknowledge.cc
@@ -33,6 +33,8 @@
 
 auto RouterNode::State::isKnownLeaving(UpstreamId upstream) const -> bool
 {
+    if (!configured_.contains(upstream))
+        return true;
     const auto entry = loads_.find(upstream, now_);
     return entry && entry->state == UpstreamState::Leaving;
 }
--- a/src/core/router-node.cc
+++ b/src/core/router-node.cc
@@ -42,6 +42,19 @@
 {
     settings_ = std::move(event.settings);
     views_.clear();
+    noteMembers();
+    releaseAcknowledgements([this](UpstreamId each) { return isKnownLeaving(each); });
+}
+
+auto RouterNode::State::noteMembers() -> void
+{
+    configured_.clear();
+    for (const auto &[name, team] : settings_->teams) {
+        for (const auto &[poolName, pool] : team->pools) {
+            for (const auto &member : pool.members)
+                configured_.insert(member.id);
+        }
+    }
 }
 
 auto RouterNode::State::on(HostListRead &event) -> void
@@ -123,6 +136,12 @@
     return counts;
 }
 
+auto RouterNode::uses(UpstreamId upstream) const -> bool
+{
+    const auto link = state_->links_.find(upstream);
+    return link != state_->links_.end() && !link->second.exchanges.empty();
+}
+
 auto RouterNode::ready() const -> bool
 {
     return state_->settings_ != nullptr && !state_->draining_;
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -146,6 +147,7 @@
     auto acknowledge(Exchange &exchange) -> void;
     auto acknowledge(const Taken &taken, bool finished) -> void;
     auto acknowledgeEnd(const Exchange &exchange) -> void;
+    auto noteMembers() -> void;
     [[nodiscard]] auto isKnownLeaving(UpstreamId upstream) const -> bool;
     auto releaseAcknowledgements(const std::function<bool(UpstreamId)> &isFor) -> void;
     auto expireAcknowledgements() -> void;
@@ -217,6 +219,7 @@
     Instant recentLoadsAt_;
     CrashTable crashes_;
     SettingsPtr settings_;
+    std::set<UpstreamId> configured_;                        ///< All members of `settings_`.
     std::unordered_map<std::string, HostState> hosts_;       ///< Empty while unknown.
     std::unordered_map<std::string, Instant> leavingSaidAt_; ///< Since when lists say so, by IP.
     LinkTable links_;
--- a/src/process/address-book.cc
+++ b/src/process/address-book.cc
@@ -5,6 +5,11 @@
 
 namespace applehatch::process {
 
+auto AddressBook::keyOf(const settings::Member &member) -> Key
+{
+    return {member.sidecar.ip, member.sidecar.port};
+}
+
 auto AddressBook::update(const settings::Settings &settings) -> std::vector<core::Address>
 {
     std::unordered_map<core::UpstreamId, settings::Member> members;
@@ -13,19 +18,42 @@
         for (const auto &[poolName, pool] : team->pools) {
             for (const auto &member : pool.members) {
                 members.emplace(member.id, member);
-                byAddress.emplace(Key(member.sidecar.ip, member.sidecar.port), member.id);
+                byAddress.emplace(keyOf(member), member.id);
             }
         }
     }
     const std::lock_guard lock(mutex_);
-    std::vector<core::Address> unused;
-    for (const auto &[address, upstream] : byAddress_) {
-        if (byAddress.find(address) == byAddress.end())
-            unused.push_back({address.first, address.second});
+    std::vector<core::Address> left;
+    retired_.clear();
+    for (const auto &[upstream, member] : members_) {
+        const auto isFree = byAddress.find(keyOf(member)) == byAddress.end();
+        if (isFree && members.find(upstream) != members.end()) {
+            left.push_back(member.sidecar);
+        } else if (isFree) {
+            members.emplace(upstream, member);
+            byAddress.emplace(keyOf(member), upstream);
+            retired_.insert(upstream);
+        }
     }
     members_ = std::move(members);
     byAddress_ = std::move(byAddress);
-    return unused;
+    return left;
+}
+
+auto AddressBook::retired() const -> std::vector<core::UpstreamId>
+{
+    const std::shared_lock lock(mutex_);
+    return {retired_.begin(), retired_.end()};
+}
+
+auto AddressBook::forget(core::UpstreamId upstream) -> void
+{
+    const std::lock_guard lock(mutex_);
+    if (retired_.erase(upstream) == 0)
+        return;
+    const auto member = members_.find(upstream);
+    byAddress_.erase(keyOf(member->second));
+    members_.erase(member);
 }
 
 auto AddressBook::find(core::UpstreamId upstream, core::Address settings::Member::*address) const
--- a/src/process/settings-feed.cc
+++ b/src/process/settings-feed.cc
@@ -45,10 +45,17 @@
 auto SettingsFeed::start() -> void
 {
     reader_ = std::thread([this] { readLoop(); });
-    ticks_ = std::make_unique<Periodic>(tickPeriod, [this] { handle(core::SettingsTick{}); });
+    ticks_ = std::make_unique<Periodic>(tickPeriod, [this] { tick(); });
     hostListPolls_ = std::make_unique<Periodic>(hostListPeriod, [this] { readHostList(); });
 }
 
+auto SettingsFeed::tick() -> void
+{
+    handle(core::SettingsTick{});
+    const std::lock_guard acting(actMutex_);
+    dropRetired();
+}
+
 auto SettingsFeed::stop() -> void
 {
     hostListPolls_.reset();
@@ -125,10 +132,24 @@
 
 auto SettingsFeed::putInForce(core::SettingsPtr settings) -> void
 {
-    const auto unused = addresses_.update(*settings);
+    const auto left = addresses_.update(*settings);
     hooks_.inForce(std::move(settings));
-    for (const auto &address : unused)
+    for (const auto &address : left)
         links_.drop(address);
+    dropRetired();
+}
+
+// An upstream that is taken out of the settings finishes what it runs. Were its link closed at
+// once, the callers of those answers would see them stop half way and hear the reason 14 s later.
+auto SettingsFeed::dropRetired() -> void
+{
+    for (const auto upstream : addresses_.retired()) {
+        if (hooks_.isInUse && hooks_.isInUse(upstream))
+            continue;
+        if (const auto address = addresses_.sidecar(upstream))
+            links_.drop(*address);
+        addresses_.forget(upstream);
+    }
 }
 
 auto SettingsFeed::pull(core::PullFromPeer wanted) -> void
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -199,6 +199,10 @@
             node_.handle(core::SettingsInForce{std::move(settings)});
         },
         [this](const core::HostList &list) { node_.handle(core::HostListRead{list}); },
+        [this](core::UpstreamId upstream) {
+            return node_.read(
+                [upstream](const core::RouterNode &node) { return node.uses(upstream); });
+        },
     };
 }
 
--- a/test/system/stop-test.cc
+++ b/test/system/stop-test.cc
@@ -170,4 +170,19 @@
     });
 }
 
+// A team takes an engine out of its settings while drafts run on it. The routers forgot its address
+// with the next settings and closed the link, so its callers saw their drafts stop half way and
+// heard the reason 14 s later.
+BOOST_AUTO_TEST_CASE(an_upstream_taken_out_of_the_settings_cuts_no_stream)
+{
+    Fleet fleet(stopFleet());
+    OpenStreams open(fleet);
+    auto &member = fleet.engine(0);
+    BOOST_TEST_REQUIRE(startsSince(fleet, 0, member.name, true) > 0);
+    fleet.publish({member.name});
+    open.expectWhole(fleet);
+    const auto next = fleet.chat("after the change", 5);
+    BOOST_TEST(isWholeAndOwn(next, call(fleet.router(0).callers, next)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
