Let no late order stop the sidecar that comes after

Cause: a sidecar took each fencing number that it had not given for a sign that a successor had taken over, and gave no order again in its life. An order of its predecessor, on its way when that one stopped or was killed, carries such a number too. If it arrived after the successor had read the engine's state, the successor stopped for good: an operator who took a change back was left with an engine without its model, and later changes were not carried out either. The lowest 24 bits of the time in microseconds come round every 17 s, so the number could not tell an earlier life from a later one.

Ruled out: going on whenever the number is of the same or older settings, as a sleeper under the same settings as its successor would go on; waiting for the order's answer in a planned stop, as a killed sidecar cannot.

Change: the number holds when its life began in units of 2^19 us, which come round after 101 days. Only a number of a later life supersedes.

--- a/include/applehatch/core/order-plan.h
+++ b/include/applehatch/core/order-plan.h
@@ -31,14 +31,16 @@
 /// Fencing numbers of one sidecar life, which only rise.
 ///
 /// The team's settings index is the leading part, so that a sidecar with older settings is refused
-/// by its engine; the incarnation is the rest.
+/// by its engine; the rest is the life: when the incarnation began, in units of about half a
+/// second, so that it rises from each life to the next.
 class FencingNumbers
 {
 public:
     explicit FencingNumbers(Incarnation incarnation);
 
-    /// Takes the highest number the engine has seen. False for good once a number appears that
-    /// this life did not give: another sidecar has taken the engine over meanwhile.
+    /// Takes the highest number the engine has seen. False for good once a number of a later life
+    /// appears: another sidecar has taken the engine over meanwhile. A new number of an earlier
+    /// life is an order that was on its way when that life ended.
     auto observe(std::uint64_t seen) -> bool;
 
     /// The number for an order under settings of `index`; none when the engine has seen an order
@@ -46,7 +48,7 @@
     [[nodiscard]] auto next(SettingsIndex index) -> std::optional<std::uint64_t>;
 
 private:
-    Incarnation incarnation_;
+    std::uint64_t life_;
     std::optional<std::uint64_t> seen_;
     std::uint64_t given_ = 0;
     bool superseded_ = false;
--- a/src/core/order-plan.cc
+++ b/src/core/order-plan.cc
@@ -6,8 +6,13 @@
 
 namespace {
 
-constexpr int incarnationBits = 24;
-constexpr std::uint64_t incarnationMask = (std::uint64_t{1} << incarnationBits) - 1;
+constexpr int lifeBits = 24;
+constexpr std::uint64_t lifeMask = (std::uint64_t{1} << lifeBits) - 1;
+
+// An incarnation is in microseconds, whose lowest 24 bits come round every 17 s and tell nothing of
+// which life is the later one; in units of 2^19 us they come round after 101 days. A life gives
+// fewer orders than units pass, so its numbers stay below those of the next.
+constexpr int lifeUnitBits = 19;
 
 auto contains(const std::vector<std::string> &models, const std::string &model) -> bool
 {
@@ -31,13 +36,13 @@
 }
 
 FencingNumbers::FencingNumbers(Incarnation incarnation)
-    : incarnation_(incarnation)
+    : life_((incarnation >> lifeUnitBits) & lifeMask)
 { }
 
 auto FencingNumbers::observe(std::uint64_t seen) -> bool
 {
     const auto known = std::max(seen_.value_or(seen), given_);
-    superseded_ = superseded_ || seen > known;
+    superseded_ = superseded_ || (seen > known && (seen & lifeMask) > life_);
     seen_ = std::max(known, seen);
     return !superseded_;
 }
@@ -45,9 +50,9 @@
 auto FencingNumbers::next(SettingsIndex index) -> std::optional<std::uint64_t>
 {
     const auto highest = std::max(seen_.value_or(0), given_);
-    if (superseded_ || (highest >> incarnationBits) > index)
+    if (superseded_ || (highest >> lifeBits) > index)
         return std::nullopt;
-    const auto fresh = (index << incarnationBits) | (incarnation_ & incarnationMask);
+    const auto fresh = (index << lifeBits) | life_;
     given_ = std::max(fresh, highest + 1);
     return given_;
 }
--- a/test/system/promise-settings-test.cc
+++ b/test/system/promise-settings-test.cc
@@ -2,7 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <barrier>
+#include <map>
 #include <sstream>
+#include <thread>
 
 namespace {
 
@@ -99,6 +102,87 @@
     });
 }
 
+constexpr auto thirdTeam = "cwm-nedd";
+
+/// A team's text that only the queue limit tells from another.
+auto textOf(std::size_t queueLimit) -> std::string
+{
+    auto text = nlohmann::json::parse(goodText);
+    text["pools"]["drafting"]["queueLimit"] = queueLimit;
+    text["adminTokenHash"] = "0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e";
+    return text.dump();
+}
+
+/// What each process of a fleet says of a team, and whether any went back to older settings.
+class TeamView
+{
+public:
+    explicit TeamView(Fleet &fleet)
+    {
+        for (auto &router : fleet.routers()) {
+            admins_.push_back(router.admin);
+        }
+        for (auto &member : fleet.members()) {
+            admins_.push_back(member.admin);
+        }
+    }
+
+    /// Whether every process has `queueLimit` in force for `team`.
+    [[nodiscard]] auto agree(const std::string &team, std::size_t queueLimit) -> bool
+    {
+        std::size_t alike = 0;
+        for (std::size_t number = 0; number < admins_.size(); ++number) {
+            alike += look(number, team) == queueLimit ? 1 : 0;
+        }
+        return alike == admins_.size();
+    }
+
+    [[nodiscard]] auto reverted() const -> std::size_t { return reverted_; }
+
+private:
+    auto look(std::size_t number, const std::string &team) -> std::size_t
+    {
+        const auto answer = call(
+            admins_[number],
+            {"GET", "/admin/v1/teams/" + team, {{"Authorization", "Bearer operator-token"}}, {}});
+        const auto document = nlohmann::json::parse(answer.body, nullptr, false);
+        if (answer.status != 200 || !document.is_object()) {
+            return 0;
+        }
+        auto &last = last_[{number, team}];
+        const auto index = document.value("index", std::uint64_t{0});
+        reverted_ += index < last ? 1 : 0;
+        last = index;
+        return document["pools"]["drafting"].value("queueLimit", std::size_t{0});
+    }
+
+    std::vector<core::Address> admins_;
+    std::map<std::pair<std::size_t, std::string>, std::uint64_t> last_;
+    std::size_t reverted_ = 0;
+};
+
+struct Publication
+{
+    std::string team;
+    std::string text;
+    std::uint64_t index = 0;
+};
+
+/// Two operators publish at the same moment.
+auto publishAtOnce(Fleet &fleet, Publication &one, Publication &other) -> void
+{
+    std::barrier<> together(2);
+    const auto publish = [&](Publication &publication) {
+        together.arrive_and_wait();
+        publication.index = fleet.platform().putTeam(publication.team, publication.text);
+    };
+    const std::jthread second([&] { publish(other); });
+    publish(one);
+}
+
+constexpr std::size_t crossings = 6;
+constexpr auto withinSeconds = 18000ms;
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(promise_settings)
@@ -190,4 +274,80 @@
     BOOST_TEST(fleet.platform().calls().waiting <= readers);
 }
 
+// Two operators of different teams publish at the same moment, over and over. Each change must come
+// into force everywhere, whichever of them the service took first.
+BOOST_AUTO_TEST_CASE(two_operators_at_once_change_a_team_each_and_both_come_into_force)
+{
+    Fleet fleet(settingsFleet());
+    TeamView view(fleet);
+    std::size_t crossed = 0;
+    for (std::size_t round = 1; round <= crossings; ++round) {
+        Publication one{otherTeam, textOf(10 + round)};
+        Publication other{thirdTeam, textOf(50 + round)};
+        publishAtOnce(fleet, one, other);
+        crossed += inForceEverywhere(fleet, std::min(one.index, other.index)) ? 0 : 1;
+        BOOST_TEST_CONTEXT(fleet.outputs())
+        {
+            BOOST_TEST(eventually(
+                [&] {
+                    return view.agree(otherTeam, 10 + round) && view.agree(thirdTeam, 50 + round);
+                },
+                withinSeconds));
+        }
+    }
+    BOOST_TEST(crossed == crossings);
+    BOOST_TEST(view.reverted() == 0U);
+    expectNeverReverted(fleet);
+    expectServed(fleet, "two teams");
+}
+
+// Two operators of one team publish different texts at the same moment. The one that the service
+// took last must win at every process and stay; else customers would meet a limit that depends on
+// the router.
+BOOST_AUTO_TEST_CASE(two_operators_at_once_change_one_team_and_the_later_index_wins_everywhere)
+{
+    Fleet fleet(settingsFleet());
+    TeamView view(fleet);
+    std::size_t crossed = 0;
+    for (std::size_t round = 1; round <= crossings; ++round) {
+        Publication one{otherTeam, textOf(10 + round)};
+        Publication other{otherTeam, textOf(50 + round)};
+        publishAtOnce(fleet, one, other);
+        crossed += inForceEverywhere(fleet, std::min(one.index, other.index)) ? 0 : 1;
+        const auto winner = one.index > other.index ? 10 + round : 50 + round;
+        BOOST_TEST_CONTEXT(fleet.outputs())
+        {
+            BOOST_TEST(eventually([&] { return view.agree(otherTeam, winner); }, withinSeconds));
+        }
+    }
+    BOOST_TEST(crossed == crossings);
+    BOOST_TEST(view.reverted() == 0U);
+    expectNeverReverted(fleet);
+}
+
+// One operator publishes a mistake at the very moment when another publishes a good change. The
+// mistake must cost neither its own team what it had, nor the other team its change.
+BOOST_AUTO_TEST_CASE(a_mistake_beside_a_good_change_at_the_same_moment_stops_nobody)
+{
+    Fleet fleet(settingsFleet());
+    TeamView view(fleet);
+    fleet.platform().putTeam(thirdTeam, textOf(7));
+    BOOST_REQUIRE(eventually([&] { return view.agree(thirdTeam, 7); }, withinSeconds));
+    for (std::size_t round = 1; round <= crossings; ++round) {
+        Publication good{otherTeam, textOf(10 + round)};
+        Publication mistake{thirdTeam, badText};
+        publishAtOnce(fleet, good, mistake);
+        BOOST_TEST_CONTEXT(fleet.outputs())
+        {
+            BOOST_TEST(
+                eventually([&] { return view.agree(otherTeam, 10 + round); }, withinSeconds));
+            BOOST_TEST(view.agree(thirdTeam, 7));
+        }
+    }
+    BOOST_TEST(anyoneLogged(fleet, "settings-refused"));
+    BOOST_TEST(view.reverted() == 0U);
+    expectNeverReverted(fleet);
+    expectServed(fleet, "mistake");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
