Kill a router only while it carries streams that can be resumed

Cause: the test killed the first router as soon as four connections were open at it and 25 further answers were whole. The callers of plain services make those 25 answers in a moment, and the callers of the killed router run in step, so that the wait often ended just as all of their connections had opened and no stream had brought an event. Such callers have no id to resume by; they rightly ask the other router afresh.

Ruled out: a refusal by the other router or a resumed stream that is not whole. The test now tells what became of each broken stream.

Change: the test counts the streams through the router that have an id and at most half of their events, and kills the router once two of the three are so. It still asks for one that is resumed whole under each fault.

--- a/test/system/promise-pairs-test.cc
+++ b/test/system/promise-pairs-test.cc
@@ -2,21 +2,25 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <atomic>
 #include <functional>
+#include <map>
+#include <mutex>
 
 namespace {
 
 using namespace applehatch;
 using namespace system_test;
 using namespace std::chrono_literals;
+using experiment::CallerConnection;
 using experiment::eventually;
 using experiment::FleetMember;
 
 constexpr std::size_t engines = 4;
 constexpr std::size_t answersUnderFaults = 25;
 constexpr std::size_t tokensAtKill = 60;
-constexpr std::size_t openAtKill = 4; ///< Of 12 callers, half of which go to each router.
+constexpr std::size_t openAtKill = 2; ///< Of the three callers that stream through each router.
 
 /// A failure that begins at one member, shows that it did, and ends.
 struct Fault
@@ -87,32 +91,93 @@
     return answer.problem().is_null() ? answer : CallerAnswer();
 }
 
-/// A caller whose stream breaks comes back at the other router with the last id it saw; `resumed`
-/// counts the answers that became whole so.
-auto resuming(Fleet &fleet, std::atomic<std::size_t> &resumed) -> Traffic::Ask
+/// Streams that broke with their router, and what became of each. Thread-safe.
+class BrokenStreams
 {
-    return [&fleet, &resumed](std::size_t router, const CallerRequest &request) {
-        auto answer = experiment::call(fleet.router(router).callers, request, answerLimit);
-        if (answer.status == 0) {
-            return askTheOther(fleet, router, request);
-        }
-        if (answer.framed || !answer.problem().is_null()) {
-            return answer;
+public:
+    /// A caller whose stream breaks comes back at the other router with the last id it saw.
+    auto resuming(Fleet &fleet) -> Traffic::Ask
+    {
+        return [this, &fleet](std::size_t router, const CallerRequest &request) {
+            CallerConnection connection(fleet.router(router).callers, request);
+            const auto answer = read(connection, router);
+            if (answer.status == 0) {
+                return askTheOther(fleet, router, request);
+            }
+            return answer.framed || !answer.problem().is_null()
+                ? answer
+                : resume(fleet.router(1 - router).callers, request, answer);
+        };
+    }
+
+    /// Streams through `router` that can be resumed and have at least half of their way to go.
+    [[nodiscard]] auto open(std::size_t router) const -> std::size_t { return open_.at(router); }
+
+    /// Those that became whole at the other router.
+    [[nodiscard]] auto resumed() const -> std::size_t { return resumed_; }
+
+    /// How often each end was met.
+    [[nodiscard]] auto ends() const -> std::map<std::string, std::size_t>
+    {
+        const std::lock_guard lock(mutex_);
+        return ends_;
+    }
+
+private:
+    auto read(CallerConnection &connection, std::size_t router) -> CallerAnswer
+    {
+        const auto hasEvent = [](const CallerAnswer &answer) {
+            return !answer.lastEventId().empty();
+        };
+        const auto isHalfWay = [](const CallerAnswer &answer) {
+            return answer.events().size() > tokensAtKill / 2;
+        };
+        if (hasEvent(connection.read(hasEvent, answerLimit))) {
+            ++open_.at(router);
+            connection.read(isHalfWay, answerLimit);
+            --open_.at(router);
         }
+        return connection.read({}, answerLimit);
+    }
+
+    auto resume(const core::Address &router, const CallerRequest &request, CallerAnswer answer)
+        -> CallerAnswer
+    {
         const auto lastEventId = answer.lastEventId();
-        const auto rest = lastEventId.empty()
-            ? CallerAnswer()
-            : resumeAt(fleet.router(1 - router).callers, lastEventId);
-        if (rest.status != 200 || (!rest.framed && rest.problem().is_null())) {
-            return rest.status == 200 ? CallerAnswer() : rest;
+        if (lastEventId.empty()) {
+            count("without an event");
+            return {};
+        }
+        auto rest = resumeAt(router, lastEventId);
+        if (rest.status != 200) {
+            count("refused with status " + std::to_string(rest.status) + ": " + rest.problemKind());
+            return rest;
+        }
+        if (!rest.framed && rest.problem().is_null()) {
+            count("broken again");
+            return {};
         }
         answer.body.erase(answer.body.rfind("\n\n") + 2);
         answer.body += rest.body;
         answer.framed = rest.framed;
-        resumed += isWholeAndOwn(request, answer) ? 1U : 0U;
+        const auto whole = isWholeAndOwn(request, answer);
+        resumed_ += whole ? 1U : 0U;
+        count(whole ? "whole after it was resumed"
+                    : "not whole after it was resumed: " + answer.problemKind());
         return answer;
-    };
-}
+    }
+
+    auto count(const std::string &end) -> void
+    {
+        const std::lock_guard lock(mutex_);
+        ++ends_[end];
+    }
+
+    std::array<std::atomic<std::size_t>, 2> open_{};
+    std::atomic<std::size_t> resumed_{0};
+    mutable std::mutex mutex_;
+    std::map<std::string, std::size_t> ends_;
+};
 
 auto requestOf(Fleet &fleet, std::size_t tokens = 20) -> Traffic::Request
 {
@@ -209,24 +274,25 @@
 BOOST_AUTO_TEST_CASE(a_killed_router_beside_another_failure_breaks_no_promise)
 {
     Fleet fleet(pairsFleet());
-    std::atomic<std::size_t> resumed = 0;
+    BrokenStreams broken;
     Traffic traffic(
         fleet, requestOf(fleet, tokensAtKill),
         [](std::size_t caller, std::size_t /*turn*/) { return caller / 2 % 2; },
-        resuming(fleet, resumed));
+        broken.resuming(fleet));
     traffic.add(12);
     for (const auto &fault : faults()) {
-        const auto before = resumed.load();
+        const auto before = broken.resumed();
         const auto whole = traffic.history().whole() + answersUnderFaults;
-        BOOST_TEST(eventually([&] {
-            return traffic.history().whole() >= whole
-                && fleet.router(0).relay->open() >= openAtKill;
-        }));
+        BOOST_TEST(eventually(
+            [&] { return traffic.history().whole() >= whole && broken.open(0) >= openAtKill; }));
+        BOOST_TEST_MESSAGE(broken.open(0) << " streams open at the kill beside " << fault.name);
         runPair(fleet, traffic.history(), routerKilled(), fault);
-        BOOST_TEST(eventually([&] { return resumed > before; }), fault.name);
+        BOOST_TEST(eventually([&] { return broken.resumed() > before; }), fault.name);
     }
     expectPromisesKept(fleet, traffic);
-    BOOST_TEST_MESSAGE(resumed << " whole after they were resumed");
+    for (const auto &[end, count] : broken.ends()) {
+        BOOST_TEST_MESSAGE(count << " broken streams " << end);
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
