Take every policy of an example's pool into the measures

Cause: takeSettings copied seven named keys, so that homeWaitMs, set in an example, would have been measured at its default; so were resendWindowMs, fencing, rolloutWidth and preferOwnDataCenter, which the examples hold.

Change: policyOf takes a pool's settings but for the keys that a fleet on loopback sets itself (kind, models, pathPrefix, members); a plan refuses the same list. A list of keys to copy was ruled out, as each new key would have to be thought of again.

--- a/src/experiment/experiment-plan.cc
+++ b/src/experiment/experiment-plan.cc
@@ -156,7 +156,7 @@
 auto checkPool(const Json &pool, const std::string &path, Report &report) -> bool
 {
     const auto before = report.problems().size();
-    for (const auto *key : {"kind", "models", "pathPrefix", "members"}) {
+    for (const auto *key : poolKeysOfFleet) {
         if (pool.contains(key)) {
             report.add(joinPath(joinPath(path, "pool"), key), "no such key in a plan",
                        settings::describe(pool.at(key)));
--- a/src/experiment/measures-workload.cc
+++ b/src/experiment/measures-workload.cc
@@ -38,10 +38,7 @@
 {
     const auto example = readExample(deployment.name);
     deployment.customers = example.at("customers");
-    for (const auto *key : {"loadMultiple", "queueLimit", "queueWaitMs", "queueOrder",
-                            "defaultDeadlineMs", "maxDeadlineMs", "retryBudget"}) {
-        deployment.pool[key] = example.at("pools").at(poolName).at(key);
-    }
+    deployment.pool = policyOf(example.at("pools").at(poolName));
 }
 
 auto exponential(std::mt19937_64 &random, milliseconds meanTime) -> milliseconds
@@ -291,6 +288,14 @@
 
 } // namespace
 
+auto policyOf(json pool) -> json
+{
+    for (const auto *key : poolKeysOfFleet) {
+        pool.erase(key);
+    }
+    return pool;
+}
+
 auto deploymentNamed(const std::string &name) -> Deployment
 {
     Deployment deployment;
--- a/src/experiment/measures-workload.h
+++ b/src/experiment/measures-workload.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <limits>
 #include <map>
 #include <string>
@@ -50,6 +51,12 @@
     double callsPerSecond = 5; ///< Calls to the plain services that must run once.
 };
 
+/// Keys of a pool's settings that a fleet on loopback sets itself.
+inline constexpr std::array poolKeysOfFleet{"kind", "models", "pathPrefix", "members"};
+
+/// The settings of `pool` without `poolKeysOfFleet`.
+[[nodiscard]] auto policyOf(nlohmann::json pool) -> nlohmann::json;
+
 /// Reads `examples/NAME.jsonc`; throws `std::runtime_error` for a name that is none of the two.
 [[nodiscard]] auto deploymentNamed(const std::string &name) -> Deployment;
 
--- a/test/experiment/measures-test.cc
+++ b/test/experiment/measures-test.cc
@@ -2,11 +2,16 @@
 #include "measures-calls.h"
 #include "measures-sampling.h"
 #include "measures-times.h"
+#include "measures-workload.h"
 #include "overload.h"
 #include "timeline.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <fstream>
+#include <map>
+
 namespace {
 
 using namespace applehatch::experiment;
@@ -130,6 +135,29 @@
     BOOST_TEST(figures.resent == 2U);
 }
 
+// A key that is left out takes its default, so that the measures speak of another pool than the
+// operators run.
+BOOST_AUTO_TEST_CASE(a_deployment_takes_each_policy_of_its_example)
+{
+    const nlohmann::json pool = {{"kind", "model"},     {"models", {"m"}},
+                                 {"pathPrefix", "/p"},  {"members", {{{"name", "e"}}}},
+                                 {"loadMultiple", 2.0}, {"homeWaitMs", 700}};
+    BOOST_TEST(policyOf(pool) == (nlohmann::json{{"loadMultiple", 2.0}, {"homeWaitMs", 700}}));
+    const std::map<std::string, std::string> pools = {{"ledgerworks", "drafting"},
+                                                      {"cwm-taf", "repairs"}};
+    for (const auto &[name, key] : pools) {
+        std::ifstream file("examples/" + name + ".jsonc");
+        const auto example = nlohmann::json::parse(file, nullptr, true, true);
+        const auto taken = deploymentNamed(name).pool;
+        for (const auto &[policy, value] : example.at("pools").at(key).items()) {
+            const auto isOfFleet = std::find(poolKeysOfFleet.begin(), poolKeysOfFleet.end(), policy)
+                != poolKeysOfFleet.end();
+            BOOST_TEST(taken.contains(policy) != isOfFleet, name << ' ' << policy);
+            BOOST_TEST((isOfFleet || taken.value(policy, nlohmann::json()) == value));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(plots_escape_names_and_leave_gaps)
 {
     const LineChart lines{"a < b", "s", "n", {0, 1, 2}, {{"x&y", {1, std::nullopt, 2}, false}}};
