Read no half line of an upstream's log

Cause: Fleet::runs parsed the last line of a log that its upstream was just writing. The parse error ended the test, at 1 of 6 runs of stopping/an_upstream_taken_out_of_the_settings_gets_no_new_work, three at a time.

Change: runEntries leaves a last line without its end for the next read. a_line_that_is_being_written_is_left_for_later ended with the same parse error before and passes since.

--- a/include/applehatch/experiment/fleet.h
+++ b/include/applehatch/experiment/fleet.h
@@ -85,6 +85,11 @@
     std::int64_t atMs = 0;
 };
 
+/// The starts and ends in the log that `upstream` writes; a last line that is still being written
+/// is left for the next read.
+[[nodiscard]] auto runEntries(const std::string &upstream, const std::string &log)
+    -> std::vector<RunEntry>;
+
 /// A fleet that is stopped when it goes out of scope.
 class Fleet
 {
--- a/src/experiment/fleet.cc
+++ b/src/experiment/fleet.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 
@@ -71,6 +72,23 @@
 
 } // namespace
 
+auto runEntries(const std::string &upstream, const std::string &log) -> std::vector<RunEntry>
+{
+    std::vector<RunEntry> entries;
+    std::istringstream lines(log);
+    std::string line;
+    while (std::getline(lines, line) && !lines.eof()) {
+        const auto entry = json::parse(line);
+        const auto value = [&](const char *key) { return entry.value(key, std::string()); };
+        if (value("op") != "start" && value("op") != "end") {
+            continue;
+        }
+        entries.push_back({upstream, value("op"), value("request"), value("key"), value("bodyHash"),
+                           value("outcome"), entry.value("atMs", std::int64_t{0})});
+    }
+    return entries;
+}
+
 Fleet::Fleet(FleetOptions options)
     : options_(std::move(options))
     , network_(nextNetwork())
@@ -397,18 +415,8 @@
 {
     std::vector<RunEntry> entries;
     for (const auto &member : members_) {
-        std::istringstream lines(member.runLog->read());
-        std::string line;
-        while (std::getline(lines, line)) {
-            const auto entry = json::parse(line);
-            const auto value = [&](const char *key) { return entry.value(key, std::string()); };
-            if (value("op") != "start" && value("op") != "end") {
-                continue;
-            }
-            entries.push_back({member.name, value("op"), value("request"), value("key"),
-                               value("bodyHash"), value("outcome"),
-                               entry.value("atMs", std::int64_t{0})});
-        }
+        auto ofMember = runEntries(member.name, member.runLog->read());
+        std::move(ofMember.begin(), ofMember.end(), std::back_inserter(entries));
     }
     return entries;
 }
--- a/test/experiment/measures-test.cc
+++ b/test/experiment/measures-test.cc
@@ -158,6 +158,20 @@
     }
 }
 
+// A test reads the log of an upstream that is just writing a line to it. The half line ended the
+// test, and callers that it had started were waited for without end.
+BOOST_AUTO_TEST_CASE(a_line_that_is_being_written_is_left_for_later)
+{
+    const std::string whole = R"({"op": "start", "request": "r", "atMs": 7})";
+    const auto entries = runEntries("e1", whole + "\n" + whole.substr(0, 20));
+    BOOST_REQUIRE(entries.size() == 1U);
+    BOOST_TEST(entries[0].upstream == "e1");
+    BOOST_TEST(entries[0].operation == "start");
+    BOOST_TEST(entries[0].atMs == 7);
+    BOOST_TEST(runEntries("e1", whole + "\n" + whole + "\n").size() == 2U);
+    BOOST_TEST(runEntries("e1", "").empty());
+}
+
 BOOST_AUTO_TEST_CASE(plots_escape_names_and_leave_gaps)
 {
     const LineChart lines{"a < b", "s", "n", {0, 1, 2}, {{"x&y", {1, std::nullopt, 2}, false}}};
