--- a/include/applehatch/emulator/engine.h
+++ b/include/applehatch/emulator/engine.h
@@ -5,6 +5,7 @@
 #include "applehatch/emulator/engine-cache.h"
 #include "applehatch/emulator/upstream-server.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -80,11 +81,11 @@
     [[nodiscard]] auto admit(const StreamPtr &stream) -> bool;
     auto release() -> void;
     auto store(const std::string &chat) -> void;
-    auto sendTokens(const HttpRequest &request, const StreamPtr &stream, std::size_t from)
-        -> std::string;
-    auto endStream(const HttpRequest &request, const std::string &outcome) -> void;
-    [[nodiscard]] auto makePlain(const StreamPtr &stream) -> std::string;
-    auto sendPlain(const HttpRequest &request, const StreamPtr &stream) const -> void;
+    /// `beforeLast` is called once all is made, before the last event goes.
+    auto answerStream(const HttpRequest &request, const StreamPtr &stream, std::size_t from,
+                      const std::function<void()> &beforeLast) -> std::string;
+    auto answerPlain(const HttpRequest &request, const StreamPtr &stream,
+                     const std::function<void()> &beforeLast) -> std::string;
     auto finishUnread(const StreamPtr &stream) -> std::string;
     [[nodiscard]] auto cancelled(const StreamPtr &stream) const -> bool;
     [[nodiscard]] auto waitForToken(const StreamPtr &stream, std::size_t number) -> bool;
--- a/src/emulator/engine.cc
+++ b/src/emulator/engine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace applehatch::emulator {
 
@@ -118,20 +119,22 @@
     run.warm = stream->warm;
     const auto number = record_.begin(run);
     record_.crashIfMarked(request.body);
-    const auto streams = stream->answer.wantsStream();
-    const auto outcome = streams ? sendTokens(request, stream, 0) : makePlain(stream);
-    if (outcome != "cancelled") {
-        store(chat);
-    }
-    // Recorded after the last bytes, the end would follow the start of the run that those bytes let
-    // in, and the record would show an engine above its bound that never was.
-    record_.finish(number, outcome);
-    release();
-    if (streams) {
-        endStream(request, outcome);
-    } else if (outcome != "cancelled") {
-        sendPlain(request, stream);
-    }
+    auto isOver = false;
+    const auto over = [&](const std::string &outcome) {
+        if (std::exchange(isOver, true)) {
+            return;
+        }
+        if (outcome != "cancelled") {
+            store(chat);
+        }
+        record_.finish(number, outcome);
+        release();
+    };
+    // Recorded after the last bytes, the end would follow the start of the run that they let in,
+    // and the record would show an engine above its bound that never was.
+    const auto beforeLast = [&] { over("whole"); };
+    over(stream->answer.wantsStream() ? answerStream(request, stream, 0, beforeLast)
+                                      : answerPlain(request, stream, beforeLast));
 }
 
 auto Engine::admit(const StreamPtr &stream) -> bool
@@ -198,8 +201,8 @@
     return false;
 }
 
-auto Engine::sendTokens(const HttpRequest &request, const StreamPtr &stream, std::size_t from)
-    -> std::string
+auto Engine::answerStream(const HttpRequest &request, const StreamPtr &stream, std::size_t from,
+                          const std::function<void()> &beforeLast) -> std::string
 {
     const auto faults = record_.faults();
     auto skip = from;
@@ -221,39 +224,38 @@
             while (!cancelled(stream) && record_.sleep(cancelCheck)) { }
             return "cancelled";
         }
+        if (number == stream->answer.tokens()) {
+            beforeLast();
+        }
         if (!data.empty() && !sendChunk(request, data)) {
             return finishUnread(stream);
         }
     }
+    (void)sendChunk(request, {});
     return "whole";
 }
 
-auto Engine::endStream(const HttpRequest &request, const std::string &outcome) -> void
-{
-    if (outcome == "whole") {
-        (void)sendChunk(request, {});
-    }
-}
-
-auto Engine::makePlain(const StreamPtr &stream) -> std::string
+auto Engine::answerPlain(const HttpRequest &request, const StreamPtr &stream,
+                         const std::function<void()> &beforeLast) -> std::string
 {
     if (!waitForToken(stream, stream->answer.tokens())) {
         return "cancelled";
     }
-    return record_.faults().endEarlyAfter >= 0 ? "ended-early" : "whole";
-}
-
-auto Engine::sendPlain(const HttpRequest &request, const StreamPtr &stream) const -> void
-{
     auto body = stream->answer.plain();
     const auto length = body.size();
-    if (record_.faults().endEarlyAfter >= 0) {
+    const auto early = record_.faults().endEarlyAfter >= 0;
+    if (early) {
         body.resize(length / 2);
+    } else {
+        beforeLast();
     }
     const auto text = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Cache: "
         + std::string(stream->warm ? "warm" : "cold")
         + "\r\nContent-Length: " + std::to_string(length) + "\r\nConnection: close\r\n\r\n" + body;
-    (void)mg_write(request.connection, text.data(), text.size());
+    if (mg_write(request.connection, text.data(), text.size()) <= 0) {
+        return "abandoned";
+    }
+    return early ? "ended-early" : "whole";
 }
 
 auto Engine::finishUnread(const StreamPtr &stream) -> std::string
@@ -292,7 +294,7 @@
         answerJson(request, 410, {{"error", "no such stream"}});
         return;
     }
-    endStream(request, sendTokens(request, stream, from));
+    (void)answerStream(request, stream, from, [] {});
 }
 
 auto Engine::serveCancel(const HttpRequest &request) -> void
