Send no chat after its context to an upstream that leaves

Their home was full and named the upstream that had last run their chat as the one to ask. That one was leaving and refused as well, and no retry was left. The home told each next turn the same, as such a refusal moves nothing. A redirect for a moved context looked at the holder's state; one by a full home did not.

Ruled out: routers that hear late of who leaves.

Change: a sidecar names a holder only while it hears that it serves, and a router follows no redirect to an upstream that it would itself pass over.

--- a/src/core/router-choice.cc
+++ b/src/core/router-choice.cc
@@ -48,8 +48,9 @@
     const auto crashed = crashedUpstreams(exchange);
     if (!crashed.empty())
         return chooseAfterCrash(exchange, crashed);
-    if (redirect != 0 && !contains(exchange.tried, redirect)
-        && exchange.pool.member(redirect) != nullptr)
+    const auto *holder = exchange.pool.member(redirect);
+    if (holder != nullptr && !contains(exchange.tried, redirect)
+        && obstacle(*holder, true, now_).empty())
         return Choice{redirect, "redirect"};
     return chooseByPlacement(exchange);
 }
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -213,6 +213,7 @@
     [[nodiscard]] auto checkHistory(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto checkSecondTry(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto checkPlace(const Submit &message) const -> std::optional<Rejection>;
+    [[nodiscard]] auto servingHolder(ChatKey chat) const -> UpstreamId;
     [[nodiscard]] auto checkLoad(const Submit &message) const -> std::optional<Rejection>;
     [[nodiscard]] auto mayWaitAtHome(const Submit &message,
                                      const settings::Customer *customer) const -> bool;
--- a/src/core/sidecar-submit.cc
+++ b/src/core/sidecar-submit.cc
@@ -133,7 +133,7 @@
 auto SidecarNode::State::checkPlace(const Submit &message) const -> std::optional<Rejection>
 {
     const auto &terms = message.terms;
-    const auto holder = chats.holder(terms.chat, now);
+    const auto holder = servingHolder(terms.chat);
     if (isLeaving())
         return Rejection{refusalOf(ErrorKind::UpstreamLeaving, Run::NotRun, "leaving"), holder,
                          "leaving"};
@@ -148,17 +148,23 @@
     if (holder == 0 || chats.isWarm(terms.chat, now) || message.movedFrom != 0
         || redirected.find(stableHash(message.request), now) != nullptr)
         return std::nullopt;
-    const auto entry = loads.find(holder, now);
-    if (!entry || entry->state != UpstreamState::Serving)
-        return std::nullopt;
     return Rejection{refusalOf(ErrorKind::Overloaded, Run::NotRun, "its context moved"), holder,
                      "moved"};
 }
 
+// A chat that is sent after its context to an upstream that leaves is refused there as well, and
+// has spent its retry: its caller would be turned away while others have room.
+auto SidecarNode::State::servingHolder(ChatKey chat) const -> UpstreamId
+{
+    const auto holder = chats.holder(chat, now);
+    const auto entry = loads.find(holder, now);
+    return entry && entry->state == UpstreamState::Serving ? holder : 0;
+}
+
 auto SidecarNode::State::checkLoad(const Submit &message) const -> std::optional<Rejection>
 {
     const auto &terms = message.terms;
-    const auto holder = chats.holder(terms.chat, now);
+    const auto holder = servingHolder(terms.chat);
     const auto *customer = customerOf(terms);
     const auto limit = customer == nullptr ? 0 : customer->inFlightLimit;
     const auto staysHome = mayWaitAtHome(message, customer);
--- a/test/core/router-refusals-test.cc
+++ b/test/core/router-refusals-test.cc
@@ -67,6 +67,25 @@
     BOOST_TEST(submitOf(bench).movedFrom == home);
 }
 
+// Half of a pool leaves, and a full home sends its chats on to the upstreams that ran them last.
+// One of these leaves; a chat that follows is refused there too, and its caller is turned away for
+// want of a retry while others have room.
+BOOST_AUTO_TEST_CASE(a_redirect_to_an_upstream_that_leaves_is_not_followed)
+{
+    Bench bench(makeSettings(6));
+    bench.feed(chatRequest("r1", 5));
+    const auto home = bench.openAsked();
+    auto no = refusal("r1", 1, ErrorKind::Overloaded, Run::NotRun);
+    for (const auto &each : bench.engines())
+        if (each.id != home)
+            no.redirect = each.id;
+    no.loads = {{no.redirect, life, 9, 0, 0, 8, UpstreamState::Leaving, 0us}};
+    bench.from(home, no);
+    const auto next = bench.openAsked();
+    BOOST_TEST(next != no.redirect);
+    BOOST_TEST(next != home);
+}
+
 // A connection is refused before anything was sent. The request did not run, so another upstream
 // may have it at once, and the dead one is passed over by the next requests too.
 BOOST_AUTO_TEST_CASE(a_link_that_cannot_open_counts_as_never_sent)
--- a/test/core/sidecar-leaving-test.cc
+++ b/test/core/sidecar-leaving-test.cc
@@ -129,6 +129,7 @@
     const std::vector<Row> rows = {{false, false, true, true, false},
                                    {true, false, true, false, true},
                                    {true, true, true, true, false},
+                                   {true, true, false, false, false},
                                    {false, false, false, false, true}};
     for (const auto &row : rows) {
         auto pool = modelPool();
