--- a/src/process/command-line.cc
+++ b/src/process/command-line.cc
@@ -1,5 +1,7 @@
 #include "applehatch/process/command-line.h"
 
+#include "applehatch/settings/check.h"
+
 #include <gflags/gflags.h>
 
 #include <filesystem>
@@ -86,6 +88,7 @@
     printProblems(path, result.problems);
     if (!result.team)
         return {nullptr, ExitCode::SettingsRefused};
+    printProblems(path, settings::settingsWarnings(*result.team, *text));
     std::cout << path << ": accepted\n";
     return {nullptr, ExitCode::Done};
 }
--- a/src/settings/check.cc
+++ b/src/settings/check.cc
@@ -1,7 +1,71 @@
 #include "applehatch/settings/check.h"
 
+#include "limits.h"
+#include "reader.h"
+
+#include <algorithm>
+#include <cmath>
+
 namespace applehatch::settings {
 
+namespace {
+
+/// The largest multiple with which no upstream that has free slots may go above its even share of
+/// the load, rounded up, when a request comes on top of half the slots of each; none for a pool
+/// where this keeps no slot free.
+auto evenSpreadMultiple(const Pool &pool) -> std::optional<double>
+{
+    if (pool.members.size() < 2)
+        return std::nullopt;
+    std::uint64_t slots = 0;
+    std::uint64_t load = 1;
+    for (const auto &member : pool.members) {
+        slots += member.slots;
+        load += member.slots / 2;
+    }
+    std::optional<double> least;
+    for (const auto &member : pool.members) {
+        const auto share = load * member.slots;
+        const auto most = (share + slots - 1) / slots;
+        if (most >= member.slots)
+            continue;
+        const auto multiple = static_cast<double>(most * slots) / static_cast<double>(share);
+        least = std::min(least.value_or(multiple), multiple);
+    }
+    return least;
+}
+
+/// The first multiple of two decimal places above `multiple`.
+auto nextHundredth(double multiple) -> double
+{
+    constexpr double places = 100;
+    auto hundredths = std::floor(multiple * places);
+    while (hundredths / places <= multiple)
+        ++hundredths;
+    return hundredths / places;
+}
+
+} // namespace
+
+auto settingsWarnings(const Team &team, const std::string &text) -> std::vector<Problem>
+{
+    Report report(parseDocument(text, maxTextBytes).locations);
+    for (const auto &[name, pool] : team.pools) {
+        const auto even = evenSpreadMultiple(pool);
+        if (!even || pool.loadMultiple > *even)
+            continue;
+        report.add(joinPath(joinPath("pools", name), "loadMultiple"),
+                   "at least " + describe(nextHundredth(*even))
+                       + ", as otherwise, with half the slots in use, each upstream that holds its "
+                         "even share, rounded up, refuses the next request",
+                   describe(pool.loadMultiple));
+    }
+    auto warnings = report.problems();
+    for (auto &warning : warnings)
+        warning.expected = "warning: " + warning.expected;
+    return warnings;
+}
+
 auto printProblems(const std::vector<Problem> &problems) -> std::string
 {
     std::string text;
@@ -17,7 +81,7 @@
 {
     const auto result = parseTeam("check", text, 0);
     if (result.problems.empty()) {
-        return {"accepted\n", 0};
+        return {printProblems(settingsWarnings(*result.team, text)) + "accepted\n", 0};
     }
     return {printProblems(result.problems), 1};
 }
--- a/test/process/programs-test.cc
+++ b/test/process/programs-test.cc
@@ -75,6 +75,23 @@
     BOOST_TEST(run({"--config", good.path(), "--caller_threads=x"}).first == usage);
 }
 
+// A team publishes a bound so near the mean that chats leave engines with free slots. The file is
+// valid, so a deployment that checks it must go on; whoever reads the output is told.
+BOOST_AUTO_TEST_CASE(a_load_multiple_that_is_too_small_is_warned_of_and_accepted)
+{
+    for (const auto &program : {"applehatch-router", "applehatch-sidecar"}) {
+        const auto [code, output] = run({"--check", "examples/cwm-taf.jsonc"}, program);
+        BOOST_TEST(code == done);
+        BOOST_TEST(output.find("examples/cwm-taf.jsonc:10: pools.repairs.loadMultiple: warning: ")
+                       != std::string::npos,
+                   output);
+        BOOST_TEST(output.find("examples/cwm-taf.jsonc: accepted\n") != std::string::npos, output);
+        const auto [quietCode, quiet] = run({"--check", "examples/ledgerworks.jsonc"}, program);
+        BOOST_TEST(quietCode == done);
+        BOOST_TEST(quiet == "examples/ledgerworks.jsonc: accepted\n");
+    }
+}
+
 // Two processes are given one address, by a slip in a deployment. The second must end with its own
 // code at once; running on without a port it would look alive and serve nobody.
 BOOST_AUTO_TEST_CASE(a_taken_address_is_refused_at_the_start)
