Move the stand-in that holds orders to the harness, and write a redirect once in its tests

Cause: OrderHold stood in a test's header, while the other parts that stand on a hop, Relay and DatagramRelay, are in the experiment package; it is of use to experiments as well. Two cases of router_refusals built the same refusal.

Change: a header and a source in the experiment package, no line of what it does changed; one function for the refusal. No check changed.

--- a/test/core/router-refusals-test.cc
+++ b/test/core/router-refusals-test.cc
@@ -19,6 +19,17 @@
     return bench.failures()[0].failure;
 }
 
+/// The first attempt of "r1" refused by its full home, which names another engine to ask.
+auto redirectedFrom(Bench &bench, UpstreamId home) -> Refusal
+{
+    auto no = refusal("r1", 1, ErrorKind::Overloaded, Run::NotRun);
+    for (const auto &each : bench.engines()) {
+        if (each.id != home)
+            no.redirect = each.id;
+    }
+    return no;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(router_refusals)
@@ -52,10 +63,7 @@
     Bench bench(makeSettings(6));
     bench.feed(chatRequest("r1", 5));
     const auto home = bench.openAsked();
-    auto no = refusal("r1", 1, ErrorKind::Overloaded, Run::NotRun);
-    for (const auto &each : bench.engines())
-        if (each.id != home)
-            no.redirect = each.id;
+    auto no = redirectedFrom(bench, home);
     bench.from(home, no);
     BOOST_TEST(bench.openAsked() == no.redirect);
     BOOST_TEST(submitOf(bench).movedFrom == 0U);
@@ -75,10 +83,7 @@
     Bench bench(makeSettings(6));
     bench.feed(chatRequest("r1", 5));
     const auto home = bench.openAsked();
-    auto no = refusal("r1", 1, ErrorKind::Overloaded, Run::NotRun);
-    for (const auto &each : bench.engines())
-        if (each.id != home)
-            no.redirect = each.id;
+    auto no = redirectedFrom(bench, home);
     no.loads = {{no.redirect, life, 9, 0, 0, 8, UpstreamState::Leaving, 0us}};
     bench.from(home, no);
     const auto next = bench.openAsked();
--- a/test/system/promise-orders-test.cc
+++ b/test/system/promise-orders-test.cc
@@ -1,6 +1,7 @@
-#include "system/order-hold.h"
 #include "system/promise-traffic.h"
 
+#include "applehatch/experiment/order-hold.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace {
@@ -9,6 +10,7 @@
 using namespace system_test;
 using namespace std::chrono_literals;
 using experiment::eventually;
+using experiment::OrderHold;
 
 constexpr auto newModel = "sheet-writer-2";
 constexpr auto longWait = 15000ms;
