--- a/include/applehatch/platform/http.h
+++ b/include/applehatch/clients/http.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <system_error>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 /// Largest body taken from an answer unless a request says otherwise, in bytes.
 inline constexpr std::size_t defaultMaxBodyBytes = 16U << 20U;
@@ -49,4 +49,4 @@
 /// no error.
 [[nodiscard]] auto exchange(const HttpRequest &request, HttpResponse &into) -> std::error_code;
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/include/applehatch/platform/settings-client.h
+++ b/include/applehatch/clients/settings-client.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <system_error>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 /// Reads the configuration service: a key-value tree with blocking queries.
 class SettingsClient
@@ -47,4 +47,4 @@
     core::Address service_;
 };
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/include/applehatch/platform/upstream-client.h
+++ b/include/applehatch/clients/upstream-client.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <system_error>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 /// What happens while a call runs; called on the thread that runs it.
 struct CallHooks
@@ -66,4 +66,4 @@
     core::Duration silence_;
 };
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/src/platform/base64.h
+++ b/include/applehatch/core/base64.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <string_view>
 
-namespace applehatch::platform {
+namespace applehatch::core {
 
 /// Decodes padded base64 of the standard alphabet; none for anything else, such as blanks, missing
 /// padding or stray bits in the last group.
 [[nodiscard]] auto decodeBase64(std::string_view text) -> std::optional<std::string>;
 
-} // namespace applehatch::platform
+} // namespace applehatch::core
--- /dev/null
+++ b/include/applehatch/gateway/exchange.h
@@ -0,0 +1,149 @@
+/// One caller's request on its way through the gateway.
+#pragma once
+
+#include "applehatch/direct/dispatcher.h"
+#include "applehatch/gateway/caller-connection.h"
+#include "applehatch/gateway/event-cutter.h"
+#include "applehatch/gateway/upstream-pool.h"
+#include "applehatch/gateway/vocabulary.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace applehatch::gateway {
+
+/// How a request ended, for the log and the counters.
+struct ExchangeReport
+{
+    std::string requestId;
+    std::string route;
+    std::string service;
+    std::string customer;
+    std::string outcome; ///< Such as `answered`, `refused`, `broken-off`, `caller-left`.
+    std::string reason;  ///< What decided, for people.
+    int status = 0;      ///< Told to the caller; 0 when nothing was.
+    std::string upstream;
+    std::uint32_t sent = 0; ///< Upstreams that it was sent to.
+    std::uint32_t upstreamLoad = 0;
+    std::uint32_t usable = 0;
+    bool heldContext = false;
+    bool resumed = false;
+    std::uint64_t configurationVersion = 0;
+    Duration took{0};
+    std::optional<Duration> firstByte;
+};
+
+/// What all exchanges of a process share.
+struct ExchangeHost
+{
+    boost::asio::io_context *loop = nullptr;
+    direct::Dispatcher *dispatcher = nullptr;
+    UpstreamPool *pool = nullptr;
+    const Vocabulary *vocabulary = nullptr;
+    /// One line for each decision on the way; the request's id, an event and what decided it.
+    std::function<void(const std::string &id, const std::string &event, const std::string &why)>
+        note;
+    std::function<void(const ExchangeReport &)> ended;
+    /// When the process stops altogether; none while it does not. A stream that cannot end before
+    /// is not begun.
+    std::function<std::optional<Instant>()> stopsAt;
+};
+
+/// Sends a request to one upstream after another as its route allows, and relays the answer.
+///
+/// Nothing here waits for its own sake: an answer goes to the caller the moment it is known.
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+    /// Connections that may fail to open before the request is refused.
+    static constexpr std::uint32_t mostConnectFailures = 4;
+    /// A request that may be repeated is taken elsewhere when an upstream has sent nothing for
+    /// this many times the route's objective, or the longest pause between its events.
+    static constexpr int silentAfterObjectives = 3;
+    static constexpr int silentAfterPauses = 4;
+    static constexpr Duration silentAtLeast = std::chrono::milliseconds(200);
+    static constexpr Duration silentAtMost = std::chrono::milliseconds(1500);
+    /// Answers of plain services up to this size are held until whole, so that one that breaks off
+    /// can be fetched again from another upstream.
+    static constexpr std::size_t heldBytes = 262144;
+
+    Exchange(const ExchangeHost &host, CallerPtr caller, RequestMessage request);
+
+    auto run() -> void;
+
+private:
+    using Failure = core::Failure;
+
+    enum class Phase {
+        Searching, ///< Nothing of an answer has reached the caller.
+        Relaying,  ///< The caller has the head of the answer.
+        Ended,
+    };
+
+    /// One upstream's part.
+    struct Attempt
+    {
+        direct::Choice choice;
+        UpstreamConnectionPtr connection;
+        Instant sentAt;
+        bool sent = false;
+        bool notRun = false;
+        bool isStream = false;
+        std::optional<ResponseHead> head;
+        std::string held; ///< Body of an answer that is not relayed as it comes.
+    };
+
+    auto readTerms() -> void;
+    auto attempt() -> void;
+    auto useConnection(const UpstreamConnectionPtr &connection, bool isNew) -> void;
+    auto sendRequest() -> void;
+    [[nodiscard]] auto upstreamText() const -> std::string;
+    auto onHead(ResponseHead &head) -> void;
+    auto onBody(std::string_view bytes) -> void;
+    auto onDone() -> void;
+    auto onFailed(const std::string &why) -> void;
+    auto onSilent() -> void;
+    auto onCallerGone() -> void;
+    auto onTimeUp() -> void;
+
+    auto relayHead(const ResponseHead &head) -> void;
+    auto relayEvents(std::string_view bytes) -> void;
+    auto finishRelay() -> void;
+    auto deliverHeld() -> void;
+    auto closeAttempt(bool keepConnection) -> void;
+    /// Another upstream when route, budget and time allow; else the final answer.
+    auto tryAgainOr(const Failure &failure) -> void;
+    [[nodiscard]] auto mayRepeat() const -> bool;
+    auto answerFailure(const Failure &failure) -> void;
+    auto finish(const std::string &outcome, const std::string &reason) -> void;
+    auto armSilence() -> void;
+    auto noteOutcome(direct::Outcome outcome) -> void;
+    [[nodiscard]] auto left() const -> Duration;
+
+    const ExchangeHost &host_;
+    CallerPtr caller_;
+    RequestMessage request_;
+    direct::Permit permit_;
+    direct::Demand demand_;
+    std::string id_;
+    Instant arrivedAt_;
+    Instant givenUpAt_;
+    Phase phase_ = Phase::Searching;
+    Attempt now_;
+    EventCutter events_;
+    boost::asio::steady_timer timeUp_;
+    boost::asio::steady_timer silence_;
+    std::uint32_t sent_ = 0;
+    std::uint32_t connectFailures_ = 0;
+    ExchangeReport report_;
+};
+
+/// The HTTP status by which callers of a gateway are told of a failure.
+[[nodiscard]] auto statusOf(const core::Failure &failure) -> int;
+
+} // namespace applehatch::gateway
--- /dev/null
+++ b/include/applehatch/gateway/gateway-host.h
@@ -0,0 +1,109 @@
+/// The process of a router that calls upstreams itself.
+#pragma once
+
+#include "applehatch/direct/dispatcher.h"
+#include "applehatch/direct/registry-replica.h"
+#include "applehatch/gateway/exchange.h"
+#include "applehatch/gateway/gateway-metrics.h"
+#include "applehatch/gateway/listener.h"
+#include "applehatch/gateway/peer-mesh.h"
+#include "applehatch/gateway/vocabulary.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace applehatch::gateway {
+
+/// What one gateway process is told at its start.
+struct GatewaySettings
+{
+    std::string name;
+    std::string dataCenter;
+    Address callers;
+    Address readiness;
+    Address metrics;
+    Address peers; ///< Datagrams and registry views.
+    std::vector<Address> seeds;
+    direct::RetryLimits retries;
+    direct::LoadBound loadBound;
+    Duration stopWithin = std::chrono::seconds(8); ///< From the request to stop to its end.
+};
+
+/// The registry's contents in the project's own types.
+struct DecodedRegistry
+{
+    direct::ConfigurationPtr configuration; ///< Null when there is none.
+    direct::UpstreamList upstreams;
+    std::vector<std::string> problems; ///< Entries that could not be used, and why.
+};
+
+using RegistryDecoder
+    = std::function<DecodedRegistry(const std::map<std::string, direct::HeldItem> &)>;
+
+class GatewayHost
+{
+public:
+    GatewayHost(boost::asio::io_context &loop, GatewaySettings settings, Vocabulary vocabulary,
+                RegistryDecoder decoder);
+
+    /// Opens all listeners; an error for the first that cannot be opened.
+    [[nodiscard]] auto start() -> boost::system::error_code;
+    /// New settings; addresses stay as they are.
+    auto reload(const GatewaySettings &settings) -> void;
+    /// Finishes what is under way and stops the loop.
+    auto stop() -> void;
+
+    // From the registry's client.
+    auto registryRead(const direct::RegistrySnapshot &snapshot) -> void;
+    auto registryChanged(const std::vector<direct::RegistryChange> &changes, std::uint64_t revision)
+        -> void;
+    auto registryLost(const std::string &why) -> void;
+    auto registryRegained() -> void;
+
+    [[nodiscard]] auto isReady() const -> bool;
+    [[nodiscard]] auto pool() -> UpstreamPool & { return pool_; }
+    [[nodiscard]] auto dispatcher() -> direct::Dispatcher & { return dispatcher_; }
+
+private:
+    auto takeRequest(const CallerPtr &caller, RequestMessage request) -> void;
+    auto answerReadiness(const CallerPtr &caller) const -> void;
+    auto answerMetrics(const CallerPtr &caller) -> void;
+    auto answerPeer(const CallerPtr &caller, const RequestMessage &request) const -> void;
+    auto applyRegistry() -> void;
+    auto peerHeard(const PeerDigest &digest) -> void;
+    auto peerSnapshot(const direct::RegistrySnapshot &snapshot) -> void;
+    auto fillDigest(PeerDigest &digest) -> void;
+    auto exchangeEnded(const ExchangeReport &report) -> void;
+    auto tick() -> void;
+    auto continueStop(Instant now) -> void;
+    auto catchUp(Instant now) -> void;
+    [[nodiscard]] auto callerLimits() const -> direct::CallerLimits;
+
+    boost::asio::io_context &loop_;
+    GatewaySettings settings_;
+    Vocabulary vocabulary_;
+    RegistryDecoder decoder_;
+    direct::Dispatcher dispatcher_;
+    direct::RegistryReplica replica_;
+    UpstreamPool pool_;
+    GatewayMetrics metrics_;
+    PeerMesh mesh_;
+    ExchangeHost exchangeHost_;
+    std::list<Listener> listeners_;
+    Listener *callers_ = nullptr;
+    boost::asio::steady_timer tick_;
+    std::size_t inFlight_ = 0;
+    std::optional<Instant> stopAskedAt_;
+    bool idleClosed_ = false;
+    std::optional<Instant> behindSince_;
+};
+
+} // namespace applehatch::gateway
--- /dev/null
+++ b/include/applehatch/gateway/gateway-metrics.h
@@ -0,0 +1,41 @@
+/// Counters and histograms of a gateway.
+#pragma once
+
+#include "applehatch/gateway/exchange.h"
+#include "applehatch/telemetry/metrics.h"
+
+#include <functional>
+#include <string>
+
+namespace applehatch::gateway {
+
+/// Values that are kept elsewhere and read at each scrape.
+struct GatewayGauges
+{
+    std::function<double()> inFlight;
+    std::function<double()> callerConnections;
+    std::function<double()> upstreamConnectionsOpened;
+    std::function<double()> upstreams;
+    std::function<double()> configurationVersion;
+    std::function<double()> registryRevision;
+    std::function<double()> peers;
+};
+
+class GatewayMetrics
+{
+public:
+    GatewayMetrics();
+
+    auto setGauges(GatewayGauges gauges) -> void;
+    auto note(const ExchangeReport &report) -> void;
+    /// A decision on the way, such as `retried` or `upstream-silent`.
+    auto noteEvent(const std::string &event) -> void;
+    [[nodiscard]] auto scrape() -> std::string { return metrics_.scrape(); }
+
+private:
+    telemetry::Metrics metrics_;
+    prometheus::Histogram &duration_;
+    prometheus::Histogram &firstByte_;
+};
+
+} // namespace applehatch::gateway
--- a/include/applehatch/process/node-runner.h
+++ b/include/applehatch/process/node-runner.h
@@ -1,7 +1,7 @@
 /// Calls one node under a lock and carries its actions out in order.
 #pragma once
 
-#include "applehatch/process/clock.h"
+#include "applehatch/telemetry/clock.h"
 
 #include <functional>
 #include <mutex>
@@ -37,7 +37,7 @@
     auto handle(Event event, Take take) -> void
     {
         std::unique_lock lock(mutex_);
-        auto actions = node_.handle(std::move(event), steadyNow());
+        auto actions = node_.handle(std::move(event), telemetry::steadyNow());
         for (auto &action : actions) {
             if (!take(action))
                 waiting_.push_back(std::move(action));
--- a/include/applehatch/process/settings-feed.h
+++ b/include/applehatch/process/settings-feed.h
@@ -2,9 +2,9 @@
 /// its peers.
 #pragma once
 
+#include "applehatch/clients/settings-client.h"
 #include "applehatch/core/host-list-pace.h"
 #include "applehatch/core/settings-replica.h"
-#include "applehatch/platform/settings-client.h"
 #include "applehatch/process/address-book.h"
 #include "applehatch/process/peer-links.h"
 #include "applehatch/process/periodic.h"
@@ -82,8 +82,8 @@
     AddressBook &addresses_;
     wire::LinkLoop &loop_;
     PeerLinks &links_;
-    platform::SettingsClient client_;
-    platform::HostListClient hostListClient_;
+    clients::SettingsClient client_;
+    clients::HostListClient hostListClient_;
     core::HostList hostList_;         ///< As read last; touched by the polling thread only.
     core::HostListPace hostListPace_; ///< The polling thread's.
     SettingsFeedHooks hooks_;
--- a/include/applehatch/process/clock.h
+++ b/include/applehatch/telemetry/clock.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 
-namespace applehatch::process {
+namespace applehatch::telemetry {
 
 /// The steady clock, which each event is stamped with.
 [[nodiscard]] auto steadyNow() -> core::Instant;
@@ -13,4 +13,4 @@
 /// Microseconds of the wall clock since 1970; a sidecar's incarnation.
 [[nodiscard]] auto wallMicroseconds() -> std::uint64_t;
 
-} // namespace applehatch::process
+} // namespace applehatch::telemetry
--- a/src/bench/slopes-platform.cc
+++ b/src/bench/slopes-platform.cc
@@ -1,8 +1,8 @@
 // What the platform publishes, read by the real clients: each read of the host list and the tree.
+#include "applehatch/clients/http.h"
+#include "applehatch/clients/settings-client.h"
 #include "applehatch/emulator/platform.h"
 #include "applehatch/experiment/caller.h"
-#include "applehatch/platform/http.h"
-#include "applehatch/platform/settings-client.h"
 #include "slopes.h"
 
 #include <ctime>
@@ -46,13 +46,13 @@
     emulator::Platform platform;
     for (std::size_t i = 0; i < teams; ++i)
         platform.putTeam("team-" + std::to_string(i), std::string(textBytes, ' '));
-    platform::HttpRequest request;
+    clients::HttpRequest request;
     request.server = platform.address();
     request.path = "/v1/kv/teams/?recurse=true";
     if (!held.empty())
         request.headers.emplace_back("If-None-Match", held);
-    platform::HttpResponse response;
-    (void)platform::exchange(request, response);
+    clients::HttpResponse response;
+    (void)clients::exchange(request, response);
     auto bytes = response.body.size();
     for (const auto &[name, value] : response.headers)
         bytes += name.size() + value.size() + 4;
@@ -64,7 +64,7 @@
 {
     emulator::Platform platform;
     publish(platform, hosts);
-    const platform::HostListClient client(platform.address());
+    const clients::HostListClient client(platform.address());
     core::HostList list;
     const auto begin = threadTime();
     for (int i = 0; i < reads; ++i)
--- a/src/platform/host-list-client.cc
+++ b/src/clients/host-list-client.cc
@@ -1,9 +1,9 @@
-#include "applehatch/platform/http.h"
-#include "applehatch/platform/settings-client.h"
+#include "applehatch/clients/http.h"
+#include "applehatch/clients/settings-client.h"
 
 #include <nlohmann/json.hpp>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 namespace {
 
@@ -82,4 +82,4 @@
     return {};
 }
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/src/platform/http.cc
+++ b/src/clients/http.cc
@@ -1,4 +1,4 @@
-#include "applehatch/platform/http.h"
+#include "applehatch/clients/http.h"
 
 #include <kj/async-io.h>
 #include <kj/compat/http.h>
@@ -7,7 +7,7 @@
 #include <array>
 #include <cctype>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 namespace {
 
@@ -176,4 +176,4 @@
     }
 }
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/src/platform/settings-client.cc
+++ b/src/clients/settings-client.cc
@@ -1,13 +1,13 @@
-#include "applehatch/platform/settings-client.h"
+#include "applehatch/clients/settings-client.h"
 
-#include "applehatch/platform/http.h"
-#include "base64.h"
+#include "applehatch/clients/http.h"
+#include "applehatch/core/base64.h"
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 namespace {
 
@@ -68,7 +68,7 @@
     if (value == nullptr || index == row.end() || !index->is_number_unsigned()) {
         return false;
     }
-    auto text = decodeBase64(*value);
+    auto text = core::decodeBase64(*value);
     if (!text) {
         return false;
     }
@@ -145,4 +145,4 @@
     return {};
 }
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/src/platform/upstream-client-calls.cc
+++ b/src/clients/upstream-client-calls.cc
@@ -1,11 +1,11 @@
-#include "applehatch/platform/upstream-client.h"
+#include "applehatch/clients/upstream-client.h"
 
 #include "upstream-client-exchange.h"
 #include "upstream-client-stream-end.h"
 
 #include <nlohmann/json.hpp>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 namespace {
 
@@ -180,4 +180,4 @@
                                    : std::make_error_code(std::errc::operation_not_permitted);
 }
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/src/platform/upstream-client-exchange.cc
+++ b/src/clients/upstream-client-exchange.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <cctype>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 namespace {
 
@@ -204,4 +204,4 @@
     return {};
 }
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/src/platform/upstream-client-exchange.h
+++ b/src/clients/upstream-client-exchange.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <string_view>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 /// How far an exchange came.
 enum class ExchangeStage {
@@ -105,4 +105,4 @@
     kj::Array<char> block_;
 };
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/src/platform/upstream-client-stream-end.cc
+++ b/src/clients/upstream-client-stream-end.cc
@@ -3,7 +3,7 @@
 #include <array>
 #include <charconv>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 namespace {
 
@@ -70,4 +70,4 @@
     return read.ec == std::errc{} && read.ptr == text.data() + text.size() ? chat : 0;
 }
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/src/platform/upstream-client-stream-end.h
+++ b/src/clients/upstream-client-stream-end.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 /// Watches a stream of server-sent events for its last one, `data: [DONE]`.
 ///
@@ -39,4 +39,4 @@
 /// The key from its digits; 0 when they are none.
 [[nodiscard]] auto chatFromHex(std::string_view text) -> core::ChatKey;
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/src/platform/upstream-client.cc
+++ b/src/clients/upstream-client.cc
@@ -1,4 +1,4 @@
-#include "applehatch/platform/upstream-client.h"
+#include "applehatch/clients/upstream-client.h"
 
 #include "upstream-client-exchange.h"
 #include "upstream-client-stream-end.h"
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <array>
 
-namespace applehatch::platform {
+namespace applehatch::clients {
 
 namespace {
 
@@ -131,4 +131,4 @@
     return {false, breakFor(exchange)};
 }
 
-} // namespace applehatch::platform
+} // namespace applehatch::clients
--- a/src/platform/base64.cc
+++ b/src/core/base64.cc
@@ -1,8 +1,8 @@
-#include "base64.h"
+#include "applehatch/core/base64.h"
 
 #include <cstdint>
 
-namespace applehatch::platform {
+namespace applehatch::core {
 
 namespace {
 
@@ -64,4 +64,4 @@
     return bytes;
 }
 
-} // namespace applehatch::platform
+} // namespace applehatch::core
--- /dev/null
+++ b/src/direct/choice.cc
@@ -0,0 +1,156 @@
+#include "applehatch/direct/choice.h"
+
+#include "applehatch/core/rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+#include <limits>
+
+namespace applehatch::direct {
+
+namespace {
+
+// An upstream whose failure share lies this far above the least of its service is left alone: two
+// failures in a row of one that served before.
+constexpr double failureTolerance = 0.25;
+// An engine this many times slower than usual gets proportionally less; below it is chance.
+constexpr double slownessTolerance = 1.5;
+
+auto tier(const ChoiceView &view, double leastFailures) -> int
+{
+    auto worse = 0;
+    if (view.upstream->state == UpstreamState::Doubtful)
+        worse += 1;
+    if (view.failureShare > leastFailures + failureTolerance)
+        worse += 2;
+    if (view.paused)
+        worse += 4;
+    return worse;
+}
+
+auto leastFailureShare(const std::vector<ChoiceView> &usable) -> double
+{
+    auto least = 1.0;
+    for (const auto &view : usable)
+        least = std::min(least, view.failureShare);
+    return least;
+}
+
+// The upstreams of the best tier that has any.
+auto bestTier(const std::vector<ChoiceView> &usable) -> std::vector<const ChoiceView *>
+{
+    const auto least = leastFailureShare(usable);
+    auto best = std::numeric_limits<int>::max();
+    for (const auto &view : usable)
+        best = std::min(best, tier(view, least));
+    std::vector<const ChoiceView *> chosen;
+    for (const auto &view : usable) {
+        if (tier(view, least) == best)
+            chosen.push_back(&view);
+    }
+    return chosen;
+}
+
+auto meanLoad(const std::vector<ChoiceView> &usable) -> double
+{
+    auto total = 0.0;
+    for (const auto &view : usable)
+        total += view.load;
+    return usable.empty() ? 0 : total / static_cast<double>(usable.size());
+}
+
+auto limitOf(const ChoiceView &view, double mean, LoadBound bound) -> double
+{
+    const auto limit = bound.factor * mean + bound.slack;
+    return view.slowness > slownessTolerance ? limit / view.slowness : limit;
+}
+
+auto isBelowBound(const ChoiceView &view, double mean, LoadBound bound) -> bool
+{
+    return view.load + 1.0 <= limitOf(view, mean, bound)
+        && view.load < view.upstream->slots;
+}
+
+auto leastLoaded(const std::vector<const ChoiceView *> &views) -> const Upstream *
+{
+    const auto lighter = [](const ChoiceView *a, const ChoiceView *b) {
+        const auto left = a->load * a->slowness / a->upstream->slots;
+        const auto right = b->load * b->slowness / b->upstream->slots;
+        return left != right ? left < right : a->upstream->id < b->upstream->id;
+    };
+    const auto least = std::min_element(views.begin(), views.end(), lighter);
+    return least == views.end() ? nullptr : (*least)->upstream;
+}
+
+} // namespace
+
+auto sharedContext(const Prompt &prompt) -> std::uint64_t
+{
+    if (prompt.empty())
+        return 0;
+    const auto shared = prompt.size() > 1 ? prompt.size() - 1 : 1;
+    std::string bytes(shared * sizeof(std::uint64_t), '\0');
+    for (std::size_t i = 0; i < shared; ++i)
+        std::memcpy(bytes.data() + i * sizeof(std::uint64_t), &prompt[i].id, sizeof(std::uint64_t));
+    return core::stableHash(bytes);
+}
+
+auto ContextMap::noteSent(std::uint64_t context, UpstreamId upstream, Instant now) -> void
+{
+    auto held = places(context, now);
+    std::erase(held, upstream);
+    held.insert(held.begin(), upstream);
+    if (held.size() > placesEach)
+        held.pop_back();
+    places_.put(context, std::move(held), now + lifetime);
+}
+
+auto ContextMap::places(std::uint64_t context, Instant now) const -> std::vector<UpstreamId>
+{
+    const auto *held = places_.find(context, now);
+    return held == nullptr ? std::vector<UpstreamId>() : *held;
+}
+
+auto chooseEngine(std::uint64_t context, const std::vector<UpstreamId> &holders,
+                  const std::vector<ChoiceView> &usable, LoadBound bound) -> const Upstream *
+{
+    auto candidates = bestTier(usable);
+    const auto mean = meanLoad(usable);
+    const auto score = [context](const ChoiceView *view) {
+        return core::rendezvousScore(context, view->upstream->id, 1);
+    };
+    const auto holds = [&holders](const ChoiceView *view) {
+        return std::find(holders.begin(), holders.end(), view->upstream->id) != holders.end();
+    };
+    const auto better = [&](const ChoiceView *a, const ChoiceView *b) {
+        return holds(a) != holds(b) ? holds(a) : score(a) > score(b);
+    };
+    std::sort(candidates.begin(), candidates.end(), better);
+    for (const auto *view : candidates) {
+        if (isBelowBound(*view, mean, bound))
+            return view->upstream;
+    }
+    return leastLoaded(candidates);
+}
+
+auto chooseService(const std::vector<ChoiceView> &usable, std::string_view ownDataCenter,
+                   std::uint64_t draw) -> const Upstream *
+{
+    const auto candidates = bestTier(usable);
+    const ChoiceView *best = nullptr;
+    auto bestScore = std::numeric_limits<double>::max();
+    for (const auto *view : candidates) {
+        const auto busy = view->slowness * view->load / std::max(1U, view->upstream->slots);
+        const auto away = view->upstream->dataCenter == ownDataCenter ? 0.0 : 0.1;
+        const auto tie = static_cast<double>((draw ^ view->upstream->id) % 97) * 1e-4;
+        const auto score = busy + away + tie;
+        if (score < bestScore) {
+            bestScore = score;
+            best = view;
+        }
+    }
+    return best == nullptr ? nullptr : best->upstream;
+}
+
+} // namespace applehatch::direct
--- /dev/null
+++ b/src/direct/directory.cc
@@ -0,0 +1,44 @@
+#include "applehatch/direct/directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace applehatch::direct {
+
+auto Configuration::add(Route route) -> void
+{
+    auto &routes = routesOf_[route.host];
+    const auto longerFirst = [](const auto &held, const Route &added) {
+        return held->prefix.size() >= added.prefix.size();
+    };
+    const auto place = std::lower_bound(routes.begin(), routes.end(), route, longerFirst);
+    routes.insert(place, std::make_shared<const Route>(std::move(route)));
+}
+
+auto Configuration::add(Customer customer, const std::vector<std::string> &keys) -> void
+{
+    namesCustomers = true;
+    const auto held = std::make_shared<const Customer>(std::move(customer));
+    for (const auto &key : keys)
+        customerOf_[key] = held;
+}
+
+auto Configuration::findRoute(std::string_view host, std::string_view path) const -> const Route *
+{
+    const auto routes = routesOf_.find(std::string(host));
+    if (routes == routesOf_.end())
+        return nullptr;
+    for (const auto &route : routes->second) {
+        if (path.starts_with(route->prefix))
+            return route.get();
+    }
+    return nullptr;
+}
+
+auto Configuration::findCustomer(const std::string &key) const -> const Customer *
+{
+    const auto found = customerOf_.find(key);
+    return found == customerOf_.end() ? nullptr : found->second.get();
+}
+
+} // namespace applehatch::direct
--- /dev/null
+++ b/src/direct/dispatcher.cc
@@ -0,0 +1,193 @@
+#include "applehatch/direct/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace applehatch::direct {
+
+namespace {
+
+using core::ErrorKind;
+using core::Failure;
+using core::Run;
+
+// Refused callers come back within this span. The shortest is about the time that one upstream
+// needs to finish a request; the longest leaves time for a second try within short deadlines.
+constexpr Duration earliestReturn = std::chrono::milliseconds(150);
+constexpr Duration returnSpread = std::chrono::milliseconds(350);
+
+} // namespace
+
+Dispatcher::Dispatcher(Self self, RetryLimits retryLimits, Instant startedAt)
+    : self_(std::move(self))
+    , random_(self_.seed)
+    , budget_(retryLimits, startedAt)
+{ }
+
+auto Dispatcher::setConfiguration(ConfigurationPtr configuration) -> bool
+{
+    if (configuration_ != nullptr && configuration->version <= configuration_->version)
+        return false;
+    configuration_ = std::move(configuration);
+    return true;
+}
+
+auto Dispatcher::setUpstreams(UpstreamList upstreams) -> void
+{
+    std::unordered_map<UpstreamId, std::uint64_t> lives;
+    for (const auto &upstream : upstreams_)
+        lives[upstream.id] = upstream.life;
+    upstreams_ = std::move(upstreams);
+    ofService_.clear();
+    indexOf_.clear();
+    for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+        const auto &upstream = upstreams_[i];
+        ofService_[upstream.service].push_back(i);
+        indexOf_[upstream.id] = i;
+        const auto before = lives.find(upstream.id);
+        const auto restarted = before != lives.end() && before->second != upstream.life;
+        if (restarted)
+            health_.forget(upstream.id);
+        lives.erase(upstream.id);
+    }
+    for (const auto &[gone, life] : lives) {
+        health_.forget(gone);
+        loads_.forget(gone);
+    }
+}
+
+auto Dispatcher::findUpstream(UpstreamId id) const -> const Upstream *
+{
+    const auto found = indexOf_.find(id);
+    return found == indexOf_.end() ? nullptr : &upstreams_[found->second];
+}
+
+auto Dispatcher::refusal(ErrorKind kind, std::string detail) -> Failure
+{
+    return Failure{kind, Run::NotRun, std::move(detail), retryAfter()};
+}
+
+auto Dispatcher::admit(std::string_view host, std::string_view path,
+                       const std::optional<std::string> &key) -> std::variant<Permit, Failure>
+{
+    if (configuration_ == nullptr)
+        return refusal(ErrorKind::NotReady, "no configuration is known yet");
+    const auto *route = configuration_->findRoute(host, path);
+    if (route == nullptr)
+        return Failure{ErrorKind::UnknownPath, Run::NotRun, "no route", std::nullopt};
+    Permit permit;
+    permit.configuration = configuration_;
+    permit.route = route;
+    permit.priority = route->priority;
+    if (configuration_->hasCustomers()) {
+        const auto *customer = key ? configuration_->findCustomer(*key) : nullptr;
+        if (customer == nullptr && !route->isPublic)
+            return Failure{ErrorKind::Unauthorized, Run::NotRun, "unknown key", std::nullopt};
+        if (customer != nullptr) {
+            permit.customer = customer->name;
+            permit.priority = customer->priority.value_or(route->priority);
+        }
+    }
+    permit.serviceName = drawTarget(*route);
+    const auto service = configuration_->services.find(permit.serviceName);
+    if (service != configuration_->services.end())
+        permit.service = &service->second;
+    return permit;
+}
+
+auto Dispatcher::drawTarget(const Route &route) -> const std::string &
+{
+    static const std::string none;
+    if (route.targets.empty())
+        return none;
+    auto total = std::uint64_t{0};
+    for (const auto &target : route.targets)
+        total += target.weight;
+    if (total == 0)
+        return route.targets.front().service;
+    auto at = draw() % total;
+    for (const auto &target : route.targets) {
+        if (at < target.weight)
+            return target.service;
+        at -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
+auto Dispatcher::draw() -> std::uint64_t
+{
+    constexpr std::uint64_t step = 0x9e3779b97f4a7c15U; // 2^64 / golden ratio.
+    random_ += step;
+    return core::stableHash({}, random_);
+}
+
+auto Dispatcher::noteRequest(const Permit &permit, Instant now) -> void
+{
+    budget_.noteRequest(permit.serviceName, now);
+}
+
+auto Dispatcher::usableOf(const std::string &service, const std::vector<UpstreamId> &tried,
+                          Instant now) const -> std::vector<ChoiceView>
+{
+    std::vector<ChoiceView> usable;
+    const auto indexes = ofService_.find(service);
+    if (indexes == ofService_.end())
+        return usable;
+    for (const auto index : indexes->second) {
+        const auto &upstream = upstreams_[index];
+        if (upstream.state == UpstreamState::Leaving
+            || std::find(tried.begin(), tried.end(), upstream.id) != tried.end())
+            continue;
+        usable.push_back({&upstream, loads_.fleet(upstream.id, now),
+                          health_.failureShare(upstream.id, now), health_.slowness(upstream.id),
+                          health_.isPaused(upstream.id, now)});
+    }
+    return usable;
+}
+
+auto Dispatcher::choose(const Permit &permit, const Demand &demand, Instant now)
+    -> std::variant<Choice, Failure>
+{
+    if (suspects_.isSuspect(demand.fingerprint, now))
+        return refusal(ErrorKind::CrashSuspect, "crashed upstreams before");
+    const auto usable = usableOf(permit.serviceName, demand.tried, now);
+    const auto isModel = !demand.prompt.empty();
+    const auto context = sharedContext(demand.prompt);
+    const auto holders = isModel ? contexts_.places(context, now) : std::vector<UpstreamId>();
+    const auto *upstream = isModel ? chooseEngine(context, holders, usable, bound_)
+                                   : chooseService(usable, self_.dataCenter, draw());
+    if (upstream == nullptr)
+        return refusal(ErrorKind::NoUpstream, "no upstream of the service is known");
+    const auto held = std::find(holders.begin(), holders.end(), upstream->id) != holders.end();
+    return Choice{*upstream, loads_.fleet(upstream->id, now),
+                  static_cast<std::uint32_t>(usable.size()), held};
+}
+
+auto Dispatcher::noteSent(UpstreamId upstream, const Demand &demand, Instant now) -> void
+{
+    loads_.noteSent(upstream);
+    if (!demand.prompt.empty())
+        contexts_.noteSent(sharedContext(demand.prompt), upstream, now);
+}
+
+auto Dispatcher::noteOutcome(UpstreamId upstream, Outcome outcome, Instant now) -> void
+{
+    health_.note(upstream, outcome, now);
+}
+
+auto Dispatcher::noteFirstEvent(UpstreamId upstream, Duration wait, Instant /*now*/) -> void
+{
+    health_.noteFirstEvent(upstream, wait);
+}
+
+auto Dispatcher::takeRetry(const Permit &permit, Instant now) -> bool
+{
+    return budget_.take(permit.serviceName, routers_, now);
+}
+
+auto Dispatcher::retryAfter() -> Duration
+{
+    return earliestReturn + Duration(static_cast<Duration::rep>(draw() % returnSpread.count()));
+}
+
+} // namespace applehatch::direct
--- /dev/null
+++ b/src/direct/registry-replica.cc
@@ -0,0 +1,98 @@
+#include "applehatch/direct/registry-replica.h"
+
+#include <algorithm>
+#include <set>
+
+namespace applehatch::direct {
+
+auto RegistryReplica::noteLost() -> void
+{
+    reachable_ = false;
+}
+
+auto RegistryReplica::noteRegained(Instant now) -> void
+{
+    if (reachable_)
+        return;
+    reachable_ = true;
+    settledAt_ = now + settleTime;
+}
+
+auto RegistryReplica::apply(const RegistrySnapshot &snapshot, Instant now) -> bool
+{
+    if (snapshot.revision < revision_)
+        return false;
+    revision_ = snapshot.revision;
+    std::set<std::string> present;
+    for (const auto &item : snapshot.items) {
+        present.insert(item.key);
+        auto &held = items_[item.key];
+        if (held.revision <= item.revision)
+            held = {item.value, item.revision, std::nullopt};
+    }
+    std::vector<std::string> missing;
+    for (const auto &[key, held] : items_) {
+        if (!present.contains(key) && held.revision <= snapshot.revision)
+            missing.push_back(key);
+    }
+    for (const auto &key : missing)
+        remove(key, now);
+    return true;
+}
+
+auto RegistryReplica::apply(const std::vector<RegistryChange> &changes, std::uint64_t revision,
+                            Instant now) -> bool
+{
+    auto changed = false;
+    for (const auto &change : changes) {
+        const auto found = items_.find(change.item.key);
+        const auto isOld
+            = found != items_.end() && found->second.revision >= change.item.revision;
+        if (isOld)
+            continue;
+        changed = true;
+        if (change.removed)
+            remove(change.item.key, now);
+        else
+            items_[change.item.key] = {change.item.value, change.item.revision, std::nullopt};
+    }
+    revision_ = std::max(revision_, revision);
+    return changed;
+}
+
+auto RegistryReplica::remove(const std::string &key, Instant now) -> bool
+{
+    const auto found = items_.find(key);
+    if (found == items_.end())
+        return false;
+    const auto maybeBack = !reachable_ || now < settledAt_;
+    if (!maybeBack) {
+        items_.erase(found);
+        return true;
+    }
+    if (!found->second.doubtfulUntil)
+        found->second.doubtfulUntil = std::max(settledAt_, now);
+    return true;
+}
+
+auto RegistryReplica::expire(Instant now) -> bool
+{
+    if (!reachable_)
+        return false;
+    return std::erase_if(items_, [now](const auto &entry) {
+               return entry.second.doubtfulUntil && *entry.second.doubtfulUntil <= now;
+           })
+        > 0;
+}
+
+auto RegistryReplica::snapshot() const -> RegistrySnapshot
+{
+    RegistrySnapshot whole{revision_, {}};
+    for (const auto &[key, held] : items_) {
+        if (!held.doubtfulUntil)
+            whole.items.push_back({key, held.value, held.revision});
+    }
+    return whole;
+}
+
+} // namespace applehatch::direct
--- /dev/null
+++ b/src/gateway/caller-connection.cc
@@ -0,0 +1,244 @@
+#include "applehatch/gateway/caller-connection.h"
+
+#include <utility>
+
+namespace applehatch::gateway {
+
+namespace {
+
+// Reading stops when a caller sends this much before its answer is whole.
+constexpr std::size_t mostPending = 65536;
+// An upstream is slowed down when a caller has this much to read; about 300 events.
+constexpr std::size_t congestedAt = 65536;
+// A kept connection is closed this much after the limit told to callers, so that a request sent at
+// the last moment is not cut.
+constexpr Duration idleGrace = std::chrono::seconds(2);
+constexpr int badRequest = 400;
+constexpr int requestTimeout = 408;
+constexpr int bodyTooLarge = 413;
+constexpr int headerTooLarge = 431;
+
+auto statusOf(RequestFault fault) -> int
+{
+    switch (fault) {
+    case RequestFault::HeaderTooLarge:
+        return headerTooLarge;
+    case RequestFault::BodyTooLarge:
+        return bodyTooLarge;
+    case RequestFault::Malformed:
+        break;
+    }
+    return badRequest;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(Channel::Socket socket, CallerHooks hooks)
+    : timer_(socket.get_executor())
+    , channel_(std::make_shared<Channel>(std::move(socket)))
+    , hooks_(std::move(hooks))
+{ }
+
+auto CallerConnection::start() -> void
+{
+    const auto self = shared_from_this();
+    Channel::Hooks hooks;
+    hooks.data = [self](std::string &bytes) { self->takeBytes(bytes); };
+    hooks.ended = [self](boost::system::error_code) { self->ended(); };
+    hooks.flushed = [self] {
+        if (self->flushed_)
+            self->flushed_();
+    };
+    startTimer(hooks_.limits().idleTimeout + idleGrace, [self] { self->abort(); });
+    channel_->start(std::move(hooks), ChannelLimits{});
+}
+
+auto CallerConnection::startTimer(Duration after, std::function<void()> action) -> void
+{
+    timer_.expires_after(after);
+    timer_.async_wait([action = std::move(action)](boost::system::error_code error) {
+        if (!error)
+            action();
+    });
+}
+
+auto CallerConnection::takeBytes(std::string &bytes) -> void
+{
+    input_ += std::exchange(bytes, {});
+    if (state_ == State::Reading)
+        return read();
+    if (state_ == State::Ended)
+        input_.clear();
+    if (input_.size() > mostPending)
+        channel_->setPaused(true);
+}
+
+auto CallerConnection::read() -> void
+{
+    const auto limits = hooks_.limits();
+    if (!begun_ && !input_.empty()) {
+        begun_ = true;
+        reader_.emplace(limits.headerBytes, limits.bodyBytes);
+        startTimer(limits.headerTimeout,
+                   [self = shared_from_this()] { self->refuse(requestTimeout); });
+    }
+    if (!begun_)
+        return;
+    const auto headBefore = reader_->headRead();
+    const auto result = reader_->feed(input_);
+    if (result == ReadState::Failed)
+        return refuse(statusOf(reader_->fault()));
+    if (result == ReadState::Done)
+        return takeRequest();
+    if (!reader_->headRead())
+        return;
+    // Each part of a body is awaited for the time that a connection may stay idle.
+    startTimer(limits.idleTimeout, [self = shared_from_this()] { self->refuse(requestTimeout); });
+    if (!headBefore && reader_->expectsContinue())
+        channel_->write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+auto CallerConnection::takeRequest() -> void
+{
+    timer_.cancel();
+    state_ = State::Answering;
+    begun_ = false;
+    auto message = reader_->take();
+    reader_.reset();
+    if (!message.keepAlive)
+        closeAfter_ = true;
+    hooks_.request(shared_from_this(), std::move(message));
+}
+
+auto CallerConnection::refuse(int status) -> void
+{
+    if (state_ != State::Reading)
+        return;
+    state_ = State::Answering;
+    closeAfter_ = true;
+    ResponseHead head;
+    head.status = status;
+    answer(std::move(head), {});
+}
+
+auto CallerConnection::writeHead(ResponseHead head) -> void
+{
+    head.keepAlive = !closeAfter_;
+    framing_ = head.framing;
+    channel_->write(headText(head));
+}
+
+auto CallerConnection::answer(ResponseHead head, std::string_view body) -> void
+{
+    if (state_ != State::Answering)
+        return;
+    head.framing = Framing::Length;
+    head.length = body.size();
+    head.keepAlive = !closeAfter_;
+    auto text = headText(head);
+    text += body;
+    channel_->write(text);
+    finishAnswer();
+}
+
+auto CallerConnection::begin(ResponseHead head) -> void
+{
+    if (state_ != State::Answering)
+        return;
+    if (head.framing == Framing::UntilClose)
+        head.framing = Framing::Chunked;
+    writeHead(std::move(head));
+}
+
+auto CallerConnection::send(std::string_view body) -> void
+{
+    if (state_ != State::Answering || body.empty())
+        return;
+    if (framing_ == Framing::Chunked)
+        channel_->write(chunkText(body));
+    else
+        channel_->write(body);
+}
+
+auto CallerConnection::end() -> void
+{
+    if (state_ != State::Answering)
+        return;
+    if (framing_ == Framing::Chunked)
+        channel_->write(lastChunk);
+    finishAnswer();
+}
+
+auto CallerConnection::breakOff() -> void
+{
+    if (state_ != State::Answering)
+        return;
+    state_ = State::Ended;
+    gone_ = nullptr;
+    flushed_ = nullptr;
+    timer_.cancel();
+    channel_->close();
+}
+
+auto CallerConnection::finishAnswer() -> void
+{
+    gone_ = nullptr;
+    flushed_ = nullptr;
+    if (!channel_->isOpen()) {
+        state_ = State::Ended;
+        return;
+    }
+    if (closeAfter_) {
+        state_ = State::Ended;
+        channel_->close();
+        // A peer that never closes its end would keep the socket for good.
+        startTimer(idleGrace, [channel = channel_] { channel->abort(); });
+        return;
+    }
+    state_ = State::Reading;
+    channel_->setPaused(false);
+    startTimer(hooks_.limits().idleTimeout + idleGrace,
+               [self = shared_from_this()] { self->abort(); });
+    if (input_.empty())
+        return;
+    // Not at once: the hook that answered may still be on the stack.
+    boost::asio::post(timer_.get_executor(), [self = shared_from_this()] {
+        if (self->state_ == State::Reading)
+            self->read();
+    });
+}
+
+auto CallerConnection::isCongested() const -> bool
+{
+    return channel_->unsent() > congestedAt;
+}
+
+auto CallerConnection::retire(bool closeIdle) -> void
+{
+    closeAfter_ = true;
+    if (!closeIdle || !isIdle())
+        return;
+    state_ = State::Ended;
+    timer_.cancel();
+    channel_->close();
+    startTimer(idleGrace, [channel = channel_] { channel->abort(); });
+}
+
+auto CallerConnection::abort() -> void
+{
+    timer_.cancel();
+    channel_->abort();
+    ended();
+}
+
+auto CallerConnection::ended() -> void
+{
+    timer_.cancel();
+    state_ = State::Ended;
+    flushed_ = nullptr;
+    const auto gone = std::exchange(gone_, nullptr);
+    if (gone)
+        gone();
+}
+
+} // namespace applehatch::gateway
--- /dev/null
+++ b/src/gateway/channel.cc
@@ -0,0 +1,187 @@
+#include "applehatch/gateway/channel.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace applehatch::gateway {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// One read takes at most this; a stream's event is a few hundred bytes.
+constexpr std::size_t readBytes = 32768;
+constexpr int probesMissed = 2;
+
+auto setOption(int fd, int level, int name, int value) -> void
+{
+    // A socket that refuses an option still works; it is only given up later.
+    static_cast<void>(setsockopt(fd, level, name, &value, sizeof(value)));
+}
+
+} // namespace
+
+auto setChannelOptions(Channel::Socket &socket, ChannelLimits limits) -> void
+{
+    const auto fd = socket.native_handle();
+    setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(limits.probeEvery.count()));
+    setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(limits.probeEvery.count()));
+    setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, probesMissed);
+    const auto unacknowledged
+        = std::chrono::duration_cast<std::chrono::milliseconds>(limits.unacknowledged);
+    if (unacknowledged.count() > 0)
+        setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(unacknowledged.count()));
+}
+
+Channel::Channel(Socket socket)
+    : socket_(std::move(socket))
+{ }
+
+Channel::~Channel() = default;
+
+auto Channel::start(Hooks hooks, ChannelLimits limits) -> void
+{
+    hooks_ = std::move(hooks);
+    setChannelOptions(socket_, limits);
+    error_code error;
+    socket_.non_blocking(true, error);
+    if (error)
+        return fail(error);
+    waitReadable();
+}
+
+auto Channel::waitReadable() -> void
+{
+    if (reading_ || paused_ || state_ == State::Closed)
+        return;
+    reading_ = true;
+    socket_.async_wait(Socket::wait_read, [self = shared_from_this()](error_code error) {
+        self->reading_ = false;
+        if (self->state_ == State::Closed)
+            return;
+        if (error)
+            return self->fail(error);
+        self->readAvailable();
+    });
+}
+
+auto Channel::readAvailable() -> void
+{
+    static thread_local std::array<char, readBytes> buffer;
+    error_code error;
+    const auto count = socket_.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::would_block || error == asio::error::try_again)
+        return waitReadable();
+    if (error)
+        return fail(error == asio::error::eof ? error_code() : error);
+    if (state_ == State::Closing)
+        return waitReadable(); // What comes after the last answer is dropped.
+    in_.append(buffer.data(), count);
+    hooks_.data(in_);
+    waitReadable();
+}
+
+auto Channel::write(std::string_view bytes) -> void
+{
+    if (state_ != State::Open)
+        return;
+    out_ += bytes;
+    if (!writing_)
+        flush();
+}
+
+auto Channel::flush() -> void
+{
+    error_code error;
+    const auto count = socket_.write_some(asio::buffer(out_), error);
+    if (error && error != asio::error::would_block && error != asio::error::try_again)
+        return fail(error);
+    out_.erase(0, error ? 0 : count);
+    if (!out_.empty())
+        return waitWritable();
+    if (state_ == State::Closing) {
+        socket_.shutdown(Socket::shutdown_send, error);
+        return;
+    }
+    if (hooks_.flushed)
+        hooks_.flushed();
+}
+
+auto Channel::waitWritable() -> void
+{
+    writing_ = true;
+    socket_.async_wait(Socket::wait_write, [self = shared_from_this()](error_code error) {
+        self->writing_ = false;
+        if (self->state_ == State::Closed)
+            return;
+        if (error)
+            return self->fail(error);
+        self->flush();
+    });
+}
+
+auto Channel::setPaused(bool paused) -> void
+{
+    paused_ = paused;
+    if (!paused)
+        waitReadable();
+}
+
+auto Channel::close() -> void
+{
+    if (state_ != State::Open)
+        return;
+    state_ = State::Closing;
+    dropHooks();
+    paused_ = false;
+    if (!writing_)
+        flush();
+    // Reading goes on until the peer closes: closing with unread bytes would reset the connection,
+    // and the peer could lose the answer that it has not read yet.
+    waitReadable();
+}
+
+auto Channel::abort() -> void
+{
+    if (state_ == State::Closed)
+        return;
+    error_code error;
+    socket_.set_option(asio::socket_base::linger(true, 0), error);
+    release();
+}
+
+auto Channel::fail(error_code error) -> void
+{
+    if (state_ == State::Closed)
+        return;
+    const auto ended = std::move(hooks_.ended);
+    release();
+    if (ended)
+        ended(error);
+}
+
+auto Channel::release() -> void
+{
+    state_ = State::Closed;
+    dropHooks();
+    error_code error;
+    socket_.close(error);
+}
+
+auto Channel::dropHooks() -> void
+{
+    // One of them may be running, and they hold this channel's owner: they end after it.
+    asio::post(socket_.get_executor(), [hooks = std::exchange(hooks_, Hooks())] {});
+}
+
+} // namespace applehatch::gateway
--- /dev/null
+++ b/src/gateway/exchange.cc
@@ -0,0 +1,539 @@
+#include "applehatch/gateway/exchange.h"
+
+#include "applehatch/telemetry/clock.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace applehatch::gateway {
+
+using core::ErrorKind;
+using core::Failure;
+using core::Run;
+using direct::Outcome;
+using direct::RouteKind;
+
+namespace {
+
+constexpr int firstFailure = 500;
+constexpr int requestTimeout = 408;
+constexpr int misdirected = 421;
+constexpr int tooManyRequests = 429;
+constexpr int unavailable = 503;
+constexpr int mostUrgent = 0;
+constexpr int leastUrgent = 9;
+constexpr int firstSuccess = 200;
+constexpr int firstRedirect = 300;
+
+// Statuses that tell a caller that its request did not run and never will.
+auto promisesNotRun(int status) -> bool
+{
+    return status == requestTimeout || status == misdirected || status == tooManyRequests
+        || status == unavailable;
+}
+
+auto isSuccess(int status) -> bool
+{
+    return status >= firstSuccess && status < firstRedirect;
+}
+
+auto parseMilliseconds(const std::string *text) -> std::optional<Duration>
+{
+    if (text == nullptr)
+        return std::nullopt;
+    double value = 0;
+    const auto *end = text->data() + text->size();
+    const auto [at, error] = std::from_chars(text->data(), end, value);
+    constexpr double longest = 1e9; // 12 days; anything longer is no deadline.
+    if (error != std::errc() || at != end || value < 0 || value > longest)
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
+}
+
+auto secondsText(Duration duration) -> std::string
+{
+    std::array<char, 32> text{};
+    const auto seconds = std::chrono::duration<double>(duration).count();
+    std::snprintf(text.data(), text.size(), "%.2f", seconds);
+    return text.data();
+}
+
+auto millisecondsText(Duration duration) -> std::string
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return std::to_string(std::max<std::chrono::milliseconds::rep>(1, count));
+}
+
+auto startTimer(boost::asio::steady_timer &timer, Duration after, std::function<void()> action)
+    -> void
+{
+    timer.expires_after(after);
+    timer.async_wait([action = std::move(action)](boost::system::error_code error) {
+        if (!error)
+            action();
+    });
+}
+
+} // namespace
+
+auto statusOf(const Failure &failure) -> int
+{
+    // Callers of direct upstreams know 503 as "not run, may come back", and nothing more.
+    if (failure.kind == ErrorKind::CrashSuspect)
+        return unavailable;
+    return core::answerFor(failure.kind).status;
+}
+
+Exchange::Exchange(const ExchangeHost &host, CallerPtr caller, RequestMessage request)
+    : host_(host)
+    , caller_(std::move(caller))
+    , request_(std::move(request))
+    , arrivedAt_(telemetry::steadyNow())
+    , timeUp_(*host.loop)
+    , silence_(*host.loop)
+{ }
+
+auto Exchange::run() -> void
+{
+    const auto *id = request_.headers.find(host_.vocabulary->requestId);
+    id_ = id == nullptr ? std::string() : *id;
+    caller_->onGone([self = shared_from_this()] { self->onCallerGone(); });
+    std::optional<std::string> key;
+    if (const auto *credentials = request_.headers.find("Authorization")) {
+        const auto scheme = host_.vocabulary->keyScheme + ' ';
+        const auto matches = equalsIgnoringCase(credentials->substr(0, scheme.size()), scheme);
+        key = matches ? credentials->substr(scheme.size()) : std::string();
+    }
+    auto admitted = host_.dispatcher->admit(request_.host(), request_.path(), key);
+    if (const auto *refused = std::get_if<Failure>(&admitted))
+        return answerFailure(*refused);
+    permit_ = std::get<direct::Permit>(std::move(admitted));
+    readTerms();
+    host_.dispatcher->noteRequest(permit_, arrivedAt_);
+    const auto stopsAt = host_.stopsAt();
+    if (stopsAt && permit_.route->kind == RouteKind::Stream) {
+        const auto wait = host_.dispatcher->retryAfter();
+        return answerFailure({ErrorKind::Draining, Run::NotRun, "process is stopping", wait});
+    }
+    startTimer(timeUp_, left(), [self = shared_from_this()] { self->onTimeUp(); });
+    attempt();
+}
+
+auto Exchange::readTerms() -> void
+{
+    const auto told = parseMilliseconds(request_.headers.find(host_.vocabulary->deadline));
+    const auto allowed = permit_.route->timeout > Duration(0) ? permit_.route->timeout
+                                                              : std::chrono::seconds(60);
+    givenUpAt_ = arrivedAt_ + (told ? std::min(*told, allowed) : allowed);
+    if (const auto *prompt = request_.headers.find(host_.vocabulary->prompt))
+        demand_.prompt = host_.vocabulary->readPrompt(*prompt);
+    const auto *credentials = request_.headers.find("Authorization");
+    auto asked = request_.method + ' ' + request_.target + '\n';
+    asked += credentials == nullptr ? std::string() : *credentials;
+    asked += '\n' + request_.body;
+    demand_.fingerprint = core::stableHash(asked);
+    report_.route = permit_.route->name;
+    report_.service = permit_.serviceName;
+    report_.customer = permit_.customer;
+    report_.configurationVersion = permit_.configuration->version;
+}
+
+auto Exchange::left() const -> Duration
+{
+    return std::max(Duration(0), givenUpAt_ - telemetry::steadyNow());
+}
+
+auto Exchange::attempt() -> void
+{
+    auto chosen = host_.dispatcher->choose(permit_, demand_, telemetry::steadyNow());
+    if (const auto *refused = std::get_if<Failure>(&chosen)) {
+        if (phase_ == Phase::Relaying)
+            return finish("broken-off", refused->detail);
+        return answerFailure(*refused);
+    }
+    now_ = Attempt();
+    now_.choice = std::get<direct::Choice>(std::move(chosen));
+    demand_.tried.push_back(now_.choice.upstream.id);
+    report_.upstream = now_.choice.upstream.instance;
+    report_.upstreamLoad = now_.choice.load;
+    report_.usable = now_.choice.usable;
+    report_.heldContext = now_.choice.heldContext;
+    host_.pool->acquire(now_.choice.upstream.address,
+                        [self = shared_from_this()](const auto &connection, bool isNew) {
+                            self->useConnection(connection, isNew);
+                        });
+}
+
+auto Exchange::useConnection(const UpstreamConnectionPtr &connection, bool /*isNew*/) -> void
+{
+    if (phase_ == Phase::Ended) {
+        if (connection)
+            host_.pool->release(now_.choice.upstream.address, connection);
+        return;
+    }
+    if (!connection) {
+        noteOutcome(Outcome::Unreachable);
+        host_.pool->drop(now_.choice.upstream.address);
+        host_.note(id_, "upstream-unreachable", now_.choice.upstream.instance);
+        ++connectFailures_;
+        if (connectFailures_ < mostConnectFailures)
+            return attempt();
+        const auto wait = host_.dispatcher->retryAfter();
+        return answerFailure({ErrorKind::NoUpstream, Run::NotRun, "no upstream reached", wait});
+    }
+    now_.connection = connection;
+    sendRequest();
+}
+
+auto Exchange::sendRequest() -> void
+{
+    ++sent_;
+    now_.sent = true;
+    now_.sentAt = telemetry::steadyNow();
+    host_.dispatcher->noteSent(now_.choice.upstream.id, demand_, now_.sentAt);
+    AnswerHooks hooks;
+    const auto self = shared_from_this();
+    hooks.head = [self](ResponseHead &head) { self->onHead(head); };
+    hooks.body = [self](std::string_view bytes) { self->onBody(bytes); };
+    hooks.done = [self] { self->onDone(); };
+    hooks.failed = [self](const std::string &why) { self->onFailed(why); };
+    WireRequest wire;
+    wire.text = upstreamText();
+    wire.idHeader = id_.empty() ? std::string() : host_.vocabulary->requestId;
+    wire.id = id_;
+    wire.toHead = request_.method == "HEAD";
+    armSilence();
+    now_.connection->send(std::move(wire), std::move(hooks));
+}
+
+auto Exchange::upstreamText() const -> std::string
+{
+    const auto &words = *host_.vocabulary;
+    auto dropped = connectionHeaders(request_.headers, words.kept);
+    dropped.insert(dropped.end(), words.routerOnly.begin(), words.routerOnly.end());
+    for (const auto *own : {"Authorization", "Content-Length", "Expect"})
+        dropped.emplace_back(own);
+    for (const auto &own : {words.deadline, words.customer, words.expectInstance, words.priority})
+        dropped.push_back(own);
+    const auto resumes = phase_ == Phase::Relaying && !events_.lastId().empty();
+    if (resumes)
+        dropped.push_back(words.lastEventId);
+    const auto isDropped = [&dropped](const std::string &name) {
+        return std::any_of(dropped.begin(), dropped.end(), [&name](const std::string &each) {
+            return equalsIgnoringCase(each, name);
+        });
+    };
+    RequestMessage onward;
+    onward.method = request_.method;
+    onward.target = request_.target;
+    onward.body = request_.body;
+    for (const auto &field : request_.headers.fields()) {
+        if (!isDropped(field.name))
+            onward.headers.add(field.name, field.value);
+    }
+    onward.headers.add(words.deadline, millisecondsText(left()));
+    onward.headers.add(words.expectInstance, now_.choice.upstream.instance);
+    if (!permit_.customer.empty())
+        onward.headers.add(words.customer, permit_.customer);
+    if (!demand_.prompt.empty())
+        onward.headers.add(words.priority,
+                           std::to_string(std::clamp(permit_.priority, mostUrgent, leastUrgent)));
+    if (resumes)
+        onward.headers.add(words.lastEventId, events_.lastId());
+    return requestText(onward);
+}
+
+auto Exchange::armSilence() -> void
+{
+    if (!mayRepeat())
+        return;
+    const auto &route = *permit_.route;
+    const auto relaying = phase_ == Phase::Relaying && events_.events() > 0;
+    const auto usual = relaying && route.eventPause > Duration(0)
+        ? route.eventPause * silentAfterPauses
+        : route.objective * silentAfterObjectives;
+    const auto wait = std::clamp<Duration>(usual, silentAtLeast, silentAtMost);
+    startTimer(silence_, wait, [self = shared_from_this()] { self->onSilent(); });
+}
+
+auto Exchange::mayRepeat() const -> bool
+{
+    const auto &route = *permit_.route;
+    return route.kind == RouteKind::Safe || (route.kind == RouteKind::Stream && route.resumable);
+}
+
+auto Exchange::noteOutcome(Outcome outcome) -> void
+{
+    host_.dispatcher->noteOutcome(now_.choice.upstream.id, outcome, telemetry::steadyNow());
+}
+
+auto Exchange::onHead(ResponseHead &head) -> void
+{
+    const auto &words = *host_.vocabulary;
+    if (const auto *load = head.headers.find(words.loadReport)) {
+        if (const auto report = words.readLoad(*load))
+            host_.dispatcher->loads().noteReport(now_.choice.upstream.id, report->running,
+                                                 report->waiting, telemetry::steadyNow());
+    }
+    now_.notRun = head.headers.find(words.notRun) != nullptr || head.status == misdirected;
+    now_.head = head;
+    const auto *type = head.headers.find("Content-Type");
+    now_.isStream = permit_.route->kind == RouteKind::Stream && isSuccess(head.status)
+        && head.headers.find(words.proof) != nullptr;
+    static_cast<void>(type);
+    if (now_.isStream && phase_ == Phase::Searching)
+        relayHead(head);
+}
+
+auto Exchange::relayHead(const ResponseHead &head) -> void
+{
+    phase_ = Phase::Relaying;
+    report_.status = head.status;
+    ResponseHead onward;
+    onward.status = head.status;
+    onward.reason = head.reason;
+    onward.framing = Framing::Chunked;
+    auto dropped = connectionHeaders(head.headers, {});
+    dropped.emplace_back("Content-Length");
+    for (const auto &field : head.headers.fields()) {
+        const auto isDropped
+            = std::any_of(dropped.begin(), dropped.end(), [&field](const std::string &name) {
+                  return equalsIgnoringCase(name, field.name);
+              });
+        if (!isDropped)
+            onward.headers.add(field.name, field.value);
+    }
+    caller_->begin(std::move(onward));
+    caller_->onFlushed([self = shared_from_this()] {
+        if (self->now_.connection)
+            self->now_.connection->setPaused(false);
+    });
+}
+
+auto Exchange::onBody(std::string_view bytes) -> void
+{
+    if (now_.isStream)
+        return relayEvents(bytes);
+    now_.held += bytes;
+}
+
+auto Exchange::relayEvents(std::string_view bytes) -> void
+{
+    const auto isFirst = events_.events() == 0;
+    const auto whole = events_.feed(bytes);
+    if (!events_.isInOrder()) {
+        now_.connection->abort();
+        return onFailed("events out of order");
+    }
+    if (whole.empty())
+        return;
+    const auto now = telemetry::steadyNow();
+    if (isFirst) {
+        report_.firstByte = now - arrivedAt_;
+        host_.dispatcher->noteFirstEvent(now_.choice.upstream.id, now - now_.sentAt, now);
+    }
+    armSilence();
+    caller_->send(whole);
+    if (caller_->isCongested())
+        now_.connection->setPaused(true);
+}
+
+auto Exchange::onDone() -> void
+{
+    if (phase_ == Phase::Ended)
+        return;
+    const auto connection = now_.connection;
+    if (now_.isStream)
+        return finishRelay();
+    deliverHeld();
+}
+
+auto Exchange::finishRelay() -> void
+{
+    if (!events_.partial().empty()) {
+        // A stream that ends inside an event was cut, however orderly its end looks.
+        now_.connection->abort();
+        return onFailed("ended inside an event");
+    }
+    noteOutcome(Outcome::Served);
+    host_.dispatcher->suspects().noteServed(demand_.fingerprint);
+    closeAttempt(true);
+    caller_->end();
+    finish("answered", "");
+}
+
+auto Exchange::deliverHeld() -> void
+{
+    const auto head = *now_.head;
+    const auto held = std::move(now_.held);
+    const auto hasProof = head.headers.find(host_.vocabulary->proof) != nullptr;
+    const auto wait = host_.dispatcher->retryAfter();
+    if (now_.notRun) {
+        noteOutcome(Outcome::Refused);
+        closeAttempt(true);
+        return tryAgainOr({ErrorKind::Overloaded, Run::NotRun, "upstream refused", wait});
+    }
+    // An upstream that breaks the protocol must not make this router promise what it cannot know.
+    const auto unusable = (isSuccess(head.status) && !hasProof) || promisesNotRun(head.status);
+    if (unusable || phase_ == Phase::Relaying) {
+        noteOutcome(Outcome::Failed);
+        closeAttempt(true);
+        return tryAgainOr({ErrorKind::UpstreamFailed, Run::Unknown, "no usable answer", {}});
+    }
+    const auto failed = head.status >= firstFailure;
+    noteOutcome(failed ? Outcome::Failed : Outcome::Served);
+    host_.dispatcher->suspects().noteServed(demand_.fingerprint);
+    closeAttempt(true);
+    const auto again = failed && mayRepeat() && sent_ < permit_.route->attempts
+        && host_.dispatcher->takeRetry(permit_, telemetry::steadyNow());
+    if (again) {
+        host_.note(id_, "retried", "status " + std::to_string(head.status));
+        return attempt();
+    }
+    ResponseHead onward;
+    onward.status = head.status;
+    onward.reason = head.reason;
+    auto dropped = connectionHeaders(head.headers, {});
+    dropped.emplace_back("Content-Length");
+    for (const auto &field : head.headers.fields()) {
+        const auto isDropped
+            = std::any_of(dropped.begin(), dropped.end(), [&field](const std::string &name) {
+                  return equalsIgnoringCase(name, field.name);
+              });
+        if (!isDropped)
+            onward.headers.add(field.name, field.value);
+    }
+    report_.status = head.status;
+    report_.firstByte = telemetry::steadyNow() - arrivedAt_;
+    caller_->answer(std::move(onward), held);
+    finish("answered", "");
+}
+
+auto Exchange::onFailed(const std::string &why) -> void
+{
+    if (phase_ == Phase::Ended)
+        return;
+    const auto timedOut = why.find("timed out") != std::string::npos;
+    noteOutcome(timedOut ? Outcome::Unreachable : Outcome::Broken);
+    if (timedOut)
+        host_.pool->drop(now_.choice.upstream.address);
+    if (!now_.head)
+        host_.dispatcher->suspects().noteCrash(demand_.fingerprint, telemetry::steadyNow());
+    host_.note(id_, "upstream-broke", now_.choice.upstream.instance + ": " + why);
+    closeAttempt(false);
+    tryAgainOr({ErrorKind::UpstreamFailed, Run::Unknown, why, {}});
+}
+
+auto Exchange::onSilent() -> void
+{
+    if (phase_ == Phase::Ended || !now_.sent)
+        return;
+    const auto canMove = sent_ < permit_.route->attempts
+        && host_.dispatcher->takeRetry(permit_, telemetry::steadyNow());
+    if (!canMove)
+        return;
+    noteOutcome(Outcome::Failed);
+    host_.note(id_, "upstream-silent", now_.choice.upstream.instance);
+    closeAttempt(false);
+    events_.dropPartial();
+    report_.resumed = phase_ == Phase::Relaying;
+    attempt();
+}
+
+auto Exchange::tryAgainOr(const Failure &failure) -> void
+{
+    const auto repeatable = failure.run == Run::NotRun || mayRepeat();
+    const auto again = repeatable && left() > Duration(0) && sent_ < permit_.route->attempts
+        && host_.dispatcher->takeRetry(permit_, telemetry::steadyNow());
+    if (again) {
+        host_.note(id_, "retried", failure.detail);
+        events_.dropPartial();
+        report_.resumed = phase_ == Phase::Relaying;
+        return attempt();
+    }
+    if (phase_ == Phase::Relaying)
+        return finish("broken-off", failure.detail);
+    answerFailure(failure);
+}
+
+auto Exchange::closeAttempt(bool keepConnection) -> void
+{
+    silence_.cancel();
+    if (now_.sent)
+        host_.dispatcher->noteDone(now_.choice.upstream.id);
+    now_.sent = false;
+    const auto connection = std::exchange(now_.connection, nullptr);
+    if (!connection)
+        return;
+    if (keepConnection)
+        host_.pool->release(now_.choice.upstream.address, connection);
+    else
+        connection->abort();
+}
+
+auto Exchange::onCallerGone() -> void
+{
+    if (phase_ == Phase::Ended)
+        return;
+    const auto unheard = now_.sent && !now_.head
+        && telemetry::steadyNow() - now_.sentAt > std::chrono::seconds(1);
+    if (unheard)
+        noteOutcome(Outcome::Failed);
+    // The upstream stops working for nobody as soon as its connection closes.
+    closeAttempt(false);
+    finish("caller-left", "connection closed by the caller");
+}
+
+auto Exchange::onTimeUp() -> void
+{
+    if (phase_ == Phase::Ended)
+        return;
+    if (now_.sent && !now_.head)
+        noteOutcome(Outcome::Failed);
+    const auto wasSent = sent_ > 0;
+    closeAttempt(false);
+    if (phase_ == Phase::Relaying)
+        return finish("broken-off", "time is up");
+    const auto run = wasSent ? Run::Unknown : Run::NotRun;
+    answerFailure({ErrorKind::DeadlineExceeded, run, "time is up", std::nullopt});
+}
+
+auto Exchange::answerFailure(const Failure &failure) -> void
+{
+    closeAttempt(false);
+    ResponseHead head;
+    head.status = statusOf(failure);
+    report_.status = head.status;
+    if (failure.retryAfter)
+        head.headers.add("Retry-After", secondsText(*failure.retryAfter));
+    if (!id_.empty())
+        head.headers.add(host_.vocabulary->requestId, id_);
+    head.headers.add("Content-Type", "application/json");
+    const auto &told = core::answerFor(failure.kind);
+    const auto body = std::string("{\"kind\":\"") + std::string(told.name) + "\",\"run\":\""
+        + std::string(core::runName(failure.run)) + "\"}";
+    caller_->answer(std::move(head), body);
+    finish("refused", std::string(told.name) + ": " + failure.detail);
+}
+
+auto Exchange::finish(const std::string &outcome, const std::string &reason) -> void
+{
+    if (phase_ == Phase::Ended)
+        return;
+    phase_ = Phase::Ended;
+    timeUp_.cancel();
+    silence_.cancel();
+    if (outcome == "broken-off")
+        caller_->breakOff();
+    report_.requestId = id_;
+    report_.outcome = outcome;
+    report_.reason = reason;
+    report_.sent = sent_;
+    report_.took = telemetry::steadyNow() - arrivedAt_;
+    host_.ended(report_);
+}
+
+} // namespace applehatch::gateway
--- /dev/null
+++ b/src/gateway/gateway-host.cc
@@ -0,0 +1,370 @@
+#include "applehatch/gateway/gateway-host.h"
+
+#include "applehatch/core/log-line.h"
+#include "applehatch/telemetry/clock.h"
+#include "applehatch/telemetry/logger.h"
+
+#include <utility>
+
+namespace applehatch::gateway {
+
+using boost::system::error_code;
+using core::LogLine;
+using telemetry::LogLevel;
+using telemetry::steadyNow;
+
+namespace {
+
+constexpr Duration tickPeriod = std::chrono::milliseconds(100);
+// A stopping process takes new streams for this long: the balancer asks each second and takes a
+// process out after two misses, so callers keep coming for up to three seconds.
+constexpr Duration takesStreamsFor = std::chrono::milliseconds(2500);
+// Idle connections are closed then; before it, a caller's request could cross the close.
+constexpr Duration closesIdleAfter = std::chrono::milliseconds(2500);
+// It may end from then on, when nothing is under way.
+constexpr Duration mayEndAfter = std::chrono::milliseconds(3300);
+// Left before the platform would kill the process.
+constexpr Duration endMargin = std::chrono::milliseconds(350);
+// The registry's own watch usually brings a change sooner than this; then a peer is asked.
+constexpr Duration behindFor = std::chrono::milliseconds(250);
+constexpr int ok = 200;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+
+auto milliseconds(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+auto log(const LogLine &line, LogLevel level = LogLevel::Info) -> void
+{
+    telemetry::writeLog(level, line.text());
+}
+
+auto answerText(const CallerPtr &caller, int status, std::string_view type, std::string_view body)
+    -> void
+{
+    ResponseHead head;
+    head.status = status;
+    head.headers.add("Content-Type", type);
+    caller->answer(std::move(head), body);
+}
+
+} // namespace
+
+GatewayHost::GatewayHost(boost::asio::io_context &loop, GatewaySettings settings,
+                         Vocabulary vocabulary, RegistryDecoder decoder)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , vocabulary_(std::move(vocabulary))
+    , decoder_(std::move(decoder))
+    , dispatcher_({settings_.dataCenter, core::stableHash(settings_.name,
+                                                          telemetry::wallMicroseconds())},
+                  settings_.retries, steadyNow())
+    , pool_(loop)
+    , mesh_(loop, pool_, settings_.peers,
+            {[this](PeerDigest &digest) { fillDigest(digest); },
+             [this](const PeerDigest &digest) { peerHeard(digest); },
+             [this](const direct::RegistrySnapshot &snapshot) { peerSnapshot(snapshot); },
+             [this](const std::string &event, const std::string &peer) {
+                 metrics_.noteEvent(event);
+                 log(LogLine(event).add("peer", peer));
+             }})
+    , tick_(loop)
+{
+    dispatcher_.setLoadBound(settings_.loadBound);
+    mesh_.setSeeds(settings_.seeds);
+    exchangeHost_.loop = &loop_;
+    exchangeHost_.dispatcher = &dispatcher_;
+    exchangeHost_.pool = &pool_;
+    exchangeHost_.vocabulary = &vocabulary_;
+    exchangeHost_.note = [this](const std::string &id, const std::string &event,
+                                const std::string &why) {
+        metrics_.noteEvent(event);
+        log(LogLine(event).add("request", id).add("why", why));
+    };
+    exchangeHost_.ended = [this](const ExchangeReport &report) { exchangeEnded(report); };
+    exchangeHost_.stopsAt = [this]() -> std::optional<Instant> {
+        if (!stopAskedAt_ || steadyNow() - *stopAskedAt_ < takesStreamsFor)
+            return std::nullopt;
+        return *stopAskedAt_ + settings_.stopWithin;
+    };
+    metrics_.setGauges({[this] { return static_cast<double>(inFlight_); },
+                        [this] { return callers_ == nullptr ? 0 : static_cast<double>(callers_->connections()); },
+                        [this] { return static_cast<double>(pool_.opened()); },
+                        [this] { return static_cast<double>(dispatcher_.upstreams().size()); },
+                        [this] {
+                            const auto &configuration = dispatcher_.configuration();
+                            return configuration ? static_cast<double>(configuration->version) : 0;
+                        },
+                        [this] { return static_cast<double>(replica_.revision()); },
+                        [this] {
+                            return static_cast<double>(mesh_.table().alive(steadyNow()).size());
+                        }});
+}
+
+auto GatewayHost::start() -> error_code
+{
+    const auto limits = [this] { return callerLimits(); };
+    const auto listen = [&](const Address &address, auto request) {
+        listeners_.emplace_back(loop_, CallerHooks{std::move(request), limits});
+        const auto error = listeners_.back().open(address);
+        if (error)
+            log(LogLine("listen-failed").add("address", address.ip + ':' + std::to_string(address.port))
+                    .add("why", error.message()),
+                LogLevel::Error);
+        return error;
+    };
+    auto error = listen(settings_.callers, [this](const CallerPtr &caller, RequestMessage request) {
+        takeRequest(caller, std::move(request));
+    });
+    if (error)
+        return error;
+    callers_ = &listeners_.back();
+    error = listen(settings_.readiness, [this](const CallerPtr &caller, const RequestMessage &) {
+        answerReadiness(caller);
+    });
+    if (error)
+        return error;
+    error = listen(settings_.peers,
+                   [this](const CallerPtr &caller, const RequestMessage &request) {
+                       answerPeer(caller, request);
+                   });
+    if (error)
+        return error;
+    if (settings_.metrics.port != 0) {
+        // Requests are served without metrics too; the failure is logged.
+        static_cast<void>(listen(settings_.metrics, [this](const CallerPtr &caller,
+                                                           const RequestMessage &) {
+            answerMetrics(caller);
+        }));
+    }
+    mesh_.start();
+    tick();
+    log(LogLine("started").add("name", settings_.name).add("dataCenter", settings_.dataCenter));
+    return {};
+}
+
+auto GatewayHost::reload(const GatewaySettings &settings) -> void
+{
+    settings_.seeds = settings.seeds;
+    settings_.retries = settings.retries;
+    settings_.stopWithin = settings.stopWithin;
+    settings_.loadBound = settings.loadBound;
+    mesh_.setSeeds(settings_.seeds);
+    dispatcher_.setRetryLimits(settings_.retries);
+    dispatcher_.setLoadBound(settings_.loadBound);
+    log(LogLine("reloaded").add("name", settings_.name));
+}
+
+auto GatewayHost::isReady() const -> bool
+{
+    return dispatcher_.ready() && !stopAskedAt_;
+}
+
+auto GatewayHost::callerLimits() const -> direct::CallerLimits
+{
+    const auto &configuration = dispatcher_.configuration();
+    return configuration ? configuration->limits : direct::CallerLimits{};
+}
+
+auto GatewayHost::takeRequest(const CallerPtr &caller, RequestMessage request) -> void
+{
+    ++inFlight_;
+    std::make_shared<Exchange>(exchangeHost_, caller, std::move(request))->run();
+}
+
+auto GatewayHost::exchangeEnded(const ExchangeReport &report) -> void
+{
+    --inFlight_;
+    metrics_.note(report);
+    LogLine line("request");
+    line.add("request", report.requestId)
+        .add("outcome", report.outcome)
+        .add("status", report.status)
+        .add("why", report.reason)
+        .add("route", report.route)
+        .add("service", report.service)
+        .add("customer", report.customer)
+        .add("upstream", report.upstream)
+        .add("sent", report.sent)
+        .add("load", report.upstreamLoad)
+        .add("usable", report.usable)
+        .add("heldContext", report.heldContext ? 1 : 0)
+        .add("resumed", report.resumed ? 1 : 0)
+        .add("config", static_cast<std::int64_t>(report.configurationVersion))
+        .add("tookMs", milliseconds(report.took));
+    if (report.firstByte)
+        line.add("firstByteMs", milliseconds(*report.firstByte));
+    log(line);
+}
+
+auto GatewayHost::answerReadiness(const CallerPtr &caller) const -> void
+{
+    answerText(caller, isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n");
+}
+
+auto GatewayHost::answerMetrics(const CallerPtr &caller) -> void
+{
+    answerText(caller, ok, "text/plain; version=0.0.4", metrics_.scrape());
+}
+
+auto GatewayHost::answerPeer(const CallerPtr &caller, const RequestMessage &request) const -> void
+{
+    if (request.target != snapshotPath)
+        return answerText(caller, notFound, "text/plain", "");
+    answerText(caller, ok, "application/octet-stream", encodeSnapshot(replica_.snapshot()));
+}
+
+auto GatewayHost::registryRead(const direct::RegistrySnapshot &snapshot) -> void
+{
+    if (replica_.apply(snapshot, steadyNow()))
+        applyRegistry();
+}
+
+auto GatewayHost::registryChanged(const std::vector<direct::RegistryChange> &changes,
+                                  std::uint64_t revision) -> void
+{
+    if (replica_.apply(changes, revision, steadyNow()))
+        applyRegistry();
+}
+
+auto GatewayHost::registryLost(const std::string &why) -> void
+{
+    if (replica_.reachable()) {
+        metrics_.noteEvent("registry-lost");
+        log(LogLine("registry-lost").add("why", why), LogLevel::Warning);
+    }
+    replica_.noteLost();
+}
+
+auto GatewayHost::registryRegained() -> void
+{
+    if (!replica_.reachable()) {
+        metrics_.noteEvent("registry-regained");
+        log(LogLine("registry-regained")
+                .add("revision", static_cast<std::int64_t>(replica_.revision())));
+    }
+    replica_.noteRegained(steadyNow());
+}
+
+auto GatewayHost::applyRegistry() -> void
+{
+    auto decoded = decoder_(replica_.items());
+    for (const auto &problem : decoded.problems)
+        log(LogLine("registry-entry-unusable").add("why", problem), LogLevel::Warning);
+    if (decoded.configuration && dispatcher_.setConfiguration(decoded.configuration)) {
+        metrics_.noteEvent("configuration");
+        log(LogLine("configuration")
+                .add("version", static_cast<std::int64_t>(decoded.configuration->version))
+                .add("revision", static_cast<std::int64_t>(replica_.revision())));
+    }
+    std::map<direct::UpstreamId, direct::Upstream> before;
+    for (const auto &upstream : dispatcher_.upstreams())
+        before[upstream.id] = upstream;
+    for (const auto &upstream : decoded.upstreams) {
+        const auto held = before.find(upstream.id);
+        const auto isNews = held == before.end() || held->second.state != upstream.state
+            || held->second.life != upstream.life;
+        if (isNews)
+            log(LogLine("upstream")
+                    .add("upstream", upstream.instance)
+                    .add("service", upstream.service)
+                    .add("state", static_cast<std::int64_t>(upstream.state))
+                    .add("revision", static_cast<std::int64_t>(replica_.revision())));
+        if (held != before.end())
+            before.erase(held);
+    }
+    for (const auto &[id, upstream] : before) {
+        log(LogLine("upstream-gone")
+                .add("upstream", upstream.instance)
+                .add("revision", static_cast<std::int64_t>(replica_.revision())));
+        pool_.drop(upstream.address);
+    }
+    dispatcher_.setUpstreams(std::move(decoded.upstreams));
+}
+
+auto GatewayHost::peerHeard(const PeerDigest &digest) -> void
+{
+    const auto now = steadyNow();
+    const auto peer
+        = core::stableHash(digest.sender.ip + ':' + std::to_string(digest.sender.port));
+    dispatcher_.loads().notePeer(peer, digest.loads, now);
+    dispatcher_.suspects().notePeer(peer, digest.crashes, now);
+    catchUp(now);
+}
+
+auto GatewayHost::catchUp(Instant now) -> void
+{
+    if (mesh_.newestRevision(now) <= replica_.revision()) {
+        behindSince_.reset();
+        return;
+    }
+    if (!behindSince_)
+        behindSince_ = now;
+    if (!replica_.reachable() || now - *behindSince_ >= behindFor)
+        mesh_.fetchNewer(replica_.revision());
+}
+
+auto GatewayHost::peerSnapshot(const direct::RegistrySnapshot &snapshot) -> void
+{
+    if (!replica_.apply(snapshot, steadyNow()))
+        return;
+    metrics_.noteEvent("registry-from-peer");
+    log(LogLine("registry-from-peer")
+            .add("revision", static_cast<std::int64_t>(snapshot.revision)));
+    applyRegistry();
+}
+
+auto GatewayHost::fillDigest(PeerDigest &digest) -> void
+{
+    const auto now = steadyNow();
+    digest.revision = replica_.revision();
+    digest.leaving = stopAskedAt_.has_value();
+    digest.loads = dispatcher_.loads().ownLoads();
+    digest.crashes = dispatcher_.suspects().ownCounts(now);
+}
+
+auto GatewayHost::tick() -> void
+{
+    const auto now = steadyNow();
+    if (replica_.expire(now))
+        applyRegistry();
+    dispatcher_.loads().expire(now);
+    dispatcher_.setRouters(mesh_.table().routers(now));
+    pool_.expire(now);
+    catchUp(now);
+    for (auto &listener : listeners_)
+        listener.sweep();
+    if (stopAskedAt_)
+        continueStop(now);
+    tick_.expires_after(tickPeriod);
+    tick_.async_wait([this](error_code error) {
+        if (!error)
+            tick();
+    });
+}
+
+auto GatewayHost::stop() -> void
+{
+    if (stopAskedAt_)
+        return;
+    stopAskedAt_ = steadyNow();
+    callers_->retire(false);
+    log(LogLine("stopping").add("inFlight", static_cast<std::int64_t>(inFlight_)));
+}
+
+auto GatewayHost::continueStop(Instant now) -> void
+{
+    const auto since = now - *stopAskedAt_;
+    if (since >= closesIdleAfter)
+        callers_->retire(true);
+    const auto idle = inFlight_ == 0 && since >= mayEndAfter;
+    const auto outOfTime = since >= settings_.stopWithin - endMargin;
+    if (!idle && !outOfTime)
+        return;
+    log(LogLine("stopped").add("inFlight", static_cast<std::int64_t>(inFlight_)));
+    loop_.stop();
+}
+
+} // namespace applehatch::gateway
--- /dev/null
+++ b/src/gateway/gateway-metrics.cc
@@ -0,0 +1,73 @@
+#include "applehatch/gateway/gateway-metrics.h"
+
+#include <utility>
+
+namespace applehatch::gateway {
+
+namespace {
+
+// Seconds; from a plain answer within a data centre to the longest stream.
+const std::vector<double> &secondsBuckets()
+{
+    static const std::vector<double> buckets{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6,
+                                             0.8,  1.2,   2,    4,   8,   15};
+    return buckets;
+}
+
+auto seconds(core::Duration duration) -> double
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : duration_(metrics_.histogram(
+        {"applehatch_request_duration_seconds", "From the whole request to the whole answer."},
+        secondsBuckets()))
+    , firstByte_(metrics_.histogram(
+          {"applehatch_request_first_byte_seconds", "From the whole request to its first event."},
+          secondsBuckets()))
+{
+    telemetry::addProcessMetrics(metrics_);
+}
+
+auto GatewayMetrics::setGauges(GatewayGauges gauges) -> void
+{
+    const auto add = [this](const char *name, const char *help, std::function<double()> value) {
+        auto &gauge = metrics_.gauge({name, help});
+        metrics_.onScrape([&gauge, value = std::move(value)] { gauge.Set(value()); });
+    };
+    add("applehatch_requests_in_flight", "Requests without a whole answer.",
+        std::move(gauges.inFlight));
+    add("applehatch_caller_connections", "Open connections of callers.",
+        std::move(gauges.callerConnections));
+    add("applehatch_upstream_connections_opened", "Connections opened to upstreams since start.",
+        std::move(gauges.upstreamConnectionsOpened));
+    add("applehatch_upstreams", "Upstreams known.", std::move(gauges.upstreams));
+    add("applehatch_configuration_version", "Version in force; 0 before the first.",
+        std::move(gauges.configurationVersion));
+    add("applehatch_registry_revision", "Revision of the registry known here.",
+        std::move(gauges.registryRevision));
+    add("applehatch_peers", "Routers heard a moment ago.", std::move(gauges.peers));
+}
+
+auto GatewayMetrics::note(const ExchangeReport &report) -> void
+{
+    metrics_
+        .counter({"applehatch_requests_total", "Requests by outcome and status."},
+                 {{"outcome", report.outcome}, {"status", std::to_string(report.status)}})
+        .Increment();
+    duration_.Observe(seconds(report.took));
+    if (report.firstByte)
+        firstByte_.Observe(seconds(*report.firstByte));
+}
+
+auto GatewayMetrics::noteEvent(const std::string &event) -> void
+{
+    metrics_.counter({"applehatch_events_total", "Decisions and changes by kind."},
+                     {{"event", event}})
+        .Increment();
+}
+
+} // namespace applehatch::gateway
--- /dev/null
+++ b/src/gateway/peer.capnp
@@ -0,0 +1,42 @@
+@0xe435ee04f35b7784;
+# What routers tell one another; the C++ forms are gateway/peer-digest.h.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("applehatch::gateway::schema");
+
+struct Member {
+  ip @0 :UInt32;
+  port @1 :UInt16;
+}
+
+struct Load {
+  upstream @0 :UInt64;
+  running @1 :UInt32;
+}
+
+struct Crash {
+  fingerprint @0 :UInt64;
+  crashes @1 :UInt32;
+}
+
+struct PeerDigest {
+  sender @0 :Member;
+  life @1 :UInt64;
+  sequence @2 :UInt64;
+  revision @3 :UInt64;
+  leaving @4 :Bool;
+  members @5 :List(Member);
+  loads @6 :List(Load);
+  crashes @7 :List(Crash);
+}
+
+struct Item {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+}
+
+struct Snapshot {
+  revision @0 :UInt64;
+  items @1 :List(Item);
+}
--- /dev/null
+++ b/src/gateway/upstream-connection.cc
@@ -0,0 +1,168 @@
+#include "applehatch/gateway/upstream-connection.h"
+
+#include <boost/asio/post.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace applehatch::gateway {
+
+namespace {
+
+// An upstream that sends more answers to earlier requests than this is out of step for good.
+constexpr int mostSkipped = 3;
+constexpr int firstFinalStatus = 200;
+
+auto parseSeconds(std::string_view text) -> std::optional<Duration>
+{
+    constexpr std::string_view name = "timeout=";
+    const auto at = text.find(name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const auto digits = text.substr(at + name.size());
+    int seconds = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (error != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(Channel::Socket socket)
+    : channel_(std::make_shared<Channel>(std::move(socket)))
+{ }
+
+auto UpstreamConnection::start(ChannelLimits limits) -> void
+{
+    const auto self = shared_from_this();
+    Channel::Hooks hooks;
+    hooks.data = [self](std::string &bytes) { self->read(bytes); };
+    hooks.ended = [self](boost::system::error_code error) { self->ended(error); };
+    channel_->start(std::move(hooks), limits);
+}
+
+auto UpstreamConnection::isReusable() const -> bool
+{
+    return channel_->isOpen() && !busy_ && keepAlive_ && channel_->unsent() == 0;
+}
+
+auto UpstreamConnection::send(WireRequest request, AnswerHooks hooks) -> void
+{
+    busy_ = true;
+    skipped_ = 0;
+    request_ = std::move(request);
+    hooks_ = std::move(hooks);
+    beginAnswer();
+    const auto self = shared_from_this(); // A failed write may drop the last other owner.
+    channel_->write(request_.text);
+    request_.text.clear();
+}
+
+auto UpstreamConnection::beginAnswer() -> void
+{
+    foreign_ = false;
+    informational_ = false;
+    ResponseReader::Hooks hooks;
+    hooks.head = [this](ResponseHead &head) { takeHead(head); };
+    hooks.body = [this](std::string_view bytes) {
+        if (busy_ && !foreign_)
+            hooks_.body(bytes);
+    };
+    reader_.emplace(std::move(hooks), request_.toHead);
+}
+
+auto UpstreamConnection::takeHead(ResponseHead &head) -> void
+{
+    informational_ = head.status < firstFinalStatus;
+    if (informational_)
+        return;
+    // An upstream may send a second answer to an earlier request where the next one is expected.
+    // Taken for the answer, a caller would get what belongs to another; the echoed id tells.
+    const auto *id = request_.idHeader.empty() ? nullptr : head.headers.find(request_.idHeader);
+    foreign_ = !request_.idHeader.empty() && (id == nullptr || *id != request_.id);
+    if (foreign_)
+        return;
+    keepAlive_ = head.keepAlive;
+    noteKeepAlive(head.headers);
+    if (busy_)
+        hooks_.head(head);
+}
+
+auto UpstreamConnection::noteKeepAlive(const HeaderList &headers) -> void
+{
+    const auto *value = headers.find("Keep-Alive");
+    if (value != nullptr)
+        keptFor_ = parseSeconds(*value);
+}
+
+auto UpstreamConnection::read(std::string &bytes) -> void
+{
+    const auto self = shared_from_this();
+    while (busy_) {
+        const auto result = reader_->feed(bytes);
+        if (!busy_)
+            break;
+        if (result == ReadState::Failed)
+            return failWith("unreadable answer");
+        if (result == ReadState::NeedMore)
+            return;
+        if (!informational_ && !foreign_) {
+            // Bytes after a whole answer belong to no request, and the next answer could not be
+            // told apart from them.
+            if (!bytes.empty())
+                keepAlive_ = false;
+            return finish();
+        }
+        if (foreign_ && ++skipped_ > mostSkipped)
+            return failWith("answers to other requests");
+        beginAnswer();
+    }
+    if (!bytes.empty())
+        abort(); // Nobody waits for an answer here.
+}
+
+auto UpstreamConnection::finish() -> void
+{
+    busy_ = false;
+    const auto hooks = std::exchange(hooks_, AnswerHooks());
+    hooks.done();
+}
+
+auto UpstreamConnection::failWith(std::string why) -> void
+{
+    const auto self = shared_from_this();
+    keepAlive_ = false;
+    const auto wasBusy = std::exchange(busy_, false);
+    const auto hooks = std::exchange(hooks_, AnswerHooks());
+    channel_->abort();
+    if (wasBusy)
+        hooks.failed(std::move(why));
+}
+
+auto UpstreamConnection::ended(boost::system::error_code error) -> void
+{
+    const auto self = shared_from_this();
+    if (!busy_)
+        return; // The pool finds it closed.
+    if (error)
+        return failWith("connection broke: " + error.message());
+    const auto result = reader_->feedEnd();
+    if (result == ReadState::Done && !foreign_ && !informational_ && busy_) {
+        keepAlive_ = false;
+        return finish();
+    }
+    failWith("connection closed before the answer was whole");
+}
+
+auto UpstreamConnection::abort() -> void
+{
+    const auto self = shared_from_this();
+    busy_ = false;
+    keepAlive_ = false;
+    // The hooks may hold the caller of this function.
+    boost::asio::post(channel_->executor(), [hooks = std::exchange(hooks_, AnswerHooks())] {});
+    channel_->abort();
+}
+
+} // namespace applehatch::gateway
--- /dev/null
+++ b/src/gateway/upstream-pool.cc
@@ -0,0 +1,121 @@
+#include "applehatch/gateway/upstream-pool.h"
+
+#include "applehatch/telemetry/clock.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace applehatch::gateway {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+auto keyOf(const Address &address) -> std::string
+{
+    return address.ip + ':' + std::to_string(address.port);
+}
+
+} // namespace
+
+// A connection that is being opened, and the timer that gives it up.
+struct UpstreamPool::Opening
+{
+    explicit Opening(asio::io_context &loop)
+        : socket(loop)
+        , timer(loop)
+    { }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    bool settled = false;
+};
+
+UpstreamPool::UpstreamPool(asio::io_context &loop)
+    : loop_(loop)
+{ }
+
+auto UpstreamPool::acquire(const Address &address, const Taker &taker) -> void
+{
+    const auto kept = kept_.find(keyOf(address));
+    const auto now = telemetry::steadyNow();
+    while (kept != kept_.end() && !kept->second.empty()) {
+        const auto last = std::move(kept->second.back());
+        kept->second.pop_back();
+        if (last.until > now && last.connection->isReusable())
+            return taker(last.connection, false);
+        last.connection->abort();
+    }
+    open(address, taker);
+}
+
+auto UpstreamPool::open(const Address &address, const Taker &taker) -> void
+{
+    error_code error;
+    const auto ip = asio::ip::make_address(address.ip, error);
+    if (error)
+        return taker(nullptr, true);
+    auto opening = std::make_shared<Opening>(loop_);
+    opening->socket.open(asio::ip::tcp::v4(), error);
+    if (error)
+        return taker(nullptr, true);
+    ++opened_;
+    const ChannelLimits limits{unacknowledgedLimit};
+    setChannelOptions(opening->socket, limits);
+    opening->timer.expires_after(connectTimeout);
+    opening->timer.async_wait([opening](error_code aborted) {
+        if (aborted || opening->settled)
+            return;
+        error_code ignored;
+        opening->socket.close(ignored);
+    });
+    opening->socket.async_connect({ip, address.port}, [opening, limits, taker](error_code failed) {
+        opening->settled = true;
+        opening->timer.cancel();
+        if (failed)
+            return taker(nullptr, true);
+        const auto connection = std::make_shared<UpstreamConnection>(std::move(opening->socket));
+        connection->start(limits);
+        taker(connection, true);
+    });
+}
+
+auto UpstreamPool::release(const Address &address, const UpstreamConnectionPtr &connection) -> void
+{
+    if (!connection->isReusable()) {
+        connection->abort();
+        return;
+    }
+    const auto told = connection->keptFor();
+    const auto kept = told ? std::chrono::duration_cast<Duration>(*told * keptShare) : keptUntold;
+    kept_[keyOf(address)].push_back({connection, telemetry::steadyNow() + kept});
+}
+
+auto UpstreamPool::drop(const Address &address) -> void
+{
+    const auto kept = kept_.find(keyOf(address));
+    if (kept == kept_.end())
+        return;
+    for (const auto &each : kept->second)
+        each.connection->abort();
+    kept_.erase(kept);
+}
+
+auto UpstreamPool::expire(Instant now) -> void
+{
+    for (auto &[key, kept] : kept_) {
+        std::erase_if(kept, [now](const Kept &each) {
+            if (each.until > now && each.connection->isReusable())
+                return false;
+            each.connection->abort();
+            return true;
+        });
+    }
+    std::erase_if(kept_, [](const auto &entry) { return entry.second.empty(); });
+}
+
+} // namespace applehatch::gateway
--- a/src/process/settings-feed.cc
+++ b/src/process/settings-feed.cc
@@ -1,6 +1,6 @@
 #include "applehatch/process/settings-feed.h"
 
-#include "applehatch/process/clock.h"
+#include "applehatch/telemetry/clock.h"
 #include "applehatch/telemetry/logger.h"
 
 #include <utility>
@@ -18,7 +18,7 @@
     if (!file.member.empty())
         identity.self = settings::upstreamId(file.team, file.pool, file.member);
     identity.dataCenter = file.dataCenter;
-    identity.seed = core::stableHash(file.name, wallMicroseconds());
+    identity.seed = core::stableHash(file.name, telemetry::wallMicroseconds());
     return identity;
 }
 
@@ -33,7 +33,7 @@
     , links_(links)
     , client_(file_->settings)
     , hostListClient_(file_->hostList)
-    , hostListPace_(core::stableHash(file_->name, wallMicroseconds()))
+    , hostListPace_(core::stableHash(file_->name, telemetry::wallMicroseconds()))
     , hooks_(std::move(hooks))
     , replica_(identityOf(*file_))
 { }
@@ -108,7 +108,7 @@
     std::vector<core::SettingsAction> actions;
     {
         const std::lock_guard lock(mutex_);
-        actions = replica_.handle(std::move(event), steadyNow());
+        actions = replica_.handle(std::move(event), telemetry::steadyNow());
     }
     for (auto &action : actions)
         act(action, asker);
--- a/src/router/router-admin.cc
+++ b/src/router/router-admin.cc
@@ -1,7 +1,7 @@
 // What the router shows operators: metrics and the administration API's source.
 #include "router-host.h"
 
-#include "applehatch/process/clock.h"
+#include "applehatch/telemetry/clock.h"
 
 namespace applehatch::router {
 
@@ -69,21 +69,21 @@
     source.subtrees = [this] { return feed_.status(); };
     source.load = [this](core::UpstreamId upstream) {
         return node_.read([upstream](const RouterNode &node) {
-            return node.loads().find(upstream, process::steadyNow());
+            return node.loads().find(upstream, telemetry::steadyNow());
         });
     };
     source.poolLoad = [this](const core::Pool &pool) {
         return node_.read([&pool](const RouterNode &node) {
-            return node.loads().poolLoad(pool, process::steadyNow());
+            return node.loads().poolLoad(pool, telemetry::steadyNow());
         });
     };
     source.explain = [this](const std::string &team, const std::string &pool,
                             const std::string &chat, const std::string &contextToken) {
         return node_.read([&](const RouterNode &node) {
-            return node.explain(team, pool, chat, contextToken, process::steadyNow());
+            return node.explain(team, pool, chat, contextToken, telemetry::steadyNow());
         });
     };
-    source.now = process::steadyNow;
+    source.now = telemetry::steadyNow;
     return source;
 }
 
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -1,7 +1,7 @@
 #include "router-host.h"
 
 #include "applehatch/core/token.h"
-#include "applehatch/process/clock.h"
+#include "applehatch/telemetry/clock.h"
 #include "applehatch/telemetry/logger.h"
 
 #include <utility>
@@ -14,14 +14,14 @@
 
 auto identityOf(const settings::ProcessFile &file) -> core::RouterIdentity
 {
-    const auto seed = core::stableHash(file.name, process::wallMicroseconds());
+    const auto seed = core::stableHash(file.name, telemetry::wallMicroseconds());
     return {file.name, file.dataCenter, seed};
 }
 
 // Names this life of this router, so that no two requests in the fleet share an id.
 auto requestPrefix(const settings::ProcessFile &file) -> std::string
 {
-    return core::formatContext({core::stableHash(file.name), process::wallMicroseconds()}) + '.';
+    return core::formatContext({core::stableHash(file.name), telemetry::wallMicroseconds()}) + '.';
 }
 
 } // namespace
--- a/src/sidecar/run-table.cc
+++ b/src/sidecar/run-table.cc
@@ -4,7 +4,7 @@
 
 namespace applehatch::sidecar {
 
-RunTable::RunTable(const platform::UpstreamClient &client, WorkerPool &workers,
+RunTable::RunTable(const clients::UpstreamClient &client, WorkerPool &workers,
                    std::function<void(core::SidecarEvent)> report)
     : client_(client)
     , workers_(workers)
@@ -24,7 +24,7 @@
 auto RunTable::carryOut(const core::StartRun &start, const std::atomic<bool> &cancelled) -> void
 {
     const auto run = start.run;
-    platform::CallHooks hooks;
+    clients::CallHooks hooks;
     hooks.onHead = [this, run](int status, core::Headers headers, bool warm) {
         report_(core::RunHead{run, status, std::move(headers), warm});
     };
--- a/src/sidecar/run-table.h
+++ b/src/sidecar/run-table.h
@@ -1,8 +1,8 @@
 /// The runs at the upstream and the flags that stop them.
 #pragma once
 
+#include "applehatch/clients/upstream-client.h"
 #include "applehatch/core/sidecar-node.h"
-#include "applehatch/platform/upstream-client.h"
 
 #include "worker-pool.h"
 
@@ -18,7 +18,7 @@
 class RunTable
 {
 public:
-    RunTable(const platform::UpstreamClient &client, WorkerPool &workers,
+    RunTable(const clients::UpstreamClient &client, WorkerPool &workers,
              std::function<void(core::SidecarEvent)> report);
 
     auto start(core::StartRun start) -> void;
@@ -33,7 +33,7 @@
 
     auto carryOut(const core::StartRun &start, const std::atomic<bool> &cancelled) -> void;
 
-    const platform::UpstreamClient &client_;
+    const clients::UpstreamClient &client_;
     WorkerPool &workers_;
     std::function<void(core::SidecarEvent)> report_;
     std::mutex mutex_; ///< Guards `running_`.
--- a/src/sidecar/sidecar-admin.cc
+++ b/src/sidecar/sidecar-admin.cc
@@ -1,7 +1,7 @@
 // What the sidecar shows operators: metrics and the administration API's source.
 #include "sidecar-host.h"
 
-#include "applehatch/process/clock.h"
+#include "applehatch/telemetry/clock.h"
 
 #include <array>
 #include <vector>
@@ -85,15 +85,15 @@
     source.subtrees = [this] { return feed_.status(); };
     source.load = [this](core::UpstreamId upstream) {
         return node_.read([upstream](const SidecarNode &node) {
-            return node.loads().find(upstream, process::steadyNow());
+            return node.loads().find(upstream, telemetry::steadyNow());
         });
     };
     source.poolLoad = [this](const core::Pool &pool) {
         return node_.read([&pool](const SidecarNode &node) {
-            return node.loads().poolLoad(pool, process::steadyNow());
+            return node.loads().poolLoad(pool, telemetry::steadyNow());
         });
     };
-    source.now = process::steadyNow;
+    source.now = telemetry::steadyNow;
     return source;
 }
 
--- a/src/sidecar/sidecar-host.cc
+++ b/src/sidecar/sidecar-host.cc
@@ -1,6 +1,6 @@
 #include "sidecar-host.h"
 
-#include "applehatch/process/clock.h"
+#include "applehatch/telemetry/clock.h"
 #include "applehatch/telemetry/logger.h"
 
 #include <utility>
@@ -27,7 +27,7 @@
     identity.pool = file.pool;
     identity.member = file.member;
     identity.dataCenter = file.dataCenter;
-    identity.incarnation = process::wallMicroseconds();
+    identity.incarnation = telemetry::wallMicroseconds();
     identity.seed = core::stableHash(file.name, identity.incarnation);
     return identity;
 }
--- a/src/sidecar/sidecar-host.h
+++ b/src/sidecar/sidecar-host.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "applehatch/admin/api.h"
+#include "applehatch/clients/upstream-client.h"
 #include "applehatch/core/sidecar-node.h"
-#include "applehatch/platform/upstream-client.h"
 #include "applehatch/process/address-book.h"
 #include "applehatch/process/admin-server.h"
 #include "applehatch/process/drain.h"
@@ -78,7 +78,7 @@
     std::atomic<bool> isEngine_{false}; ///< Plain services have no cache to ask about.
     std::uint64_t cacheSequence_ = 0;   ///< The polling thread's.
 
-    platform::UpstreamClient upstream_;
+    clients::UpstreamClient upstream_;
     Runner node_;
     wire::LinkLoop loop_;
     process::PeerLinks links_; ///< Opened here, to other sidecars.
--- a/src/process/clock.cc
+++ b/src/telemetry/clock.cc
@@ -1,6 +1,6 @@
-#include "applehatch/process/clock.h"
+#include "applehatch/telemetry/clock.h"
 
-namespace applehatch::process {
+namespace applehatch::telemetry {
 
 auto steadyNow() -> core::Instant
 {
@@ -14,4 +14,4 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<core::Duration>(now).count());
 }
 
-} // namespace applehatch::process
+} // namespace applehatch::telemetry
--- a/test/platform/settings-client-test.cc
+++ b/test/clients/settings-client-test.cc
@@ -1,6 +1,6 @@
+#include "applehatch/clients/http.h"
+#include "applehatch/clients/settings-client.h"
 #include "applehatch/emulator/platform.h"
-#include "applehatch/platform/http.h"
-#include "applehatch/platform/settings-client.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -45,7 +45,7 @@
 BOOST_AUTO_TEST_CASE(a_read_gives_every_team_with_its_index)
 {
     emulator::Platform platform;
-    const platform::SettingsClient client(platform.address());
+    const clients::SettingsClient client(platform.address());
     core::SettingsRead read;
     BOOST_TEST(!client.read(std::nullopt, 1s, read));
     BOOST_TEST(read.index == 1U);
@@ -66,7 +66,7 @@
 {
     emulator::Platform platform;
     const auto index = platform.putTeam("ledgerworks", "{}");
-    const platform::SettingsClient client(platform.address());
+    const clients::SettingsClient client(platform.address());
     core::SettingsRead read;
     auto watch = std::async(std::launch::async, [&] { return client.read(index, 60s, read); });
     waitUntil([&] { return platform.calls().waiting == 1; });
@@ -84,7 +84,7 @@
 {
     emulator::Platform platform;
     const auto index = platform.putTeam("ledgerworks", "{}");
-    const platform::SettingsClient client(platform.address());
+    const clients::SettingsClient client(platform.address());
     core::SettingsRead read;
     BOOST_TEST(!client.read(index, 0s, read));
     BOOST_TEST(read.unchanged);
@@ -102,7 +102,7 @@
 {
     emulator::Platform platform;
     const auto index = platform.putTeam("ledgerworks", "{}");
-    platform::SettingsClient client(platform.address());
+    clients::SettingsClient client(platform.address());
     core::SettingsRead read;
     auto watch = std::async(std::launch::async, [&] { return client.read(index, 600s, read); });
     waitUntil([&] { return platform.calls().waiting == 1; });
@@ -117,7 +117,7 @@
     emulator::Platform platform;
     const auto older = platform.putTeam("ledgerworks", "old");
     platform.putTeam("ledgerworks", "new");
-    const platform::SettingsClient client(platform.address());
+    const clients::SettingsClient client(platform.address());
     core::SettingsRead read;
     platform.setStale(older);
     BOOST_TEST(!client.read(std::nullopt, 1s, read));
@@ -182,8 +182,8 @@
          bad},
     };
     emulator::Platform platform;
-    const platform::SettingsClient settings(platform.address());
-    const platform::HostListClient hosts(platform.address());
+    const clients::SettingsClient settings(platform.address());
+    const clients::HostListClient hosts(platform.address());
     for (const auto &row : rows) {
         BOOST_TEST_CONTEXT(row.name)
         {
@@ -211,7 +211,7 @@
                   {"Key": "teams/a/b", "Value": "e30=", "ModifyIndex": 2},
                   {"Key": "teams/a", "Value": "e30=", "ModifyIndex": 3}])"));
     core::SettingsRead read;
-    BOOST_TEST(!platform::SettingsClient(platform.address()).read(std::nullopt, 1s, read));
+    BOOST_TEST(!clients::SettingsClient(platform.address()).read(std::nullopt, 1s, read));
     BOOST_REQUIRE(read.texts.size() == 1U);
     BOOST_TEST(*read.texts[0].text == "{}");
 }
@@ -222,7 +222,7 @@
 {
     emulator::Platform platform;
     platform.setHost("127.0.0.9", core::HostState::Live);
-    const platform::HostListClient client(platform.address());
+    const clients::HostListClient client(platform.address());
     core::HostList list;
     BOOST_TEST(!client.read(5s, list));
     const auto first = list;
@@ -246,9 +246,9 @@
     before.setHost("127.0.0.9", core::HostState::Live);
     anew.setHost("127.0.0.9", core::HostState::Leaving);
     core::HostList list;
-    BOOST_TEST(!platform::HostListClient(before.address()).read(5s, list));
+    BOOST_TEST(!clients::HostListClient(before.address()).read(5s, list));
     const auto version = list.version;
-    const platform::HostListClient client(anew.address());
+    const clients::HostListClient client(anew.address());
     BOOST_TEST(!client.read(5s, list));
     BOOST_TEST(anew.calls().hostListUnchanged == 1U);
     list.version = 0;
@@ -264,7 +264,7 @@
     auto platform = std::make_unique<emulator::Platform>();
     platform->setHost("127.0.0.9", core::HostState::Leaving);
     const auto address = platform->address();
-    const platform::HostListClient client(address);
+    const clients::HostListClient client(address);
     core::HostList list;
     BOOST_TEST(!client.read(5s, list));
     BOOST_TEST((list.hosts == std::vector{core::Host{"127.0.0.9", core::HostState::Leaving}}));
@@ -287,7 +287,7 @@
     for (const auto &bytes : {head + "\r\n{\"version\"", head, std::string()}) {
         platform.setRawAnswer(Service::HostList, bytes, true);
         core::HostList list;
-        const auto failed = platform::HostListClient(platform.address()).read(100ms, list);
+        const auto failed = clients::HostListClient(platform.address()).read(100ms, list);
         BOOST_TEST(failed == std::make_error_code(std::errc::timed_out));
     }
 }
@@ -296,13 +296,13 @@
 {
     emulator::Platform platform;
     platform.setWeightRate(1);
-    platform::HttpRequest request;
+    clients::HttpRequest request;
     request.server = platform.address();
     request.path = "/v1/weights/sheet-writer";
-    platform::HttpResponse response;
-    BOOST_TEST(!platform::exchange(request, response));
+    clients::HttpResponse response;
+    BOOST_TEST(!clients::exchange(request, response));
     BOOST_TEST(response.status == 200);
-    BOOST_TEST(!platform::exchange(request, response));
+    BOOST_TEST(!clients::exchange(request, response));
     BOOST_TEST(response.status == 429);
     BOOST_TEST(response.header("retry-after") == "1");
 }
@@ -310,21 +310,21 @@
 BOOST_AUTO_TEST_CASE(control_calls_change_the_standin)
 {
     emulator::Platform platform;
-    platform::HttpRequest request;
+    clients::HttpRequest request;
     request.server = platform.address();
     request.method = "POST";
     request.path = "/control";
     request.body = R"({"putTeam": {"team": "a", "text": "{}"}, "down": ["hostList"]})";
-    platform::HttpResponse response;
-    BOOST_TEST(!platform::exchange(request, response));
+    clients::HttpResponse response;
+    BOOST_TEST(!clients::exchange(request, response));
     BOOST_TEST(response.status == 200);
     core::SettingsRead read;
     core::HostList list;
-    BOOST_TEST(!platform::SettingsClient(platform.address()).read(std::nullopt, 1s, read));
+    BOOST_TEST(!clients::SettingsClient(platform.address()).read(std::nullopt, 1s, read));
     BOOST_TEST(read.texts.size() == 1U);
-    BOOST_TEST(!!platform::HostListClient(platform.address()).read(1s, list));
+    BOOST_TEST(!!clients::HostListClient(platform.address()).read(1s, list));
     request.body = R"({"noSuchOrder": 1})";
-    BOOST_TEST(!platform::exchange(request, response));
+    BOOST_TEST(!clients::exchange(request, response));
     BOOST_TEST(response.status == 400);
 }
 
--- a/test/platform/upstream-client-test.cc
+++ b/test/clients/upstream-client-test.cc
@@ -1,4 +1,4 @@
-#include "applehatch/platform/upstream-client.h"
+#include "applehatch/clients/upstream-client.h"
 
 #include "applehatch/emulator/engine.h"
 #include "applehatch/experiment/socket.h"
@@ -12,9 +12,9 @@
 
 using namespace applehatch;
 using namespace std::chrono_literals;
+using clients::CallOutcome;
 using core::RunBreak;
 using experiment::eventually;
-using platform::CallOutcome;
 
 constexpr auto ip = "127.0.41.1";
 constexpr auto silence = 300ms;
@@ -44,9 +44,9 @@
 auto runCall(const core::Address &upstream, const core::StartRun &start,
              const std::atomic<bool> &cancelled = false) -> Result
 {
-    const platform::UpstreamClient client(upstream, silence);
+    const clients::UpstreamClient client(upstream, silence);
     Result result;
-    platform::CallHooks hooks;
+    clients::CallHooks hooks;
     hooks.onHead = [&](int status, const core::Headers &, bool) { result.status = status; };
     hooks.onData = [&](const std::string &data) { result.body += data; };
     const auto begin = experiment::Clock::now();
@@ -263,7 +263,7 @@
             (void)socket.sendAll(row.answer);
             (void)socket.receive(row.answer.empty() ? 2000ms : 1ms);
         });
-        const platform::UpstreamClient client(upstream.address(), silence);
+        const clients::UpstreamClient client(upstream.address(), silence);
         const auto begin = experiment::Clock::now();
         const auto report = client.state(200ms);
         BOOST_TEST_CONTEXT(row.name)
--- a/test/router/caller-answer-test.cc
+++ b/test/router/caller-answer-test.cc
@@ -1,6 +1,6 @@
 #include "caller-answer.h"
 
-#include "applehatch/platform/http.h"
+#include "applehatch/clients/http.h"
 
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -16,7 +16,7 @@
 
 struct Served
 {
-    platform::HttpResponse response;
+    clients::HttpResponse response;
     AnswerOutcome outcome = AnswerOutcome::CallerLeft;
     std::uint64_t consumed = 0;
 };
@@ -41,11 +41,11 @@
             answered.set_value();
         };
         BOOST_REQUIRE(!server.start(options, handler, bound));
-        platform::HttpRequest request;
+        clients::HttpRequest request;
         request.server = bound;
         request.path = "/";
         request.maxBodyBytes = 2 * maxBufferedAnswer;
-        BOOST_REQUIRE(!platform::exchange(request, served.response));
+        BOOST_REQUIRE(!clients::exchange(request, served.response));
         // The whole answer can be read before the thread that wrote it says how it ended.
         answered.get_future().wait();
     }
