--- a/src/gateway/http-message.cc
+++ b/src/gateway/http-message.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace applehatch::gateway {
@@ -255,7 +256,8 @@
 {
     Base::eager(true);
     Base::skip(toHead);
-    Base::body_limit(boost::none);
+    // Not `none`: this version of the library takes every length for larger than that.
+    Base::body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
 auto ResponseReader::feed(std::string &bytes) -> ReadState
