Let a router that stops take what it can still finish when no other is ready

Ruled out: engines (loads of 12 of 64), the store, the configuration (one version all the while). Change: a stream is refused only when it could not end in time, judged by its token bound and the pace of finished streams; when another router is ready it is sent there as before. A connection younger than a second is not closed by the stop.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -51,7 +51,8 @@
     /// Whether the caller is slower than the upstream.
     [[nodiscard]] auto isCongested() const -> bool;
     [[nodiscard]] auto isIdle() const -> bool { return state_ == State::Reading && !begun_; }
-    /// Announces the close with the next answer; closes now when idle and `closeIdle`.
+    /// Announces the close with the next answer; closes now when idle and `closeIdle`,
+    /// unless it was opened a moment ago.
     auto retire(bool closeIdle) -> void;
     auto abort() -> void;
 
@@ -74,6 +75,7 @@
     boost::asio::steady_timer timer_;
     std::shared_ptr<Channel> channel_;
     CallerHooks hooks_;
+    core::Instant openedAt_;
     std::function<void()> gone_;
     std::function<void()> flushed_;
     State state_ = State::Reading;
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "applehatch/direct/dispatcher.h"
+#include "applehatch/direct/stream-pace.h"
 #include "applehatch/gateway/caller-connection.h"
 #include "applehatch/gateway/event-cutter.h"
 #include "applehatch/gateway/upstream-pool.h"
@@ -49,9 +50,9 @@
     std::function<void(const std::string &id, const std::string &event, const std::string &why)>
         note;
     std::function<void(const ExchangeReport &)> ended;
-    /// When the process stops altogether; none while it does not. A stream that cannot end before
-    /// is not begun.
-    std::function<std::optional<Instant>()> stopsAt;
+    direct::StreamPace *pace = nullptr;
+    /// How long streams that begin now have, where the process stops and no longer takes them all.
+    std::function<std::optional<Duration>()> leftForStreams;
 };
 
 /// Sends a request to one upstream after another as its route allows, and relays the answer.
@@ -99,6 +100,7 @@
     };
 
     auto readTerms() -> void;
+    [[nodiscard]] auto comesTooLate() const -> bool;
     auto attempt() -> void;
     auto useConnection(const UpstreamConnectionPtr &connection, bool isNew) -> void;
     auto sendRequest() -> void;
@@ -138,6 +140,7 @@
     EventCutter events_;
     boost::asio::steady_timer timeUp_;
     boost::asio::steady_timer silence_;
+    std::uint32_t mostTokens_ = 0; // Of the answer; 0 when that is not told.
     std::uint32_t sent_ = 0;
     std::uint32_t connectFailures_ = 0;
     ExchangeReport report_;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -84,6 +84,8 @@
     auto exchangeEnded(const ExchangeReport &report) -> void;
     auto tick() -> void;
     auto continueStop(Instant now) -> void;
+    [[nodiscard]] auto leftForStreams() const -> std::optional<Duration>;
+    [[nodiscard]] auto hasReadyPeer(Instant now) const -> bool;
     auto catchUp(Instant now) -> void;
     [[nodiscard]] auto callerLimits() const -> direct::CallerLimits;
 
@@ -93,6 +95,7 @@
     RegistryDecoder decoder_;
     direct::Dispatcher dispatcher_;
     direct::RegistryReplica replica_;
+    direct::StreamPace pace_;
     UpstreamPool pool_;
     GatewayMetrics metrics_;
     PeerMesh mesh_;
--- a/include/applehatch/gateway/vocabulary.h
+++ b/include/applehatch/gateway/vocabulary.h
@@ -31,6 +31,7 @@
     std::string priority;       ///< 0 is the most urgent.
     std::string loadReport;
     std::string prompt;      ///< The parts of a prompt, in order.
+    std::string tokens;      ///< Tokens of the prompt and, at most, of the answer.
     std::string fetchFrom;   ///< Names an engine to fetch the prompt's context from.
     std::string lastEventId; ///< Where a resumed stream goes on.
     std::string keyScheme;   ///< Before the key in `Authorization`.
@@ -41,6 +42,8 @@
 
     std::function<direct::Prompt(std::string_view)> readPrompt;
     std::function<std::optional<LoadReport>(std::string_view)> readLoad;
+    /// The most tokens that an answer has; 0 when that is not told.
+    std::function<std::uint32_t(std::string_view)> readMostTokens;
 };
 
 } // namespace applehatch::gateway
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -1,5 +1,7 @@
 #include "applehatch/gateway/caller-connection.h"
 
+#include "applehatch/telemetry/clock.h"
+
 #include <utility>
 
 namespace applehatch::gateway {
@@ -13,6 +15,9 @@
 // A kept connection is closed this much after the limit told to callers, so that a request sent at
 // the last moment is not cut.
 constexpr Duration idleGrace = std::chrono::seconds(2);
+// A connection this young was opened to send a request that is on its way; closed, its caller would
+// have to connect anew.
+constexpr Duration newFor = std::chrono::seconds(1);
 constexpr int badRequest = 400;
 constexpr int requestTimeout = 408;
 constexpr int bodyTooLarge = 413;
@@ -37,6 +42,7 @@
     : timer_(socket.get_executor())
     , channel_(std::make_shared<Channel>(std::move(socket)))
     , hooks_(std::move(hooks))
+    , openedAt_(telemetry::steadyNow())
 { }
 
 auto CallerConnection::start() -> void
@@ -216,7 +222,8 @@
 auto CallerConnection::retire(bool closeIdle) -> void
 {
     closeAfter_ = true;
-    if (!closeIdle || !isIdle())
+    const auto isNew = telemetry::steadyNow() - openedAt_ < newFor;
+    if (!closeIdle || !isIdle() || isNew)
         return;
     state_ = State::Ended;
     timer_.cancel();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -113,8 +113,7 @@
     permit_ = std::get<direct::Permit>(std::move(admitted));
     readTerms();
     host_.dispatcher->noteRequest(permit_, arrivedAt_);
-    const auto stopsAt = host_.stopsAt();
-    if (stopsAt && permit_.route->kind == RouteKind::Stream) {
+    if (comesTooLate()) {
         const auto wait = host_.dispatcher->retryAfter();
         return answerFailure({ErrorKind::Draining, Run::NotRun, "process is stopping", wait});
     }
@@ -122,6 +121,13 @@
     attempt();
 }
 
+auto Exchange::comesTooLate() const -> bool
+{
+    const auto leftForStreams = host_.leftForStreams();
+    return leftForStreams && permit_.route->kind == RouteKind::Stream
+        && !host_.pace->endsWithin(mostTokens_, *leftForStreams);
+}
+
 auto Exchange::readTerms() -> void
 {
     const auto told = parseMilliseconds(request_.headers.find(host_.vocabulary->deadline));
@@ -130,6 +136,8 @@
     givenUpAt_ = arrivedAt_ + (told ? std::min(*told, allowed) : allowed);
     if (const auto *prompt = request_.headers.find(host_.vocabulary->prompt))
         demand_.prompt = host_.vocabulary->readPrompt(*prompt);
+    if (const auto *tokens = request_.headers.find(host_.vocabulary->tokens))
+        mostTokens_ = host_.vocabulary->readMostTokens(*tokens);
     const auto *credentials = request_.headers.find("Authorization");
     auto asked = request_.method + ' ' + request_.target + '\n';
     asked += credentials == nullptr ? std::string() : *credentials;
@@ -282,10 +290,8 @@
     }
     now_.notRun = head.headers.find(words.notRun) != nullptr || head.status == misdirected;
     now_.head = head;
-    const auto *type = head.headers.find("Content-Type");
     now_.isStream = permit_.route->kind == RouteKind::Stream && isSuccess(head.status)
         && head.headers.find(words.proof) != nullptr;
-    static_cast<void>(type);
     if (now_.isStream && phase_ == Phase::Searching)
         relayHead(head);
 }
@@ -362,6 +368,7 @@
     }
     noteOutcome(Outcome::Served);
     host_.dispatcher->suspects().noteServed(demand_.fingerprint);
+    host_.pace->noteStream(mostTokens_, telemetry::steadyNow() - arrivedAt_);
     closeAttempt(true);
     caller_->end();
     finish("answered", "");
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -4,6 +4,7 @@
 #include "applehatch/telemetry/clock.h"
 #include "applehatch/telemetry/logger.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace applehatch::gateway {
@@ -84,11 +85,8 @@
         log(LogLine(event).add("request", id).add("why", why));
     };
     exchangeHost_.ended = [this](const ExchangeReport &report) { exchangeEnded(report); };
-    exchangeHost_.stopsAt = [this]() -> std::optional<Instant> {
-        if (!stopAskedAt_ || steadyNow() - *stopAskedAt_ < takesStreamsFor)
-            return std::nullopt;
-        return *stopAskedAt_ + settings_.stopWithin;
-    };
+    exchangeHost_.pace = &pace_;
+    exchangeHost_.leftForStreams = [this] { return leftForStreams(); };
     metrics_.setGauges(
         {[this] { return static_cast<double>(inFlight_); },
          [this] { return callers_ == nullptr ? 0 : static_cast<double>(callers_->connections()); },
@@ -355,6 +353,24 @@
     log(LogLine("stopping").add("inFlight", static_cast<std::int64_t>(inFlight_)));
 }
 
+auto GatewayHost::leftForStreams() const -> std::optional<Duration>
+{
+    const auto now = steadyNow();
+    if (!stopAskedAt_ || now - *stopAskedAt_ < takesStreamsFor)
+        return std::nullopt;
+    // When all routers are stopped in turn faster than they come back, the balancer sends callers
+    // to routers that stop. Those then take what they can still finish; otherwise they end sooner.
+    if (hasReadyPeer(now))
+        return Duration(0);
+    return *stopAskedAt_ + settings_.stopWithin - endMargin - now;
+}
+
+auto GatewayHost::hasReadyPeer(Instant now) const -> bool
+{
+    const auto peers = mesh_.table().alive(now);
+    return std::any_of(peers.begin(), peers.end(), [](const PeerRow &row) { return !row.leaving; });
+}
+
 auto GatewayHost::continueStop(Instant now) -> void
 {
     const auto since = now - *stopAskedAt_;
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -252,7 +252,11 @@
     words.readPrompt = [](std::string_view text) {
         return direct::Prompt{{core::stableHash(text), 100}, {1, 10}};
     };
+    words.tokens = "Token-Counts";
     words.readLoad = [](std::string_view) { return std::nullopt; };
+    words.readMostTokens = [](std::string_view text) {
+        return static_cast<std::uint32_t>(std::stoul(std::string(text)));
+    };
     return words;
 }
 
--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -143,6 +143,30 @@
     BOOST_TEST(runUntil(loop, [&] { return loop.stopped(); }));
 }
 
+// All routers are stopped in turn, faster than they come back. The balancer finds none ready and
+// sends callers to those that stop. A short stream is served there; one that would be cut when the
+// process ends is refused at once, and its caller is told that it did not run.
+BOOST_AUTO_TEST_CASE(the_last_router_takes_what_it_can_finish)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream upstream(loop, "one", [](UpstreamSide &side, const std::string &request) {
+        side.send(streamHead(request) + eventChunk(1) + std::string(lastChunk));
+    });
+    Gateway gateway(loop);
+    gateway.tell(testConfiguration(), {upstream.entry("pool")});
+    gateway.host.stop();
+    runUntil(
+        loop, [] { return false; }, 2600ms);
+    auto briefly = gateway.caller();
+    briefly.send(testing::requestText("/stream/a", "r1", "Token-Counts: 20\r\n"));
+    BOOST_TEST(briefly.gets("piece-1"));
+    auto endless = gateway.caller();
+    endless.send(testing::requestText("/stream/a", "r2", "Token-Counts: 2000\r\n"));
+    BOOST_TEST(endless.gets("HTTP/1.1 503"));
+    BOOST_TEST(!headerOf(endless.received, "Retry-After").empty());
+    BOOST_TEST(upstream.requests().size() == 1);
+}
+
 // The registry turns one router away and serves the other. The first learns configuration and
 // upstreams from its peer, found through a seed, and refuses a revoked key like everybody.
 BOOST_AUTO_TEST_CASE(a_router_without_the_registry_learns_from_its_peer)
