--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -50,6 +50,8 @@
 
     /// Whether the caller is slower than the upstream.
     [[nodiscard]] auto isCongested() const -> bool;
+    /// Whether the caller is still there to be answered.
+    [[nodiscard]] auto isWaiting() const -> bool { return state_ == State::Answering; }
     [[nodiscard]] auto isIdle() const -> bool { return state_ == State::Reading && !begun_; }
     /// Announces the close with the next answer; closes now when idle and `closeIdle`,
     /// unless it was opened a moment ago.
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -74,6 +75,8 @@
 
 private:
     auto takeRequest(const CallerPtr &caller, RequestMessage request) -> void;
+    auto startExchange(const CallerPtr &caller, RequestMessage request) -> void;
+    auto releaseEarly(Instant now) -> void;
     auto answerReadiness(const CallerPtr &caller) const -> void;
     auto answerMetrics(const CallerPtr &caller) -> void;
     auto answerPeer(const CallerPtr &caller, const RequestMessage &request) const -> void;
@@ -103,6 +106,15 @@
     std::list<Listener> listeners_;
     Listener *callers_ = nullptr;
     boost::asio::steady_timer tick_;
+    /// A request that came before the first configuration.
+    struct EarlyRequest
+    {
+        CallerPtr caller;
+        RequestMessage request;
+        Instant until;
+    };
+
+    std::deque<EarlyRequest> early_; // Oldest first.
     std::size_t inFlight_ = 0;
     std::optional<Instant> stopAskedAt_;
     std::optional<Instant> behindSince_;
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -26,6 +26,9 @@
 constexpr Duration mayEndAfter = std::chrono::milliseconds(3300);
 // Left before the platform would kill the process.
 constexpr Duration endMargin = std::chrono::milliseconds(350);
+// A process that starts again has callers at once, and a configuration some 30 ms later. Requests
+// wait that long rather than be refused; beyond it the registry is away, and they are told so.
+constexpr Duration waitsForConfiguration = std::chrono::milliseconds(250);
 // The registry's own watch usually brings a change sooner than this; then a peer is asked.
 constexpr Duration behindFor = std::chrono::milliseconds(250);
 constexpr int ok = 200;
@@ -166,11 +169,28 @@
 }
 
 auto GatewayHost::takeRequest(const CallerPtr &caller, RequestMessage request) -> void
+{
+    if (dispatcher_.ready())
+        return startExchange(caller, std::move(request));
+    early_.push_back({caller, std::move(request), steadyNow() + waitsForConfiguration});
+}
+
+auto GatewayHost::startExchange(const CallerPtr &caller, RequestMessage request) -> void
 {
     ++inFlight_;
     std::make_shared<Exchange>(exchangeHost_, caller, std::move(request))->run();
 }
 
+auto GatewayHost::releaseEarly(Instant now) -> void
+{
+    while (!early_.empty() && (dispatcher_.ready() || early_.front().until <= now)) {
+        auto first = std::move(early_.front());
+        early_.pop_front();
+        if (first.caller->isWaiting())
+            startExchange(first.caller, std::move(first.request));
+    }
+}
+
 auto GatewayHost::exchangeEnded(const ExchangeReport &report) -> void
 {
     --inFlight_;
@@ -280,6 +300,8 @@
         pool_.drop(upstream.address);
     }
     dispatcher_.setUpstreams(std::move(decoded.upstreams));
+    mesh_.tellNow();
+    releaseEarly(steadyNow());
 }
 
 auto GatewayHost::peerHeard(const PeerDigest &digest) -> void
@@ -300,7 +322,7 @@
     }
     if (!behindSince_)
         behindSince_ = now;
-    if (!replica_.reachable() || now - *behindSince_ >= behindFor)
+    if (!dispatcher_.ready() || !replica_.reachable() || now - *behindSince_ >= behindFor)
         mesh_.fetchNewer(replica_.revision());
 }
 
@@ -333,6 +355,7 @@
     dispatcher_.setRouters(mesh_.table().routers(now));
     pool_.expire(now);
     catchUp(now);
+    releaseEarly(now);
     for (auto &listener : listeners_)
         listener.sweep();
     if (stopAskedAt_)
--- a/src/gateway/peer-mesh.cc
+++ b/src/gateway/peer-mesh.cc
@@ -105,6 +105,12 @@
     }
 }
 
+auto PeerMesh::tellNow() -> void
+{
+    if (socket_.is_open())
+        send();
+}
+
 auto PeerMesh::noteLiveness(Instant now) -> void
 {
     std::vector<std::string> alive;
--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -24,8 +24,8 @@
 
 BOOST_AUTO_TEST_SUITE(gateway_process)
 
-// A router has just started and knows no configuration. Its callers must not be told that their
-// route or key does not exist; they are told to come back.
+// A router has just started and its registry is away. Its callers must not be told that their route
+// or key does not exist; they are told to come back, and not after seconds.
 BOOST_AUTO_TEST_CASE(nothing_is_denied_before_a_configuration_is_known)
 {
     asio::io_context loop(1);
@@ -39,6 +39,25 @@
     BOOST_TEST(statusOfReadiness(loop, gateway) == "200");
 }
 
+// A router starts again after a kill, and callers come before it has read its configuration some
+// milliseconds later. They are served then; the one that has left meanwhile causes no work.
+BOOST_AUTO_TEST_CASE(callers_that_come_early_are_served_when_the_configuration_is_there)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream upstream(loop, "one", servesAll);
+    Gateway gateway(loop);
+    auto caller = gateway.caller();
+    auto left = gateway.caller();
+    caller.send(testing::requestText("/safe/a", "r1"));
+    left.send(testing::requestText("/safe/b", "r2"));
+    runUntil(loop, [] { return false; }, 50ms);
+    left.leave();
+    runUntil(loop, [] { return false; }, 50ms);
+    gateway.tell(testConfiguration(), {upstream.entry("pool")});
+    BOOST_TEST(caller.gets("served"));
+    BOOST_TEST(upstream.requests().size() == 1);
+}
+
 // Unknown routes and keys are denied, also on a connection that was open when the key was revoked;
 // an older configuration that comes late changes nothing.
 BOOST_AUTO_TEST_CASE(a_revoked_key_is_refused_at_once_and_for_good)
