Say that a request did not run only when that is certain; keep an answer until its retry can be

Ruled out: requests that run at most once; they are not repeated. Change: a retry begins only when there is an upstream for it; otherwise the answer that is there is delivered, and without one the final answer is 502. The version of the configuration stands in the log line of refused requests too.

--- a/include/applehatch/direct/directory.h
+++ b/include/applehatch/direct/directory.h
@@ -107,6 +107,9 @@
     Leaving,  ///< Finishes what it has and takes nothing new.
 };
 
+/// `ready`, `doubtful` or `leaving`; for the log.
+[[nodiscard]] auto stateName(UpstreamState state) -> std::string_view;
+
 /// One upstream as its registry entry tells.
 struct Upstream
 {
--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -89,6 +89,10 @@
     [[nodiscard]] auto choose(const Permit &permit, const Demand &demand, Instant now)
         -> std::variant<Choice, core::Failure>;
 
+    /// Whether there is an upstream that has not been tried.
+    [[nodiscard]] auto hasOther(const Permit &permit, const Demand &demand, Instant now) const
+        -> bool;
+
     auto noteSent(UpstreamId upstream, const Demand &demand, Instant now) -> void;
     /// The request left `upstream`, however it ended there.
     auto noteDone(UpstreamId upstream) -> void { loads_.noteDone(upstream); }
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -101,7 +101,12 @@
 
     auto readTerms() -> void;
     [[nodiscard]] auto comesTooLate() const -> bool;
-    auto attempt() -> void;
+    /// Begins at the best upstream; false, with `refusal_` set, when there is none.
+    auto attempt() -> bool;
+    /// Begins at another upstream when the route, the budget and the time allow and there is one.
+    auto attemptAgain(const std::string &why) -> bool;
+    /// Nothing more can be tried.
+    auto answerExhausted() -> void;
     auto useConnection(const UpstreamConnectionPtr &connection, bool isNew) -> void;
     auto sendRequest() -> void;
     [[nodiscard]] auto upstreamText() const -> std::string;
@@ -118,7 +123,7 @@
     auto finishRelay() -> void;
     auto deliverHeld() -> void;
     auto closeAttempt(bool keepConnection) -> void;
-    /// Another upstream when route, budget and time allow; else the final answer.
+    /// Another upstream when that may be; else the final answer.
     auto tryAgainOr(const Failure &failure) -> void;
     [[nodiscard]] auto mayRepeat() const -> bool;
     auto answerFailure(const Failure &failure) -> void;
@@ -143,6 +148,8 @@
     std::uint32_t mostTokens_ = 0; // Of the answer; 0 when that is not told.
     std::uint32_t sent_ = 0;
     std::uint32_t connectFailures_ = 0;
+    bool mayHaveRun_ = false; // At some upstream, whatever became of it there.
+    Failure refusal_;         // Why no upstream could be chosen.
     ExchangeReport report_;
 };
 
--- a/include/applehatch/gateway/peer-mesh.h
+++ b/include/applehatch/gateway/peer-mesh.h
@@ -41,7 +41,8 @@
     auto operator=(const PeerMesh &) -> PeerMesh & = delete;
 
     auto start() -> void;
-    /// Sends a digest at once: peers that are behind learn of a change without waiting for the next.
+    /// Sends a digest at once: peers that are behind learn of a change without waiting for the
+    /// next.
     auto tellNow() -> void;
     auto setSeeds(std::vector<Address> seeds) -> void { table_.setSeeds(std::move(seeds)); }
     /// Asks the peer with the newest view of the registry for it, when that is newer than
--- a/src/direct/directory.cc
+++ b/src/direct/directory.cc
@@ -5,6 +5,19 @@
 
 namespace applehatch::direct {
 
+auto stateName(UpstreamState state) -> std::string_view
+{
+    switch (state) {
+    case UpstreamState::Ready:
+        return "ready";
+    case UpstreamState::Doubtful:
+        return "doubtful";
+    case UpstreamState::Leaving:
+        break;
+    }
+    return "leaving";
+}
+
 auto Configuration::add(Route route) -> void
 {
     auto &routes = routesOf_[route.host];
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -179,6 +179,12 @@
     return std::nullopt;
 }
 
+auto Dispatcher::hasOther(const Permit &permit, const Demand &demand, Instant now) const -> bool
+{
+    return !suspects_.isSuspect(demand.fingerprint, now)
+        && !usableOf(permit.serviceName, demand.tried, now).empty();
+}
+
 auto Dispatcher::noteSent(UpstreamId upstream, const Demand &demand, Instant now) -> void
 {
     loads_.noteSent(upstream);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -107,6 +107,8 @@
         const auto matches = equalsIgnoringCase(credentials->substr(0, scheme.size()), scheme);
         key = matches ? credentials->substr(scheme.size()) : std::string();
     }
+    if (const auto &configuration = host_.dispatcher->configuration())
+        report_.configurationVersion = configuration->version;
     auto admitted = host_.dispatcher->admit(request_.host(), request_.path(), key);
     if (const auto *refused = std::get_if<Failure>(&admitted))
         return answerFailure(*refused);
@@ -118,7 +120,8 @@
         return answerFailure({ErrorKind::Draining, Run::NotRun, "process is stopping", wait});
     }
     startTimer(timeUp_, left(), [self = shared_from_this()] { self->onTimeUp(); });
-    attempt();
+    if (!attempt())
+        answerExhausted();
 }
 
 auto Exchange::comesTooLate() const -> bool
@@ -154,13 +157,12 @@
     return std::max(Duration(0), givenUpAt_ - telemetry::steadyNow());
 }
 
-auto Exchange::attempt() -> void
+auto Exchange::attempt() -> bool
 {
     auto chosen = host_.dispatcher->choose(permit_, demand_, telemetry::steadyNow());
-    if (const auto *refused = std::get_if<Failure>(&chosen)) {
-        if (phase_ == Phase::Relaying)
-            return finish("broken-off", refused->detail);
-        return answerFailure(*refused);
+    if (auto *refused = std::get_if<Failure>(&chosen)) {
+        refusal_ = std::move(*refused);
+        return false;
     }
     now_ = Attempt();
     now_.choice = std::get<direct::Choice>(std::move(chosen));
@@ -173,6 +175,32 @@
                         [self = shared_from_this()](const auto &connection, bool isNew) {
                             self->useConnection(connection, isNew);
                         });
+    return true;
+}
+
+auto Exchange::attemptAgain(const std::string &why) -> bool
+{
+    const auto mayTry = left() > Duration(0) && sent_ < permit_.route->attempts;
+    if (!mayTry || !host_.dispatcher->hasOther(permit_, demand_, telemetry::steadyNow()))
+        return false;
+    if (!host_.dispatcher->takeRetry(permit_, telemetry::steadyNow())) {
+        host_.note(id_, "retry-denied", "budget spent: " + why);
+        return false;
+    }
+    host_.note(id_, "retried", why);
+    events_.dropPartial();
+    report_.resumed = phase_ == Phase::Relaying;
+    return attempt();
+}
+
+auto Exchange::answerExhausted() -> void
+{
+    if (phase_ == Phase::Relaying)
+        return finish("broken-off", refusal_.detail);
+    // "Not run" is told only when it is certain.
+    if (mayHaveRun_)
+        return answerFailure({ErrorKind::UpstreamFailed, Run::Unknown, refusal_.detail, {}});
+    answerFailure(refusal_);
 }
 
 auto Exchange::useConnection(const UpstreamConnectionPtr &connection, bool /*isNew*/) -> void
@@ -182,18 +210,19 @@
             host_.pool->release(now_.choice.upstream.address, connection);
         return;
     }
-    if (!connection) {
-        noteOutcome(Outcome::Unreachable);
-        host_.pool->drop(now_.choice.upstream.address);
-        host_.note(id_, "upstream-unreachable", now_.choice.upstream.instance);
-        ++connectFailures_;
-        if (connectFailures_ < mostConnectFailures)
-            return attempt();
-        const auto wait = host_.dispatcher->retryAfter();
-        return answerFailure({ErrorKind::NoUpstream, Run::NotRun, "no upstream reached", wait});
+    if (connection) {
+        now_.connection = connection;
+        return sendRequest();
     }
-    now_.connection = connection;
-    sendRequest();
+    noteOutcome(Outcome::Unreachable);
+    host_.pool->drop(now_.choice.upstream.address);
+    host_.note(id_, "upstream-unreachable", now_.choice.upstream.instance);
+    ++connectFailures_;
+    if (connectFailures_ < mostConnectFailures && attempt())
+        return;
+    const auto wait = host_.dispatcher->retryAfter();
+    refusal_ = {ErrorKind::NoUpstream, Run::NotRun, "no upstream reached", wait};
+    answerExhausted();
 }
 
 auto Exchange::sendRequest() -> void
@@ -396,12 +425,9 @@
     noteOutcome(failed ? Outcome::Failed : Outcome::Served);
     host_.dispatcher->suspects().noteServed(demand_.fingerprint);
     closeAttempt(true);
-    const auto again = failed && mayRepeat() && sent_ < permit_.route->attempts
-        && host_.dispatcher->takeRetry(permit_, telemetry::steadyNow());
-    if (again) {
-        host_.note(id_, "retried", "status " + std::to_string(head.status));
-        return attempt();
-    }
+    mayHaveRun_ = true;
+    if (failed && mayRepeat() && attemptAgain("status " + std::to_string(head.status)))
+        return;
     ResponseHead onward;
     onward.status = head.status;
     onward.reason = head.reason;
@@ -441,31 +467,27 @@
     if (phase_ == Phase::Ended || !now_.sent)
         return;
     const auto canMove = sent_ < permit_.route->attempts
-        && host_.dispatcher->takeRetry(permit_, telemetry::steadyNow());
-    if (!canMove)
-        return;
+        && host_.dispatcher->hasOther(permit_, demand_, telemetry::steadyNow());
+    if (!canMove || !host_.dispatcher->takeRetry(permit_, telemetry::steadyNow()))
+        return; // It may still answer.
     noteOutcome(Outcome::Failed);
     host_.note(id_, "upstream-silent", now_.choice.upstream.instance);
     closeAttempt(false);
+    mayHaveRun_ = true;
     events_.dropPartial();
     report_.resumed = phase_ == Phase::Relaying;
-    attempt();
+    if (!attempt())
+        answerExhausted();
 }
 
 auto Exchange::tryAgainOr(const Failure &failure) -> void
 {
-    const auto repeatable = failure.run == Run::NotRun || mayRepeat();
-    const auto again = repeatable && left() > Duration(0) && sent_ < permit_.route->attempts
-        && host_.dispatcher->takeRetry(permit_, telemetry::steadyNow());
-    if (again) {
-        host_.note(id_, "retried", failure.detail);
-        events_.dropPartial();
-        report_.resumed = phase_ == Phase::Relaying;
-        return attempt();
-    }
-    if (phase_ == Phase::Relaying)
-        return finish("broken-off", failure.detail);
-    answerFailure(failure);
+    if (failure.run != Run::NotRun)
+        mayHaveRun_ = true;
+    if ((failure.run == Run::NotRun || mayRepeat()) && attemptAgain(failure.detail))
+        return;
+    refusal_ = failure;
+    answerExhausted();
 }
 
 auto Exchange::closeAttempt(bool keepConnection) -> void
@@ -502,11 +524,11 @@
         return;
     if (now_.sent && !now_.head)
         noteOutcome(Outcome::Failed);
-    const auto wasSent = sent_ > 0;
+    mayHaveRun_ = mayHaveRun_ || now_.sent;
     closeAttempt(false);
     if (phase_ == Phase::Relaying)
         return finish("broken-off", "time is up");
-    const auto run = wasSent ? Run::Unknown : Run::NotRun;
+    const auto run = mayHaveRun_ ? Run::Unknown : Run::NotRun;
     answerFailure({ErrorKind::DeadlineExceeded, run, "time is up", std::nullopt});
 }
 
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -288,7 +288,7 @@
             log(LogLine("upstream")
                     .add("upstream", upstream.instance)
                     .add("service", upstream.service)
-                    .add("state", static_cast<std::int64_t>(upstream.state))
+                    .add("state", direct::stateName(upstream.state))
                     .add("revision", static_cast<std::int64_t>(replica_.revision())));
         if (held != before.end())
             before.erase(held);
--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -50,9 +50,11 @@
     auto left = gateway.caller();
     caller.send(testing::requestText("/safe/a", "r1"));
     left.send(testing::requestText("/safe/b", "r2"));
-    runUntil(loop, [] { return false; }, 50ms);
+    runUntil(
+        loop, [] { return false; }, 50ms);
     left.leave();
-    runUntil(loop, [] { return false; }, 50ms);
+    runUntil(
+        loop, [] { return false; }, 50ms);
     gateway.tell(testConfiguration(), {upstream.entry("pool")});
     BOOST_TEST(caller.gets("served"));
     BOOST_TEST(upstream.requests().size() == 1);
--- a/test/gateway/retries-test.cc
+++ b/test/gateway/retries-test.cc
@@ -1,5 +1,7 @@
 #include "gateway-fixture.h"
 
+#include "applehatch/telemetry/clock.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace {
@@ -130,6 +132,44 @@
     BOOST_TEST(!caller.received.ends_with(lastChunk));
 }
 
+// The only upstream ran a request and answered 500; there is none to repeat it at. The caller gets
+// that answer: a refusal would say that the request had not run.
+BOOST_AUTO_TEST_CASE(an_answer_is_not_given_up_for_a_retry_that_cannot_be)
+{
+    TwoUpstreams world([](UpstreamSide &side, const std::string &request, int) {
+        side.send("HTTP/1.1 500 Broken\r\nRan-By: proof\r\nRequest-Id: "
+                  + headerOf(request, "Request-Id") + "\r\nContent-Length: 4\r\n\r\noops");
+    });
+    world.gateway.tell(testConfiguration(2), {world.first.entry("pool")});
+    auto caller = world.gateway.caller();
+    caller.send(testing::requestText("/safe/a", "r1"));
+    BOOST_TEST(caller.gets("oops"));
+    BOOST_TEST(caller.received.starts_with("HTTP/1.1 500"));
+    BOOST_TEST(headerOf(caller.received, "Ran-By") == "proof");
+}
+
+// The same where the upstream broke off: the request may have run, so the final answer promises
+// nothing, also when the next upstream cannot be reached or there is none.
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_run_is_never_said_not_to_have)
+{
+    for (const auto hasOther : {false, true}) {
+        TwoUpstreams world([](UpstreamSide &side, const std::string &, int) { side.reset(); });
+        auto upstreams = direct::UpstreamList{world.first.entry("pool")};
+        if (hasOther) {
+            upstreams.push_back(world.second.entry("pool"));
+            upstreams.back().slots = 1; // Fuller for its slots, so the first is asked first.
+            world.gateway.host.dispatcher().loads().noteReport(upstreams.back().id, 1, 0,
+                                                               telemetry::steadyNow());
+            world.second.closeListener();
+        }
+        world.gateway.tell(testConfiguration(2), upstreams);
+        auto caller = world.gateway.caller();
+        caller.send(testing::requestText("/safe/a", "r1"));
+        BOOST_TEST(caller.gets("HTTP/1.1 502"));
+        BOOST_TEST(world.runs == 1);
+    }
+}
+
 // An upstream takes a request and never answers, while its connection stays open. A request that
 // may be repeated is taken elsewhere long before its deadline.
 BOOST_AUTO_TEST_CASE(a_silent_upstream_is_left)
--- a/test/platform/registry-client-test.cc
+++ b/test/platform/registry-client-test.cc
@@ -143,8 +143,9 @@
     Store store([](UpstreamSide &side, const std::string &call, std::size_t number) {
         if (!isRange(call))
             return number == 1 ? side.send(answer("410 Gone", "{}")) : void();
-        side.send(answer("200 OK", page(item(number == 0 ? versionOne : versionTwo, 5 + int(number)),
-                                        7 + int(number))));
+        side.send(answer(
+            "200 OK",
+            page(item(number == 0 ? versionOne : versionTwo, 5 + int(number)), 7 + int(number))));
     });
     BOOST_TEST(store.hasVersion(2));
 }
@@ -166,7 +167,8 @@
         case 4:
             return side.send(answer("429 Slow Down", ""));
         default:
-            return isRange(call) ? side.send(answer("200 OK", page(item(versionTwo, 8), 9))) : void();
+            return isRange(call) ? side.send(answer("200 OK", page(item(versionTwo, 8), 9)))
+                                 : void();
         }
     });
     BOOST_TEST(store.hasVersion(1));
@@ -183,9 +185,9 @@
 {
     Store store([](UpstreamSide &side, const std::string &call, std::size_t number) {
         if (isRange(call))
-            side.send(answer("200 OK", page(item(number == 0 ? versionOne : versionTwo,
-                                                 5 + int(number)),
-                                            7 + int(number))));
+            side.send(answer("200 OK",
+                             page(item(number == 0 ? versionOne : versionTwo, 5 + int(number)),
+                                  7 + int(number))));
     });
     BOOST_TEST(store.hasVersion(1));
     BOOST_TEST(store.hasVersion(2));
