--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,5 +1,7 @@
 #include "applehatch/gateway/exchange.h"
 
+#include "onward.h"
+
 #include "applehatch/telemetry/clock.h"
 
 #include <algorithm>
@@ -23,8 +25,6 @@
 constexpr int misdirected = 421;
 constexpr int tooManyRequests = 429;
 constexpr int unavailable = 503;
-constexpr int mostUrgent = 0;
-constexpr int leastUrgent = 9;
 constexpr int firstSuccess = 200;
 constexpr int firstRedirect = 300;
 
@@ -61,12 +61,6 @@
     return text.data();
 }
 
-auto millisecondsText(Duration duration) -> std::string
-{
-    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    return std::to_string(std::max<std::chrono::milliseconds::rep>(1, count));
-}
-
 auto startTimer(boost::asio::steady_timer &timer, Duration after, std::function<void()> action)
     -> void
 {
@@ -246,45 +240,6 @@
     now_.connection->send(std::move(wire), std::move(hooks));
 }
 
-auto Exchange::upstreamText() const -> std::string
-{
-    const auto &words = *host_.vocabulary;
-    auto dropped = connectionHeaders(request_.headers, words.kept);
-    dropped.insert(dropped.end(), words.routerOnly.begin(), words.routerOnly.end());
-    for (const auto *own : {"Authorization", "Content-Length", "Expect"})
-        dropped.emplace_back(own);
-    for (const auto &own : {words.deadline, words.customer, words.expectInstance, words.priority})
-        dropped.push_back(own);
-    const auto resumes = phase_ == Phase::Relaying && !events_.lastId().empty();
-    if (resumes)
-        dropped.push_back(words.lastEventId);
-    const auto isDropped = [&dropped](const std::string &name) {
-        return std::any_of(dropped.begin(), dropped.end(), [&name](const std::string &each) {
-            return equalsIgnoringCase(each, name);
-        });
-    };
-    RequestMessage onward;
-    onward.method = request_.method;
-    onward.target = request_.target;
-    onward.body = request_.body;
-    for (const auto &field : request_.headers.fields()) {
-        if (!isDropped(field.name))
-            onward.headers.add(field.name, field.value);
-    }
-    onward.headers.add(words.deadline, millisecondsText(left()));
-    onward.headers.add(words.expectInstance, now_.choice.upstream.instance);
-    if (!permit_.customer.empty())
-        onward.headers.add(words.customer, permit_.customer);
-    if (!demand_.prompt.empty())
-        onward.headers.add(words.priority,
-                           std::to_string(std::clamp(permit_.priority, mostUrgent, leastUrgent)));
-    if (resumes)
-        onward.headers.add(words.lastEventId, events_.lastId());
-    if (const auto &from = now_.choice.fetchFrom)
-        onward.headers.add(words.fetchFrom, from->ip + ':' + std::to_string(from->port));
-    return requestText(onward);
-}
-
 auto Exchange::armSilence() -> void
 {
     if (!mayRepeat())
@@ -329,20 +284,8 @@
 {
     phase_ = Phase::Relaying;
     report_.status = head.status;
-    ResponseHead onward;
-    onward.status = head.status;
-    onward.reason = head.reason;
+    auto onward = onwardHead(head);
     onward.framing = Framing::Chunked;
-    auto dropped = connectionHeaders(head.headers, {});
-    dropped.emplace_back("Content-Length");
-    for (const auto &field : head.headers.fields()) {
-        const auto isDropped =
-            std::any_of(dropped.begin(), dropped.end(), [&field](const std::string &name) {
-                return equalsIgnoringCase(name, field.name);
-            });
-        if (!isDropped)
-            onward.headers.add(field.name, field.value);
-    }
     caller_->begin(std::move(onward));
     caller_->onFlushed([self = shared_from_this()] {
         if (self->now_.connection)
@@ -428,22 +371,9 @@
     mayHaveRun_ = true;
     if (failed && mayRepeat() && attemptAgain("status " + std::to_string(head.status)))
         return;
-    ResponseHead onward;
-    onward.status = head.status;
-    onward.reason = head.reason;
-    auto dropped = connectionHeaders(head.headers, {});
-    dropped.emplace_back("Content-Length");
-    for (const auto &field : head.headers.fields()) {
-        const auto isDropped =
-            std::any_of(dropped.begin(), dropped.end(), [&field](const std::string &name) {
-                return equalsIgnoringCase(name, field.name);
-            });
-        if (!isDropped)
-            onward.headers.add(field.name, field.value);
-    }
     report_.status = head.status;
     report_.firstByte = telemetry::steadyNow() - arrivedAt_;
-    caller_->answer(std::move(onward), held);
+    caller_->answer(onwardHead(head), held);
     finish("answered", "");
 }
 
