--- a/src/bench/caller-server-bench.cc
+++ b/src/bench/caller-server-bench.cc
@@ -21,12 +21,12 @@
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 using applehatch::gateway::CallerHooks;
 using applehatch::gateway::CallerPtr;
 using applehatch::gateway::Listener;
 using applehatch::gateway::RequestMessage;
 using applehatch::gateway::ResponseHead;
+using asio::ip::tcp;
 
 constexpr int connections = 300; // A router's open streams at the size to design for.
 constexpr int requestsEach = 20;
@@ -77,11 +77,10 @@
         }
     }
     const auto each = static_cast<double>(residentKb() - memoryBefore) / connections;
-    const auto perRequest
-        = (processorSeconds() - processorBefore) / (connections * requestsEach) * 1e6;
-    std::cout << R"({"server":")" << name << R"(","connections":)" << connections
-              << R"(,"kbEach":)" << each << R"(,"processorUsEachRequest":)" << perRequest
-              << "}\n";
+    const auto perRequest =
+        (processorSeconds() - processorBefore) / (connections * requestsEach) * 1e6;
+    std::cout << R"({"server":")" << name << R"(","connections":)" << connections << R"(,"kbEach":)"
+              << each << R"(,"processorUsEachRequest":)" << perRequest << "}\n";
 }
 
 auto runLoop() -> void
@@ -116,9 +115,15 @@
 auto runCivet() -> void
 {
     const auto threads = std::to_string(connections);
-    const std::array<const char *, 9> options{
-        "listening_ports", "127.0.0.1:0", "num_threads", threads.c_str(), "enable_keep_alive",
-        "yes",             "tcp_nodelay", "1",           nullptr};
+    const std::array<const char *, 9> options{"listening_ports",
+                                              "127.0.0.1:0",
+                                              "num_threads",
+                                              threads.c_str(),
+                                              "enable_keep_alive",
+                                              "yes",
+                                              "tcp_nodelay",
+                                              "1",
+                                              nullptr};
     mg_init_library(0);
     mg_callbacks callbacks{};
     auto *server = mg_start(&callbacks, nullptr, const_cast<const char **>(options.data()));
