Compare an engine's pace without the bias of the first events

Cause: the mean over all engines began at nothing and rose over some 150 events, so that in the first seconds of a process ordinary engines counted as slow and got a lower bound. Found by reading, shown by a test that failed first: 2.25 where 1 is usual and 1.5 the tolerance. Ruled out: the engines' own means, which start from their first event.

--- a/include/applehatch/direct/upstream-health.h
+++ b/include/applehatch/direct/upstream-health.h
@@ -63,6 +63,7 @@
     };
 
     double allFirstEventMs_ = 0;
+    std::uint64_t allFirstEvents_ = 0;
 
     std::unordered_map<UpstreamId, Held> held_;
 };
--- a/src/direct/upstream-health.cc
+++ b/src/direct/upstream-health.cc
@@ -43,7 +43,10 @@
     const auto weight = std::max(firstEventWeight, 1.0 / held.firstEvents);
     held.firstEventMs += weight * (ms - held.firstEventMs);
     constexpr double share = 0.1; // All upstreams together send several times as many.
-    allFirstEventMs_ += share * firstEventWeight * (ms - allFirstEventMs_);
+    ++allFirstEvents_;
+    const auto weightOfAll =
+        std::max(share * firstEventWeight, 1.0 / static_cast<double>(allFirstEvents_));
+    allFirstEventMs_ += weightOfAll * (ms - allFirstEventMs_);
 }
 
 auto UpstreamHealth::slowness(UpstreamId upstream) const -> double
--- a/test/direct/limits-test.cc
+++ b/test/direct/limits-test.cc
@@ -64,6 +64,20 @@
     BOOST_TEST(health.failureShare(2, start) == 0);
 }
 
+// A router has just started and seen a few first events from each of four engines, three of them
+// equally fast. Counted as slow, these would get a lower bound and their contexts would scatter.
+// The one that is four times slower is told apart.
+BOOST_AUTO_TEST_CASE(only_slow_engines_count_as_slow)
+{
+    UpstreamHealth health;
+    for (int round = 0; round < 6; ++round) {
+        for (UpstreamId engine = 1; engine <= 4; ++engine)
+            health.noteFirstEvent(engine, engine == 4 ? 400ms : 100ms);
+    }
+    BOOST_TEST(health.slowness(1) < 1.5);
+    BOOST_TEST(health.slowness(4) > 2);
+}
+
 // An upstream's host is dark. It is left alone for a moment, for longer each time it fails again,
 // and taken back with its first answer.
 BOOST_AUTO_TEST_CASE(an_unreachable_upstream_is_left_alone_for_a_while)
