Run no timer's action after it was stopped

The loop had been held up for 215 ms; the request's bytes and the idle limit of its connection were then found in the same turn. Asio's cancel has no effect on a handler that is queued already, so the connection was closed while its request ran. The timers of an exchange had the same fault: a silence timer of one upstream could end the try at the next.

Now: `Timer` counts its starts and stops, and an action that was stopped never runs. An idle connection with unread bytes is not closed; the request is read.

Before: the new test red on both connections, with the count and the look for unread bytes taken out.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -4,8 +4,7 @@
 #include "applehatch/direct/directory.h"
 #include "applehatch/gateway/channel.h"
 #include "applehatch/gateway/http-message.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "applehatch/gateway/timer.h"
 
 #include <functional>
 #include <memory>
@@ -70,11 +69,13 @@
     auto refuse(int status) -> void;
     auto takeRequest() -> void;
     auto finishAnswer() -> void;
+    /// Ends the connection unless a request has come meanwhile that is not read yet.
+    auto closeIdle() -> void;
+    auto awaitRequest() -> void;
     auto ended() -> void;
-    auto startTimer(Duration after, std::function<void()> action) -> void;
     auto writeHead(ResponseHead head) -> void;
 
-    boost::asio::steady_timer timer_;
+    Timer timer_;
     std::shared_ptr<Channel> channel_;
     CallerHooks hooks_;
     core::Instant openedAt_;
--- a/include/applehatch/gateway/channel.h
+++ b/include/applehatch/gateway/channel.h
@@ -52,6 +52,8 @@
 
     auto start(Hooks hooks, ChannelLimits limits) -> void;
     auto write(std::string_view bytes) -> void;
+    /// Bytes have come that were not read yet; closing now would lose them.
+    [[nodiscard]] auto hasUnread() const -> bool;
     [[nodiscard]] auto unsent() const -> std::size_t { return out_.size(); }
     /// While paused no bytes are read, so that a fast sender is slowed by a slow receiver.
     auto setPaused(bool paused) -> void;
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -5,10 +5,11 @@
 #include "applehatch/direct/stream-pace.h"
 #include "applehatch/gateway/caller-connection.h"
 #include "applehatch/gateway/event-cutter.h"
+#include "applehatch/gateway/timer.h"
 #include "applehatch/gateway/upstream-pool.h"
 #include "applehatch/gateway/vocabulary.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -143,8 +144,8 @@
     Phase phase_ = Phase::Searching;
     Attempt now_;
     EventCutter events_;
-    boost::asio::steady_timer timeUp_;
-    boost::asio::steady_timer silence_;
+    Timer timeUp_;
+    Timer silence_;
     std::uint32_t mostTokens_ = 0; // Of the answer; 0 when that is not told.
     std::uint32_t sent_ = 0;
     std::uint32_t connectFailures_ = 0;
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -2,6 +2,8 @@
 
 #include "applehatch/telemetry/clock.h"
 
+#include <boost/asio/post.hpp>
+
 #include <utility>
 
 namespace applehatch::gateway {
@@ -55,19 +57,10 @@
         if (self->flushed_)
             self->flushed_();
     };
-    startTimer(hooks_.limits().idleTimeout + idleGrace, [self] { self->abort(); });
+    awaitRequest();
     channel_->start(std::move(hooks), ChannelLimits{});
 }
 
-auto CallerConnection::startTimer(Duration after, std::function<void()> action) -> void
-{
-    timer_.expires_after(after);
-    timer_.async_wait([action = std::move(action)](boost::system::error_code error) {
-        if (!error)
-            action();
-    });
-}
-
 auto CallerConnection::takeBytes(std::string &bytes) -> void
 {
     input_ += std::exchange(bytes, {});
@@ -85,8 +78,8 @@
     if (!begun_ && !input_.empty()) {
         begun_ = true;
         reader_.emplace(limits.headerBytes, limits.bodyBytes);
-        startTimer(limits.headerTimeout,
-                   [self = shared_from_this()] { self->refuse(requestTimeout); });
+        timer_.start(limits.headerTimeout,
+                     [self = shared_from_this()] { self->refuse(requestTimeout); });
     }
     if (!begun_)
         return;
@@ -99,14 +92,14 @@
     if (!reader_->headRead())
         return;
     // Each part of a body is awaited for the time that a connection may stay idle.
-    startTimer(limits.idleTimeout, [self = shared_from_this()] { self->refuse(requestTimeout); });
+    timer_.start(limits.idleTimeout, [self = shared_from_this()] { self->refuse(requestTimeout); });
     if (!headBefore && reader_->expectsContinue())
         channel_->write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 auto CallerConnection::takeRequest() -> void
 {
-    timer_.cancel();
+    timer_.stop();
     state_ = State::Answering;
     begun_ = false;
     auto message = reader_->take();
@@ -182,7 +175,7 @@
     state_ = State::Ended;
     gone_ = nullptr;
     flushed_ = nullptr;
-    timer_.cancel();
+    timer_.stop();
     channel_->close();
 }
 
@@ -198,22 +191,33 @@
         state_ = State::Ended;
         channel_->close();
         // A peer that never closes its end would keep the socket for good.
-        startTimer(idleGrace, [channel = channel_] { channel->abort(); });
+        timer_.start(idleGrace, [channel = channel_] { channel->abort(); });
         return;
     }
     state_ = State::Reading;
     channel_->setPaused(false);
-    startTimer(hooks_.limits().idleTimeout + idleGrace,
-               [self = shared_from_this()] { self->abort(); });
+    awaitRequest();
     if (input_.empty())
         return;
     // Not at once: the hook that answered may still be on the stack.
-    boost::asio::post(timer_.get_executor(), [self = shared_from_this()] {
+    boost::asio::post(channel_->executor(), [self = shared_from_this()] {
         if (self->state_ == State::Reading)
             self->read();
     });
 }
 
+auto CallerConnection::awaitRequest() -> void
+{
+    timer_.start(hooks_.limits().idleTimeout + idleGrace,
+                 [self = shared_from_this()] { self->closeIdle(); });
+}
+
+auto CallerConnection::closeIdle() -> void
+{
+    if (!channel_->hasUnread())
+        abort();
+}
+
 auto CallerConnection::isCongested() const -> bool
 {
     return channel_->unsent() > congestedAt;
@@ -223,24 +227,24 @@
 {
     closeAfter_ = true;
     const auto isNew = telemetry::steadyNow() - openedAt_ < newFor;
-    if (!closeIdle || !isIdle() || isNew)
+    if (!closeIdle || !isIdle() || isNew || channel_->hasUnread())
         return;
     state_ = State::Ended;
-    timer_.cancel();
+    timer_.stop();
     channel_->close();
-    startTimer(idleGrace, [channel = channel_] { channel->abort(); });
+    timer_.start(idleGrace, [channel = channel_] { channel->abort(); });
 }
 
 auto CallerConnection::abort() -> void
 {
-    timer_.cancel();
+    timer_.stop();
     channel_->abort();
     ended();
 }
 
 auto CallerConnection::ended() -> void
 {
-    timer_.cancel();
+    timer_.stop();
     state_ = State::Ended;
     flushed_ = nullptr;
     const auto gone = std::exchange(gone_, nullptr);
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -130,6 +130,12 @@
     });
 }
 
+auto Channel::hasUnread() const -> bool
+{
+    error_code error;
+    return state_ != State::Closed && socket_.available(error) > 0 && !error;
+}
+
 auto Channel::setPaused(bool paused) -> void
 {
     paused_ = paused;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -61,16 +61,6 @@
     return text.data();
 }
 
-auto startTimer(boost::asio::steady_timer &timer, Duration after, std::function<void()> action)
-    -> void
-{
-    timer.expires_after(after);
-    timer.async_wait([action = std::move(action)](boost::system::error_code error) {
-        if (!error)
-            action();
-    });
-}
-
 } // namespace
 
 auto statusOf(const Failure &failure) -> int
@@ -86,8 +76,8 @@
     , caller_(std::move(caller))
     , request_(std::move(request))
     , arrivedAt_(telemetry::steadyNow())
-    , timeUp_(*host.loop)
-    , silence_(*host.loop)
+    , timeUp_(host.loop->get_executor())
+    , silence_(host.loop->get_executor())
 { }
 
 auto Exchange::run() -> void
@@ -113,7 +103,7 @@
         const auto wait = host_.dispatcher->retryAfter();
         return answerFailure({ErrorKind::Draining, Run::NotRun, "process is stopping", wait});
     }
-    startTimer(timeUp_, left(), [self = shared_from_this()] { self->onTimeUp(); });
+    timeUp_.start(left(), [self = shared_from_this()] { self->onTimeUp(); });
     if (!attempt())
         answerExhausted();
 }
@@ -250,7 +240,7 @@
         ? route.eventPause * silentAfterPauses
         : route.objective * silentAfterObjectives;
     const auto wait = std::clamp<Duration>(usual, silentAtLeast, silentAtMost);
-    startTimer(silence_, wait, [self = shared_from_this()] { self->onSilent(); });
+    silence_.start(wait, [self = shared_from_this()] { self->onSilent(); });
 }
 
 auto Exchange::mayRepeat() const -> bool
@@ -422,7 +412,7 @@
 
 auto Exchange::closeAttempt(bool keepConnection) -> void
 {
-    silence_.cancel();
+    silence_.stop();
     if (now_.sent)
         host_.dispatcher->noteDone(now_.choice.upstream.id);
     now_.sent = false;
@@ -485,8 +475,8 @@
     if (phase_ == Phase::Ended)
         return;
     phase_ = Phase::Ended;
-    timeUp_.cancel();
-    silence_.cancel();
+    timeUp_.stop();
+    silence_.stop();
     if (outcome == "broken-off")
         caller_->breakOff();
     report_.requestId = id_;
--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 namespace {
 
 using namespace applehatch;
@@ -207,6 +209,31 @@
     BOOST_TEST(caller.gets("served"));
 }
 
+// A router is held up for a moment, by a large configuration or a slow host. A caller's request
+// comes just before its idle connection was due to be closed, and both are found together. The
+// request must be answered; its caller would else see a connection that breaks without an answer.
+BOOST_AUTO_TEST_CASE(a_request_that_comes_with_the_idle_limit_is_answered)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream upstream(loop, "one", servesAll);
+    Gateway gateway(loop);
+    auto configuration = testConfiguration();
+    configuration->limits.idleTimeout = 100ms; // Closed 2 s after it.
+    gateway.tell(configuration, {upstream.entry("pool")});
+    auto fresh = gateway.caller();
+    auto kept = gateway.caller();
+    kept.send(testing::requestText("/safe/a", "r1"));
+    BOOST_TEST(kept.gets("served"));
+    kept.received.clear();
+    runUntil(
+        loop, [] { return false; }, 1900ms);
+    fresh.send(testing::requestText("/safe/a", "r2"));
+    kept.send(testing::requestText("/safe/a", "r3"));
+    std::this_thread::sleep_for(500ms);
+    BOOST_TEST(fresh.gets("served"));
+    BOOST_TEST(kept.gets("served"));
+}
+
 // An operator scrapes the metrics and finds the request that was just answered.
 BOOST_AUTO_TEST_CASE(metrics_tell_of_requests)
 {
