--- a/include/applehatch/direct/choice.h
+++ b/include/applehatch/direct/choice.h
@@ -41,6 +41,8 @@
 {
     std::uint64_t context = 0;
     UpstreamId upstream = 0;
+
+    auto operator==(const ContextPlace &) const -> bool = default;
 };
 
 /// Where shared contexts were sent lately, by this router and by its peers.
@@ -53,7 +55,7 @@
     static constexpr std::size_t capacity = 20000;
     /// Upstreams remembered for one context.
     static constexpr std::size_t placesEach = 4;
-    /// Peers are told of uses this young: two or three digests carry each.
+    /// Peers are told of uses this young at the least: two or three digests carry each.
     static constexpr Duration toldFor = std::chrono::milliseconds(500);
     /// Uses in one digest; 64 of 16 bytes keep it within one datagram.
     static constexpr std::size_t mostTold = 64;
@@ -62,8 +64,9 @@
     auto notePeer(const std::vector<ContextPlace> &places, Instant now) -> void;
     /// The upstream used last comes first.
     [[nodiscard]] auto places(std::uint64_t context, Instant now) const -> std::vector<UpstreamId>;
-    /// Own uses of the last moment.
-    [[nodiscard]] auto recentUses(Instant now) -> std::vector<ContextPlace>;
+    /// Own uses of the last moment, each once; of `within`, where peers are told less often.
+    [[nodiscard]] auto recentUses(Instant now, Duration within = toldFor)
+        -> std::vector<ContextPlace>;
 
 private:
     struct Use
--- a/include/applehatch/direct/load-book.h
+++ b/include/applehatch/direct/load-book.h
@@ -26,7 +26,8 @@
 class LoadBook
 {
 public:
-    /// A peer's counts are void after this long; about five lost datagrams at the usual pace.
+    /// A peer's counts are void after this long unless set otherwise; about five lost datagrams at
+    /// the usual pace.
     static constexpr Duration peerLifetime = std::chrono::milliseconds(1500);
     /// A report is void after this long: by then most of what it counted has finished.
     static constexpr Duration reportLifetime = std::chrono::milliseconds(400);
@@ -37,6 +38,9 @@
     auto noteReport(UpstreamId upstream, std::uint32_t running, std::uint32_t waiting, Instant now)
         -> void;
     auto forget(UpstreamId upstream) -> void;
+    /// Where peers tell less often, their counts must hold for longer.
+    auto setPeerLifetime(Duration lifetime) -> void { lifetime_ = lifetime; }
+    /// Drops the counts of peers that fell silent.
     auto expire(Instant now) -> void;
 
     [[nodiscard]] auto own(UpstreamId upstream) const -> std::uint32_t;
@@ -51,6 +55,12 @@
         std::unordered_map<UpstreamId, std::uint32_t> running;
         Instant toldAt;
     };
+    using Counts = std::unordered_map<UpstreamId, std::uint32_t>;
+
+    auto addToPeers(const Counts &counts) -> void;
+    auto takeFromPeers(const Counts &counts) -> void;
+    [[nodiscard]] auto ofPeers(UpstreamId upstream, Instant now) const -> std::uint32_t;
+
     struct Report
     {
         std::uint32_t total = 0;
@@ -60,6 +70,12 @@
 
     std::unordered_map<UpstreamId, std::uint32_t> own_;
     std::unordered_map<PeerId, Peer> peers_;
+    Duration lifetime_ = peerLifetime;
+    // Sums of `peers_`, which a choice takes for each upstream: 390 peers before 730 upstreams
+    // would make 285,000 look-ups. Whole until `sumsHoldUntil_`, when a peer may have fallen
+    // silent.
+    Counts sums_;
+    Instant sumsHoldUntil_;
     std::unordered_map<UpstreamId, Report> reports_;
 };
 
--- a/include/applehatch/direct/registry-replica.h
+++ b/include/applehatch/direct/registry-replica.h
@@ -4,6 +4,7 @@
 #include "applehatch/direct/directory.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -33,6 +34,14 @@
     std::vector<RegistryItem> items;
 };
 
+/// What changed after `since`, up to `revision`; all entries where `since` is 0.
+struct RegistryNews
+{
+    std::uint64_t since = 0;
+    std::uint64_t revision = 0;
+    std::vector<RegistryChange> changes;
+};
+
 /// An entry as it counts now.
 struct HeldItem
 {
@@ -63,21 +72,38 @@
     /// Takes changes up to `revision`.
     auto apply(const std::vector<RegistryChange> &changes, std::uint64_t revision, Instant now)
         -> bool;
+    /// Takes what a peer told; news that begin after the revision held would leave a gap and change
+    /// nothing.
+    auto apply(const RegistryNews &news, Instant now) -> bool;
     /// Drops what stayed doubtful for too long; true when something was.
     auto expire(Instant now) -> bool;
 
     [[nodiscard]] auto revision() const -> std::uint64_t { return revision_; }
     [[nodiscard]] auto items() const -> const std::map<std::string, HeldItem> & { return items_; }
-    /// What a peer is given.
-    [[nodiscard]] auto snapshot() const -> RegistrySnapshot;
+    /// What a peer that holds `revision` is given: the changes since, or all entries where these
+    /// are no longer known. Entries that lapsed count as removed.
+    [[nodiscard]] auto newsSince(std::uint64_t revision) const -> RegistryNews;
 
 private:
+    /// Removals remembered for peers: some 100 bytes each. A fleet that loses its 730 upstreams at
+    /// once fits.
+    static constexpr std::size_t mostRemovals = 1024;
+
+    struct Removal
+    {
+        std::string key;
+        std::uint64_t revision = 0;
+    };
+
     auto remove(const std::string &key, Instant now) -> bool;
+    auto noteRemoved(const std::string &key, std::uint64_t revision) -> void;
 
     bool reachable_ = true;
     Instant settledAt_; ///< Until then a missing entry may be back in a moment.
     std::uint64_t revision_ = 0;
     std::map<std::string, HeldItem> items_;
+    std::deque<Removal> removals_; // Oldest first.
+    std::uint64_t knownSince_ = 0; // Every later change is in `items_` or `removals_`.
 };
 
 } // namespace applehatch::direct
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "applehatch/direct/dispatcher.h"
+#include "applehatch/direct/registry-readers.h"
 #include "applehatch/direct/registry-replica.h"
 #include "applehatch/gateway/exchange.h"
 #include "applehatch/gateway/gateway-metrics.h"
@@ -62,6 +63,14 @@
     /// Finishes what is under way and stops the loop.
     auto stop() -> void;
 
+    /// Called when this router's turn to read the registry begins or ends.
+    auto onReadingTurn(std::function<void(bool reads)> hook) -> void
+    {
+        readingTurn_ = std::move(hook);
+    }
+    /// The revision from which the registry may be watched on; none when all of it must be read.
+    [[nodiscard]] auto watchableRevision() const -> std::optional<std::uint64_t>;
+
     // From the registry's client.
     auto registryRead(const direct::RegistrySnapshot &snapshot) -> void;
     auto registryChanged(const std::vector<direct::RegistryChange> &changes, std::uint64_t revision)
@@ -81,8 +90,12 @@
     auto answerMetrics(const CallerPtr &caller) -> void;
     auto answerPeer(const CallerPtr &caller, const RequestMessage &request) const -> void;
     auto applyRegistry() -> void;
+    auto logUpstreamChanges(const direct::UpstreamList &upstreams) -> void;
     auto peerHeard(const PeerDigest &digest) -> void;
-    auto peerSnapshot(const direct::RegistrySnapshot &snapshot) -> void;
+    auto peerNews(const direct::RegistryNews &news) -> void;
+    /// Decides whether this router reads the registry itself.
+    auto decideReading(Instant now) -> void;
+    [[nodiscard]] auto readsWell() const -> bool;
     auto fillDigest(PeerDigest &digest) -> void;
     auto exchangeEnded(const ExchangeReport &report) -> void;
     auto tick() -> void;
@@ -98,6 +111,8 @@
     RegistryDecoder decoder_;
     direct::Dispatcher dispatcher_;
     direct::RegistryReplica replica_;
+    direct::RegistryReaders readers_;
+    std::function<void(bool)> readingTurn_;
     direct::StreamPace pace_;
     UpstreamPool pool_;
     GatewayMetrics metrics_;
--- a/include/applehatch/gateway/peer-digest.h
+++ b/include/applehatch/gateway/peer-digest.h
@@ -16,7 +16,15 @@
 
 using core::Address;
 
-/// Sent to each peer several times a second, in one datagram.
+/// A router that reads the registry itself, as last heard, directly or through others.
+struct ReaderSeen
+{
+    Address router;
+    std::uint64_t revision = 0; ///< That it had then.
+    core::Duration age{0};      ///< Since it said so.
+};
+
+/// Sent to some peers several times a second, in one datagram.
 struct PeerDigest
 {
     Address sender;
@@ -24,7 +32,11 @@
     std::uint64_t sequence = 0; ///< Rises with each digest; an older one changes nothing.
     std::uint64_t revision = 0; ///< Of the registry, as far as the sender knows.
     bool leaving = false;
-    std::vector<Address> members; ///< Routers that the sender heard of.
+    /// Tells only of the registry, at once after a change; the lists below are empty and say
+    /// nothing.
+    bool brief = false;
+    std::vector<ReaderSeen> readers; ///< The sender among them, if it is one.
+    std::vector<Address> members;    ///< Some of the routers that the sender heard of.
     std::vector<direct::PeerLoad> loads;
     std::vector<direct::CrashCount> crashes;
     std::vector<direct::ContextPlace> contexts; ///< Used a moment ago.
@@ -34,8 +46,7 @@
 /// None for anything that is no digest.
 [[nodiscard]] auto decodeDigest(std::string_view bytes) -> std::optional<PeerDigest>;
 
-[[nodiscard]] auto encodeSnapshot(const direct::RegistrySnapshot &snapshot) -> std::string;
-[[nodiscard]] auto decodeSnapshot(std::string_view bytes)
-    -> std::optional<direct::RegistrySnapshot>;
+[[nodiscard]] auto encodeNews(const direct::RegistryNews &news) -> std::string;
+[[nodiscard]] auto decodeNews(std::string_view bytes) -> std::optional<direct::RegistryNews>;
 
 } // namespace applehatch::gateway
--- a/include/applehatch/gateway/peer-mesh.h
+++ b/include/applehatch/gateway/peer-mesh.h
@@ -3,15 +3,17 @@
 
 #include "applehatch/gateway/caller-connection.h"
 #include "applehatch/gateway/peer-table.h"
+#include "applehatch/gateway/timer.h"
 #include "applehatch/gateway/upstream-pool.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -24,15 +26,16 @@
     std::function<void(PeerDigest &)> fill;
     /// A newer digest of a peer came.
     std::function<void(const PeerDigest &)> heard;
-    /// A peer gave its view of the registry.
-    std::function<void(const direct::RegistrySnapshot &)> snapshot;
+    /// A peer gave what it knows of the registry.
+    std::function<void(const direct::RegistryNews &)> news;
     std::function<void(const std::string &event, const std::string &peer)> note;
 };
 
 class PeerMesh
 {
 public:
-    /// A digest to each router this often: loads and revisions are at most this old, plus the way.
+    /// A digest to the next routers this often: in a small fleet loads are at most this old, in a
+    /// larger one as old as `PeerTable::round`.
     static constexpr Duration period = std::chrono::milliseconds(200);
 
     PeerMesh(boost::asio::io_context &loop, UpstreamPool &pool, Address self, PeerMeshHooks hooks);
@@ -41,12 +44,13 @@
     auto operator=(const PeerMesh &) -> PeerMesh & = delete;
 
     auto start() -> void;
-    /// Sends a digest at once: peers that are behind learn of a change without waiting for the
-    /// next.
+    /// Tells the registry's revision at once: peers that are behind learn of a change without
+    /// waiting for the next digest.
     auto tellNow() -> void;
     auto setSeeds(std::vector<Address> seeds) -> void { table_.setSeeds(std::move(seeds)); }
-    /// Asks the peer with the newest view of the registry for it, when that is newer than
-    /// `revision`; one at a time.
+    /// Asks a peer that knows more of the registry than `revision` for what came since; one at a
+    /// time, and any of those with the newest view, so that a reader does not answer the whole
+    /// fleet.
     auto fetchNewer(std::uint64_t revision) -> void;
     [[nodiscard]] auto newestRevision(Instant now) const -> std::uint64_t;
     [[nodiscard]] auto table() const -> const PeerTable & { return table_; }
@@ -55,9 +59,13 @@
     auto receive() -> void;
     auto take(std::string_view bytes) -> void;
     auto tick() -> void;
-    auto send() -> void;
+    auto send(bool brief) -> void;
+    [[nodiscard]] auto newestPeer(std::uint64_t revision) -> std::optional<Address>;
     auto noteLiveness(Instant now) -> void;
-    auto request(const Address &peer, const UpstreamConnectionPtr &connection) -> void;
+    auto request(const Address &peer, std::uint64_t revision,
+                 const UpstreamConnectionPtr &connection) -> void;
+    /// The question under way is answered or given up; returns its connection.
+    auto settleFetch() -> UpstreamConnectionPtr;
 
     /// A peer that takes longer to give its view is left alone; usually it takes milliseconds.
     static constexpr Duration fetchTimeout = std::chrono::milliseconds(800);
@@ -71,15 +79,17 @@
     std::uint64_t sequence_ = 0;
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint from_;
-    boost::asio::steady_timer timer_;
-    boost::asio::steady_timer fetchTimer_;
+    Timer timer_;
+    Timer fetchTimer_;
     std::array<char, largestDatagram> buffer_{};
     UpstreamConnectionPtr fetching_;
     bool fetchPending_ = false;
     std::vector<std::string> lastAlive_;
+    std::minstd_rand random_;
 };
 
-/// The path at which a router gives its view of the registry to its peers.
-inline constexpr std::string_view snapshotPath = "/registry";
+/// The path at which a router tells its peers of the registry; the revision that the peer holds
+/// follows.
+inline constexpr std::string_view newsPath = "/registry?after=";
 
 } // namespace applehatch::gateway
--- a/include/applehatch/gateway/peer-table.h
+++ b/include/applehatch/gateway/peer-table.h
@@ -25,32 +25,62 @@
     Instant heardAt;
 };
 
+/// A router that reads the registry, heard directly or through others.
+struct ReaderRow
+{
+    Address address;
+    std::uint64_t revision = 0;
+    Instant seenAt; ///< When it said so, as far as the ages told add up.
+};
+
 /// Finds routers from seeds and from what routers tell of each other; no clock, no I/O.
 ///
-/// Seeds may be stale or down. Every router tells the addresses it knows, so one live seed, or one
-/// router that knows of this one, is enough.
+/// Seeds may be stale or down. Every router tells some addresses it knows, so one live seed, or one
+/// router that knows of this one, is enough. A digest goes to `fanout` routers at a time, in turn:
+/// to all at once, the fleet's traffic would grow with the square of its size. News of readers and
+/// of the registry's revision travel with every digest, so that all know of them after two or
+/// three.
 class PeerTable
 {
 public:
-    /// A router not heard for this long is not asked for anything.
+    /// Routers that one digest goes to. Up to so many hear each other at every digest.
+    static constexpr std::size_t fanout = 10;
+    /// A digest names so many members: 6 bytes each; all are named within a few digests.
+    static constexpr std::size_t mostMembers = 8;
+    /// A router not heard for this long, or for `aliveRounds` turns, is not asked for anything.
     static constexpr Duration aliveFor = std::chrono::milliseconds(1500);
-    /// A router not heard for this long is not told of any more.
+    /// Lost datagrams in a row: at one in twenty, three are lost once in 8,000.
+    static constexpr int aliveRounds = 3;
+    /// A router not heard for this long, or for three times as long as one counts as alive, is not
+    /// told of any more.
     static constexpr Duration knownFor = std::chrono::seconds(10);
     /// The retry share counts routers heard within this time: one that is cut off still spends.
     static constexpr Duration countedFor = std::chrono::seconds(60);
+    /// A reader not heard of for this long reads no more: three digests and the way of the news.
+    static constexpr Duration readerHeardFor = std::chrono::milliseconds(800);
 
-    explicit PeerTable(Address self);
+    /// A digest is sent each `period`.
+    PeerTable(Address self, Duration period);
 
     auto setSeeds(std::vector<Address> seeds) -> void { seeds_ = std::move(seeds); }
     /// False for a digest that is older than the last one of its sender, or this router's own.
     auto apply(const PeerDigest &digest, Instant now) -> bool;
 
-    /// Whom to send to: all known routers and the seeds.
+    /// Whom the next digest goes to: routers and seeds in turn, at most `fanout`.
+    [[nodiscard]] auto nextTargets(Instant now) -> std::vector<Address>;
+    /// All known routers and the seeds.
     [[nodiscard]] auto targets(Instant now) const -> std::vector<Address>;
-    [[nodiscard]] auto members(Instant now) const -> std::vector<Address>;
+    /// Some known routers, in turn.
+    [[nodiscard]] auto nextMembers(Instant now) -> std::vector<Address>;
     [[nodiscard]] auto alive(Instant now) const -> std::vector<PeerRow>;
+    /// Other routers that read the registry, youngest word first.
+    [[nodiscard]] auto readers(Instant now) const -> std::vector<ReaderRow>;
     /// Routers that share the retry budget, this one included; at least the number of seeds.
     [[nodiscard]] auto routers(Instant now) const -> std::size_t;
+    /// The time after which every known router has had a digest.
+    [[nodiscard]] auto round(Instant now) const -> Duration;
+    /// How long a router is believed without a further word.
+    [[nodiscard]] auto believedFor(Instant now) const -> Duration;
 
 private:
     struct Told
@@ -59,10 +89,17 @@
         Instant toldAt;
     };
 
+    auto applyReaders(const PeerDigest &digest, Instant now) -> void;
+    [[nodiscard]] auto members(Instant now) const -> std::vector<Address>;
+
     Address self_;
+    Duration period_;
     std::vector<Address> seeds_;
     std::map<std::string, PeerRow> heard_;
     std::map<std::string, Told> told_; // Named by others, not heard yet.
+    std::map<std::string, ReaderRow> readers_;
+    std::size_t targetTurn_ = 0;
+    std::size_t memberTurn_ = 0;
 };
 
 } // namespace applehatch::gateway
--- a/src/direct/choice.cc
+++ b/src/direct/choice.cc
@@ -156,13 +156,15 @@
         put(place, now);
 }
 
-auto ContextMap::recentUses(Instant now) -> std::vector<ContextPlace>
+auto ContextMap::recentUses(Instant now, Duration within) -> std::vector<ContextPlace>
 {
-    while (!uses_.empty() && now - uses_.front().at > toldFor)
+    while (!uses_.empty() && now - uses_.front().at > std::max(toldFor, within))
         uses_.pop_front();
     std::vector<ContextPlace> places;
-    for (const auto &use : uses_)
-        places.push_back(use.place);
+    for (const auto &use : uses_) {
+        if (std::find(places.begin(), places.end(), use.place) == places.end())
+            places.push_back(use.place);
+    }
     return places;
 }
 
--- a/src/direct/load-book.cc
+++ b/src/direct/load-book.cc
@@ -14,10 +14,29 @@
 auto LoadBook::notePeer(PeerId peer, const std::vector<PeerLoad> &loads, Instant now) -> void
 {
     auto &held = peers_[peer];
+    takeFromPeers(held.running);
     held.toldAt = now;
     held.running.clear();
     for (const auto &load : loads)
-        held.running[load.upstream] = load.running;
+        held.running[load.upstream] += load.running;
+    addToPeers(held.running);
+    sumsHoldUntil_ = std::min(sumsHoldUntil_, now + lifetime_);
+}
+
+auto LoadBook::addToPeers(const Counts &counts) -> void
+{
+    for (const auto &[upstream, running] : counts)
+        sums_[upstream] += running;
+}
+
+auto LoadBook::takeFromPeers(const Counts &counts) -> void
+{
+    for (const auto &[upstream, running] : counts) {
+        const auto sum = sums_.find(upstream);
+        sum->second -= running;
+        if (sum->second == 0)
+            sums_.erase(sum);
+    }
 }
 
 auto LoadBook::noteReport(UpstreamId upstream, std::uint32_t running, std::uint32_t waiting,
@@ -36,8 +55,32 @@
 
 auto LoadBook::expire(Instant now) -> void
 {
-    std::erase_if(peers_,
-                  [now](const auto &entry) { return now - entry.second.toldAt > peerLifetime; });
+    sumsHoldUntil_ = now + lifetime_;
+    for (auto peer = peers_.begin(); peer != peers_.end();) {
+        const auto holdsUntil = peer->second.toldAt + lifetime_;
+        if (now <= holdsUntil) {
+            sumsHoldUntil_ = std::min(sumsHoldUntil_, holdsUntil);
+            ++peer;
+            continue;
+        }
+        takeFromPeers(peer->second.running);
+        peer = peers_.erase(peer);
+    }
+}
+
+auto LoadBook::ofPeers(UpstreamId upstream, Instant now) const -> std::uint32_t
+{
+    if (now <= sumsHoldUntil_) {
+        const auto sum = sums_.find(upstream);
+        return sum == sums_.end() ? 0 : sum->second;
+    }
+    std::uint32_t total = 0;
+    for (const auto &[id, peer] : peers_) {
+        const auto running = peer.running.find(upstream);
+        if (running != peer.running.end() && now - peer.toldAt <= lifetime_)
+            total += running->second;
+    }
+    return total;
 }
 
 auto LoadBook::own(UpstreamId upstream) const -> std::uint32_t
@@ -49,12 +92,7 @@
 auto LoadBook::fleet(UpstreamId upstream, Instant now) const -> std::uint32_t
 {
     const auto mine = own(upstream);
-    auto counted = mine;
-    for (const auto &[id, peer] : peers_) {
-        const auto running = peer.running.find(upstream);
-        if (running != peer.running.end() && now - peer.toldAt <= peerLifetime)
-            counted += running->second;
-    }
+    const auto counted = mine + ofPeers(upstream, now);
     const auto report = reports_.find(upstream);
     if (report == reports_.end() || now - report->second.toldAt > reportLifetime)
         return counted;
--- a/src/direct/registry-replica.cc
+++ b/src/direct/registry-replica.cc
@@ -37,6 +37,9 @@
     }
     for (const auto &key : missing)
         remove(key, now);
+    // What came and went between the two views is not known here.
+    removals_.clear();
+    knownSince_ = snapshot.revision;
     return true;
 }
 
@@ -50,15 +53,40 @@
         if (isOld)
             continue;
         changed = true;
-        if (change.removed)
+        if (change.removed) {
             remove(change.item.key, now);
-        else
+            noteRemoved(change.item.key, change.item.revision);
+        } else {
             items_[change.item.key] = {change.item.value, change.item.revision, std::nullopt};
+        }
     }
     revision_ = std::max(revision_, revision);
     return changed;
 }
 
+auto RegistryReplica::apply(const RegistryNews &news, Instant now) -> bool
+{
+    if (news.since > revision_ || news.revision <= revision_)
+        return false;
+    if (news.since > 0)
+        return apply(news.changes, news.revision, now);
+    RegistrySnapshot whole{news.revision, {}};
+    for (const auto &change : news.changes) {
+        if (!change.removed)
+            whole.items.push_back(change.item);
+    }
+    return apply(whole, now);
+}
+
+auto RegistryReplica::noteRemoved(const std::string &key, std::uint64_t revision) -> void
+{
+    removals_.push_back({key, revision});
+    if (removals_.size() <= mostRemovals)
+        return;
+    knownSince_ = std::max(knownSince_, removals_.front().revision);
+    removals_.pop_front();
+}
+
 auto RegistryReplica::remove(const std::string &key, Instant now) -> bool
 {
     const auto found = items_.find(key);
@@ -86,14 +114,23 @@
         > 0;
 }
 
-auto RegistryReplica::snapshot() const -> RegistrySnapshot
+auto RegistryReplica::newsSince(std::uint64_t revision) const -> RegistryNews
 {
-    RegistrySnapshot whole{revision_, {}};
+    const auto isKnown = revision > 0 && revision >= knownSince_ && revision <= revision_;
+    RegistryNews news{isKnown ? revision : 0, revision_, {}};
     for (const auto &[key, held] : items_) {
-        if (!held.doubtfulUntil)
-            whole.items.push_back({key, held.value, held.revision});
+        if (!held.doubtfulUntil && held.revision > news.since)
+            news.changes.push_back({{key, held.value, held.revision}, false});
+    }
+    if (!isKnown)
+        return news;
+    for (const auto &removal : removals_) {
+        const auto item = items_.find(removal.key);
+        const auto isBack = item != items_.end() && !item->second.doubtfulUntil;
+        if (removal.revision > revision && !isBack)
+            news.changes.push_back({{removal.key, {}, removal.revision}, true});
     }
-    return whole;
+    return news;
 }
 
 } // namespace applehatch::direct
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -5,6 +5,7 @@
 #include "applehatch/telemetry/logger.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace applehatch::gateway {
@@ -45,6 +46,12 @@
     telemetry::writeLog(level, line.text());
 }
 
+// A router's rank among those that may read the registry.
+auto rankOf(const Address &router) -> std::uint64_t
+{
+    return core::stableHash(router.ip + ':' + std::to_string(router.port));
+}
+
 auto answerText(const CallerPtr &caller, int status, std::string_view type, std::string_view body)
     -> void
 {
@@ -65,11 +72,12 @@
     , dispatcher_(
           {settings_.dataCenter, core::stableHash(settings_.name, telemetry::wallMicroseconds())},
           settings_.retries, steadyNow())
+    , readers_(rankOf(settings_.peers), steadyNow())
     , pool_(loop)
     , mesh_(loop, pool_, settings_.peers,
             {[this](PeerDigest &digest) { fillDigest(digest); },
              [this](const PeerDigest &digest) { peerHeard(digest); },
-             [this](const direct::RegistrySnapshot &snapshot) { peerSnapshot(snapshot); },
+             [this](const direct::RegistryNews &news) { peerNews(news); },
              [this](const std::string &event, const std::string &peer) {
                  metrics_.noteEvent(event);
                  log(LogLine(event).add("peer", peer));
@@ -229,9 +237,14 @@
 
 auto GatewayHost::answerPeer(const CallerPtr &caller, const RequestMessage &request) const -> void
 {
-    if (request.target != snapshotPath)
+    const std::string_view target = request.target;
+    std::uint64_t held = 0;
+    const auto *end = target.data() + target.size();
+    const auto isAsked = target.starts_with(newsPath)
+        && std::from_chars(target.data() + newsPath.size(), end, held).ptr == end;
+    if (!isAsked)
         return answerText(caller, notFound, "text/plain", "");
-    answerText(caller, ok, "application/octet-stream", encodeSnapshot(replica_.snapshot()));
+    answerText(caller, ok, "application/octet-stream", encodeNews(replica_.newsSince(held)));
 }
 
 auto GatewayHost::registryRead(const direct::RegistrySnapshot &snapshot) -> void
@@ -277,40 +290,46 @@
                 .add("version", static_cast<std::int64_t>(decoded.configuration->version))
                 .add("revision", static_cast<std::int64_t>(replica_.revision())));
     }
+    logUpstreamChanges(decoded.upstreams);
+    dispatcher_.setUpstreams(std::move(decoded.upstreams));
+    if (readsWell())
+        mesh_.tellNow();
+    releaseEarly(steadyNow());
+}
+
+auto GatewayHost::logUpstreamChanges(const direct::UpstreamList &upstreams) -> void
+{
     std::map<direct::UpstreamId, direct::Upstream> before;
     for (const auto &upstream : dispatcher_.upstreams())
         before[upstream.id] = upstream;
-    for (const auto &upstream : decoded.upstreams) {
+    const auto revision = static_cast<std::int64_t>(replica_.revision());
+    for (const auto &upstream : upstreams) {
         const auto held = before.find(upstream.id);
-        const auto isNews = held == before.end() || held->second.state != upstream.state
-            || held->second.life != upstream.life;
+        const auto isNews = held == before.end() || held->second.state != upstream.state;
         if (isNews)
             log(LogLine("upstream")
                     .add("upstream", upstream.instance)
                     .add("service", upstream.service)
                     .add("state", direct::stateName(upstream.state))
-                    .add("revision", static_cast<std::int64_t>(replica_.revision())));
+                    .add("revision", revision));
         if (held != before.end())
             before.erase(held);
     }
     for (const auto &[id, upstream] : before) {
-        log(LogLine("upstream-gone")
-                .add("upstream", upstream.instance)
-                .add("revision", static_cast<std::int64_t>(replica_.revision())));
+        log(LogLine("upstream-gone").add("upstream", upstream.instance).add("revision", revision));
         pool_.drop(upstream.address);
     }
-    dispatcher_.setUpstreams(std::move(decoded.upstreams));
-    mesh_.tellNow();
-    releaseEarly(steadyNow());
 }
 
 auto GatewayHost::peerHeard(const PeerDigest &digest) -> void
 {
     const auto now = steadyNow();
-    const auto peer = core::stableHash(digest.sender.ip + ':' + std::to_string(digest.sender.port));
-    dispatcher_.loads().notePeer(peer, digest.loads, now);
-    dispatcher_.suspects().notePeer(peer, digest.crashes, now);
-    dispatcher_.contexts().notePeer(digest.contexts, now);
+    if (!digest.brief) {
+        const auto peer = rankOf(digest.sender);
+        dispatcher_.loads().notePeer(peer, digest.loads, now);
+        dispatcher_.suspects().notePeer(peer, digest.crashes, now);
+        dispatcher_.contexts().notePeer(digest.contexts, now);
+    }
     catchUp(now);
 }
 
@@ -322,18 +341,58 @@
     }
     if (!behindSince_)
         behindSince_ = now;
-    if (!dispatcher_.ready() || !replica_.reachable() || now - *behindSince_ >= behindFor)
+    if (!dispatcher_.ready() || !readsWell() || now - *behindSince_ >= behindFor)
         mesh_.fetchNewer(replica_.revision());
 }
 
-auto GatewayHost::peerSnapshot(const direct::RegistrySnapshot &snapshot) -> void
+auto GatewayHost::readsWell() const -> bool
 {
-    if (!replica_.apply(snapshot, steadyNow()))
+    return readers_.reads() && replica_.reachable() && replica_.revision() > 0;
+}
+
+auto GatewayHost::watchableRevision() const -> std::optional<std::uint64_t>
+{
+    if (!replica_.reachable() || replica_.revision() == 0)
+        return std::nullopt;
+    return replica_.revision();
+}
+
+auto GatewayHost::decideReading(Instant now) -> void
+{
+    std::vector<std::uint64_t> ranks;
+    for (const auto &reader : mesh_.table().readers(now))
+        ranks.push_back(rankOf(reader.address));
+    const auto before = readers_.reads();
+    const auto reads = readers_.decide(ranks, now);
+    if (reads == before)
         return;
+    const auto *event = reads ? "registry-turn" : "registry-turn-over";
+    metrics_.noteEvent(event);
+    log(LogLine(event)
+            .add("readers", static_cast<std::int64_t>(ranks.size()))
+            .add("revision", static_cast<std::int64_t>(replica_.revision())));
+    // Nobody has read the registry for a moment: it may have been away, and entries have lapsed.
+    if (reads && ranks.empty())
+        registryLost("no router reads it");
+    // What the readers tell counts like the registry's own word.
+    if (!reads)
+        registryRegained();
+    if (readingTurn_)
+        readingTurn_(reads);
+}
+
+auto GatewayHost::peerNews(const direct::RegistryNews &news) -> void
+{
+    const auto before = replica_.revision();
+    if (!replica_.apply(news, steadyNow()))
+        return catchUp(steadyNow());
     metrics_.noteEvent("registry-from-peer");
     log(LogLine("registry-from-peer")
-            .add("revision", static_cast<std::int64_t>(snapshot.revision)));
+            .add("revision", static_cast<std::int64_t>(news.revision))
+            .add("before", static_cast<std::int64_t>(before))
+            .add("changes", static_cast<std::int64_t>(news.changes.size())));
     applyRegistry();
+    catchUp(steadyNow());
 }
 
 auto GatewayHost::fillDigest(PeerDigest &digest) -> void
@@ -341,9 +400,19 @@
     const auto now = steadyNow();
     digest.revision = replica_.revision();
     digest.leaving = stopAskedAt_.has_value();
+    if (readsWell())
+        digest.readers.push_back({digest.sender, digest.revision, Duration(0)});
+    for (const auto &reader : mesh_.table().readers(now)) {
+        if (digest.readers.size() <= direct::RegistryReaders::wanted)
+            digest.readers.push_back({reader.address, reader.revision, now - reader.seenAt});
+    }
+    if (digest.brief)
+        return;
     digest.loads = dispatcher_.loads().ownLoads();
     digest.crashes = dispatcher_.suspects().ownCounts(now);
-    digest.contexts = dispatcher_.contexts().recentUses(now);
+    // Each peer hears of a use once a round.
+    digest.contexts =
+        dispatcher_.contexts().recentUses(now, mesh_.table().round(now) + PeerMesh::period);
 }
 
 auto GatewayHost::tick() -> void
@@ -351,9 +420,11 @@
     const auto now = steadyNow();
     if (replica_.expire(now))
         applyRegistry();
+    dispatcher_.loads().setPeerLifetime(mesh_.table().believedFor(now));
     dispatcher_.loads().expire(now);
     dispatcher_.setRouters(mesh_.table().routers(now));
     pool_.expire(now);
+    decideReading(now);
     catchUp(now);
     releaseEarly(now);
     for (auto &listener : listeners_)
--- a/src/gateway/peer-digest.cc
+++ b/src/gateway/peer-digest.cc
@@ -4,16 +4,20 @@
 
 #include <boost/asio/ip/address_v4.hpp>
 #include <capnp/message.h>
+#include <capnp/serialize-packed.h>
 #include <capnp/serialize.h>
 #include <kj/exception.h>
+#include <kj/io.h>
 
+#include <algorithm>
 #include <cstring>
 
 namespace applehatch::gateway {
 
 namespace {
 
-// A snapshot holds values of up to a megabyte each; the reader stops far beyond any real one.
+// All entries of a registry hold values of up to a megabyte each; the reader stops far beyond any
+// real one.
 constexpr std::uint64_t mostBytes = std::uint64_t{64} * 1024 * 1024;
 constexpr std::uint64_t mostWords = mostBytes / sizeof(capnp::word);
 
@@ -24,6 +28,15 @@
     return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
 }
 
+// Half the size of the plain form for a digest, whose counts and ages are small numbers.
+auto packedBytesOf(capnp::MallocMessageBuilder &message) -> std::string
+{
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, message);
+    const auto bytes = stream.getArray();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
 // The reader wants aligned words; bytes from a socket may lie anywhere.
 auto wordsOf(std::string_view bytes) -> kj::Array<capnp::word>
 {
@@ -60,6 +73,10 @@
     digest.sequence = from.getSequence();
     digest.revision = from.getRevision();
     digest.leaving = from.getLeaving();
+    digest.brief = from.getBrief();
+    for (const auto reader : from.getReaders())
+        digest.readers.push_back({read(reader.getRouter()), reader.getRevision(),
+                                  std::chrono::milliseconds(reader.getAgeMs())});
     for (const auto member : from.getMembers())
         digest.members.push_back(read(member));
     for (const auto load : from.getLoads())
@@ -71,18 +88,27 @@
     return digest;
 }
 
-auto readSnapshot(schema::Snapshot::Reader from) -> direct::RegistrySnapshot
+auto readNews(schema::News::Reader from) -> direct::RegistryNews
 {
-    direct::RegistrySnapshot snapshot;
-    snapshot.revision = from.getRevision();
-    for (const auto item : from.getItems()) {
+    direct::RegistryNews news;
+    news.since = from.getSince();
+    news.revision = from.getRevision();
+    for (const auto item : from.getChanges()) {
         const auto value = item.getValue();
-        snapshot.items.push_back(
-            {item.getKey().cStr(),
-             std::string(reinterpret_cast<const char *>(value.begin()), value.size()),
-             item.getRevision()});
+        direct::RegistryChange change;
+        change.item.key = item.getKey().cStr();
+        change.item.value.assign(reinterpret_cast<const char *>(value.begin()), value.size());
+        change.item.revision = item.getRevision();
+        change.removed = item.getRemoved();
+        news.changes.push_back(std::move(change));
     }
-    return snapshot;
+    return news;
+}
+
+auto ageMs(core::Duration age) -> std::uint32_t
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::max<std::chrono::milliseconds::rep>(0, count));
 }
 
 } // namespace
@@ -96,6 +122,13 @@
     root.setSequence(digest.sequence);
     root.setRevision(digest.revision);
     root.setLeaving(digest.leaving);
+    root.setBrief(digest.brief);
+    auto readers = root.initReaders(static_cast<unsigned>(digest.readers.size()));
+    for (unsigned i = 0; i < readers.size(); ++i) {
+        write(readers[i].initRouter(), digest.readers[i].router);
+        readers[i].setRevision(digest.readers[i].revision);
+        readers[i].setAgeMs(ageMs(digest.readers[i].age));
+    }
     auto members = root.initMembers(static_cast<unsigned>(digest.members.size()));
     for (unsigned i = 0; i < members.size(); ++i)
         write(members[i], digest.members[i]);
@@ -114,45 +147,49 @@
         contexts[i].setContext(digest.contexts[i].context);
         contexts[i].setUpstream(digest.contexts[i].upstream);
     }
-    return bytesOf(message);
+    return packedBytesOf(message);
 }
 
 auto decodeDigest(std::string_view bytes) -> std::optional<PeerDigest>
 {
-    const auto words = wordsOf(bytes);
     std::optional<PeerDigest> digest;
     const auto fault = kj::runCatchingExceptions([&] {
-        capnp::FlatArrayMessageReader reader(words, readerOptions());
+        kj::ArrayInputStream stream(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+        capnp::PackedMessageReader reader(stream, readerOptions());
         digest = readDigest(reader.getRoot<schema::PeerDigest>());
     });
     return fault == nullptr ? digest : std::nullopt;
 }
 
-auto encodeSnapshot(const direct::RegistrySnapshot &snapshot) -> std::string
+auto encodeNews(const direct::RegistryNews &news) -> std::string
 {
     capnp::MallocMessageBuilder message;
-    auto root = message.initRoot<schema::Snapshot>();
-    root.setRevision(snapshot.revision);
-    auto items = root.initItems(static_cast<unsigned>(snapshot.items.size()));
-    for (unsigned i = 0; i < items.size(); ++i) {
-        const auto &item = snapshot.items[i];
-        items[i].setKey(item.key.c_str());
-        items[i].setValue(
-            kj::arrayPtr(reinterpret_cast<const kj::byte *>(item.value.data()), item.value.size()));
-        items[i].setRevision(item.revision);
+    auto root = message.initRoot<schema::News>();
+    root.setSince(news.since);
+    root.setRevision(news.revision);
+    auto changes = root.initChanges(static_cast<unsigned>(news.changes.size()));
+    for (unsigned i = 0; i < changes.size(); ++i) {
+        const auto &change = news.changes[i];
+        const auto &value = change.item.value;
+        changes[i].setKey(change.item.key.c_str());
+        changes[i].setValue(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(value.data()), value.size()));
+        changes[i].setRevision(change.item.revision);
+        changes[i].setRemoved(change.removed);
     }
     return bytesOf(message);
 }
 
-auto decodeSnapshot(std::string_view bytes) -> std::optional<direct::RegistrySnapshot>
+auto decodeNews(std::string_view bytes) -> std::optional<direct::RegistryNews>
 {
     const auto words = wordsOf(bytes);
-    std::optional<direct::RegistrySnapshot> snapshot;
+    std::optional<direct::RegistryNews> news;
     const auto fault = kj::runCatchingExceptions([&] {
         capnp::FlatArrayMessageReader reader(words, readerOptions());
-        snapshot = readSnapshot(reader.getRoot<schema::Snapshot>());
+        news = readNews(reader.getRoot<schema::News>());
     });
-    return fault == nullptr ? snapshot : std::nullopt;
+    return fault == nullptr ? news : std::nullopt;
 }
 
 } // namespace applehatch::gateway
--- a/src/gateway/peer-mesh.cc
+++ b/src/gateway/peer-mesh.cc
@@ -33,11 +33,12 @@
     : pool_(pool)
     , self_(std::move(self))
     , hooks_(std::move(hooks))
-    , table_(self_)
+    , table_(self_, period)
     , life_(telemetry::wallMicroseconds())
     , socket_(loop)
-    , timer_(loop)
-    , fetchTimer_(loop)
+    , timer_(loop.get_executor())
+    , fetchTimer_(loop.get_executor())
+    , random_(static_cast<std::uint32_t>(core::stableHash(keyOf(self_), life_)))
 { }
 
 PeerMesh::~PeerMesh()
@@ -80,26 +81,24 @@
 
 auto PeerMesh::tick() -> void
 {
-    send();
+    send(false);
     noteLiveness(telemetry::steadyNow());
-    timer_.expires_after(period);
-    timer_.async_wait([this](error_code error) {
-        if (!error)
-            tick();
-    });
+    timer_.start(period, [this] { tick(); });
 }
 
-auto PeerMesh::send() -> void
+auto PeerMesh::send(bool brief) -> void
 {
     const auto now = telemetry::steadyNow();
     PeerDigest digest;
     digest.sender = self_;
     digest.life = life_;
     digest.sequence = ++sequence_;
-    digest.members = table_.members(now);
+    digest.brief = brief;
     hooks_.fill(digest);
+    if (!brief)
+        digest.members = table_.nextMembers(now);
     const auto bytes = encodeDigest(digest);
-    for (const auto &target : table_.targets(now)) {
+    for (const auto &target : brief ? table_.targets(now) : table_.nextTargets(now)) {
         error_code error; // A datagram that cannot be sent is made up for by the next one.
         socket_.send_to(asio::buffer(bytes), endpointOf(target), 0, error);
     }
@@ -108,7 +107,7 @@
 auto PeerMesh::tellNow() -> void
 {
     if (socket_.is_open())
-        send();
+        send(true);
 }
 
 auto PeerMesh::noteLiveness(Instant now) -> void
@@ -132,62 +131,84 @@
     std::uint64_t newest = 0;
     for (const auto &row : table_.alive(now))
         newest = std::max(newest, row.revision);
+    for (const auto &reader : table_.readers(now))
+        newest = std::max(newest, reader.revision);
     return newest;
 }
 
+auto PeerMesh::newestPeer(std::uint64_t revision) -> std::optional<Address>
+{
+    const auto now = telemetry::steadyNow();
+    std::uint64_t newest = revision;
+    std::vector<Address> peers;
+    const auto weigh = [&](const Address &address, std::uint64_t known) {
+        if (known <= revision || known < newest)
+            return;
+        if (known > newest)
+            peers.clear();
+        newest = known;
+        peers.push_back(address);
+    };
+    for (const auto &row : table_.alive(now))
+        weigh(row.address, row.revision);
+    for (const auto &reader : table_.readers(now))
+        weigh(reader.address, reader.revision);
+    if (peers.empty())
+        return std::nullopt;
+    return peers[random_() % peers.size()];
+}
+
 auto PeerMesh::fetchNewer(std::uint64_t revision) -> void
 {
     if (fetchPending_)
         return;
-    const auto rows = table_.alive(telemetry::steadyNow());
-    const auto newest =
-        std::max_element(rows.begin(), rows.end(), [](const PeerRow &a, const PeerRow &b) {
-            return a.revision < b.revision;
-        });
-    if (newest == rows.end() || newest->revision <= revision)
+    const auto peer = newestPeer(revision);
+    if (!peer)
         return;
     fetchPending_ = true;
-    const auto peer = newest->address;
-    fetchTimer_.expires_after(fetchTimeout);
-    fetchTimer_.async_wait([this](error_code error) {
-        if (error)
-            return;
-        fetchPending_ = false;
-        if (const auto connection = std::exchange(fetching_, nullptr))
+    fetchTimer_.start(fetchTimeout, [this] {
+        if (const auto connection = settleFetch())
             connection->abort();
     });
-    pool_.acquire(peer, [this, peer](const UpstreamConnectionPtr &connection, bool) {
+    pool_.acquire(*peer, [this, peer, revision](const UpstreamConnectionPtr &connection, bool) {
         if (connection)
-            request(peer, connection);
+            return request(*peer, revision, connection);
+        settleFetch();
+        hooks_.note("peer-fetch-failed", keyOf(*peer) + " no connection");
     });
 }
 
-auto PeerMesh::request(const Address &peer, const UpstreamConnectionPtr &connection) -> void
+auto PeerMesh::settleFetch() -> UpstreamConnectionPtr
+{
+    fetchPending_ = false;
+    fetchTimer_.stop();
+    return std::exchange(fetching_, nullptr);
+}
+
+auto PeerMesh::request(const Address &peer, std::uint64_t revision,
+                       const UpstreamConnectionPtr &connection) -> void
 {
     if (!fetchPending_)
         return connection->abort();
     fetching_ = connection;
     const auto body = std::make_shared<std::string>();
-    const auto settle = [this] {
-        fetchPending_ = false;
-        fetchTimer_.cancel();
-        return std::exchange(fetching_, nullptr);
-    };
     AnswerHooks hooks;
     hooks.head = [](ResponseHead &) {};
     hooks.body = [body](std::string_view bytes) { body->append(bytes); };
-    hooks.failed = [this, settle, peer](const std::string &why) {
-        settle();
+    hooks.failed = [this, peer](const std::string &why) {
+        settleFetch();
         hooks_.note("peer-fetch-failed", keyOf(peer) + ' ' + why);
     };
-    hooks.done = [this, settle, peer, body] {
-        if (const auto whole = settle())
+    hooks.done = [this, peer, body] {
+        if (const auto whole = settleFetch())
             pool_.release(peer, whole);
-        if (const auto snapshot = decodeSnapshot(*body))
-            hooks_.snapshot(*snapshot);
+        if (const auto news = decodeNews(*body))
+            return hooks_.news(*news);
+        hooks_.note("peer-fetch-failed", keyOf(peer) + " unreadable answer");
     };
     WireRequest wire;
-    wire.text = "GET " + std::string(snapshotPath) + " HTTP/1.1\r\nHost: " + peer.ip + "\r\n\r\n";
+    wire.text = "GET " + std::string(newsPath) + std::to_string(revision)
+        + " HTTP/1.1\r\nHost: " + peer.ip + "\r\n\r\n";
     connection->send(std::move(wire), std::move(hooks));
 }
 
--- a/src/gateway/peer-table.cc
+++ b/src/gateway/peer-table.cc
@@ -12,10 +12,24 @@
     return address.ip + ':' + std::to_string(address.port);
 }
 
+// The next `count` of `all` after those taken before; all of them when there are no more.
+auto takeInTurn(const std::vector<Address> &all, std::size_t count, std::size_t &turn)
+    -> std::vector<Address>
+{
+    if (all.size() <= count)
+        return all;
+    std::vector<Address> taken;
+    for (std::size_t i = 0; i < count; ++i)
+        taken.push_back(all[(turn + i) % all.size()]);
+    turn = (turn + count) % all.size();
+    return taken;
+}
+
 } // namespace
 
-PeerTable::PeerTable(Address self)
+PeerTable::PeerTable(Address self, Duration period)
     : self_(std::move(self))
+    , period_(period)
 { }
 
 auto PeerTable::apply(const PeerDigest &digest, Instant now) -> bool
@@ -33,14 +47,32 @@
         if (member != self_ && !heard_.contains(keyOf(member)))
             told_[keyOf(member)] = {member, now};
     }
+    applyReaders(digest, now);
     return true;
 }
 
+auto PeerTable::applyReaders(const PeerDigest &digest, Instant now) -> void
+{
+    // A sender that is not among its own readers has stopped reading.
+    readers_.erase(keyOf(digest.sender));
+    for (const auto &reader : digest.readers) {
+        if (reader.router == self_)
+            continue;
+        const auto seenAt = now - reader.age;
+        auto &row = readers_[keyOf(reader.router)];
+        if (row.seenAt < seenAt)
+            row = {reader.router, std::max(row.revision, reader.revision), seenAt};
+    }
+    std::erase_if(readers_,
+                  [now](const auto &entry) { return now - entry.second.seenAt > readerHeardFor; });
+}
+
 auto PeerTable::members(Instant now) const -> std::vector<Address>
 {
+    const auto limit = std::max(knownFor, 3 * believedFor(now));
     std::vector<Address> members;
     for (const auto &[key, row] : heard_) {
-        if (now - row.heardAt <= knownFor)
+        if (now - row.heardAt <= limit)
             members.push_back(row.address);
     }
     return members;
@@ -63,16 +95,39 @@
     return targets;
 }
 
+auto PeerTable::nextTargets(Instant now) -> std::vector<Address>
+{
+    return takeInTurn(targets(now), fanout, targetTurn_);
+}
+
+auto PeerTable::nextMembers(Instant now) -> std::vector<Address>
+{
+    return takeInTurn(members(now), mostMembers, memberTurn_);
+}
+
 auto PeerTable::alive(Instant now) const -> std::vector<PeerRow>
 {
+    const auto limit = believedFor(now);
     std::vector<PeerRow> rows;
     for (const auto &[key, row] : heard_) {
-        if (now - row.heardAt <= aliveFor)
+        if (now - row.heardAt <= limit)
             rows.push_back(row);
     }
     return rows;
 }
 
+auto PeerTable::readers(Instant now) const -> std::vector<ReaderRow>
+{
+    std::vector<ReaderRow> rows;
+    for (const auto &[key, row] : readers_) {
+        if (now - row.seenAt <= readerHeardFor)
+            rows.push_back(row);
+    }
+    std::sort(rows.begin(), rows.end(),
+              [](const ReaderRow &a, const ReaderRow &b) { return a.seenAt > b.seenAt; });
+    return rows;
+}
+
 auto PeerTable::routers(Instant now) const -> std::size_t
 {
     std::size_t counted = 1;
@@ -83,4 +138,20 @@
     return std::max(counted, seeds_.size());
 }
 
+auto PeerTable::round(Instant now) const -> Duration
+{
+    std::size_t others = 0;
+    for (const auto &[key, row] : heard_) {
+        if (now - row.heardAt <= knownFor)
+            ++others;
+    }
+    const auto digests = std::max<std::size_t>(1, (others + fanout - 1) / fanout);
+    return period_ * static_cast<Duration::rep>(digests);
+}
+
+auto PeerTable::believedFor(Instant now) const -> Duration
+{
+    return std::max(aliveFor, aliveRounds * round(now));
+}
+
 } // namespace applehatch::gateway
--- a/src/gateway/peer.capnp
+++ b/src/gateway/peer.capnp
@@ -24,6 +24,12 @@
   upstream @1 :UInt64;
 }
 
+struct ReaderSeen {
+  router @0 :Member;
+  revision @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
 struct PeerDigest {
   sender @0 :Member;
   life @1 :UInt64;
@@ -34,15 +40,19 @@
   loads @6 :List(Load);
   crashes @7 :List(Crash);
   contexts @8 :List(Context);
+  readers @9 :List(ReaderSeen);
+  brief @10 :Bool;
 }
 
 struct Item {
   key @0 :Text;
   value @1 :Data;
   revision @2 :UInt64;
+  removed @3 :Bool;
 }
 
-struct Snapshot {
-  revision @0 :UInt64;
-  items @1 :List(Item);
+struct News {
+  since @0 :UInt64;
+  revision @1 :UInt64;
+  changes @2 :List(Item);
 }
--- /dev/null
+++ b/test/direct/registry-readers-test.cc
@@ -0,0 +1,112 @@
+#include "applehatch/direct/registry-readers.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+namespace {
+
+using namespace applehatch::direct;
+using namespace std::chrono_literals;
+
+constexpr auto start = Instant(100s);
+
+/// A fleet in which every router hears at once which others read, unless it is down.
+class Fleet
+{
+public:
+    explicit Fleet(std::size_t routers)
+    {
+        for (std::uint64_t rank = 0; rank < routers; ++rank)
+            routers_.emplace_back(rank, start);
+        down_.resize(routers);
+    }
+
+    auto step(Instant now) -> void
+    {
+        const auto reading = readers();
+        for (std::size_t i = 0; i < routers_.size(); ++i) {
+            std::vector<std::uint64_t> others;
+            for (const auto rank : reading) {
+                if (rank != i)
+                    others.push_back(rank);
+            }
+            routers_[i].decide(others, now);
+        }
+    }
+
+    auto runFor(std::chrono::seconds time, Instant &now) -> void
+    {
+        const auto end = now + time;
+        for (; now < end; now += 100ms)
+            step(now);
+    }
+
+    [[nodiscard]] auto readers() const -> std::vector<std::uint64_t>
+    {
+        std::vector<std::uint64_t> reading;
+        for (std::size_t i = 0; i < routers_.size(); ++i) {
+            if (routers_[i].reads() && !down_[i])
+                reading.push_back(i);
+        }
+        return reading;
+    }
+
+    auto setDown(std::size_t router, bool down) -> void { down_[router] = down; }
+
+private:
+    std::vector<RegistryReaders> routers_;
+    std::vector<bool> down_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(registry_readers)
+
+// With one waiting watch for each router, 390 routers make 156 calls a second and as many again for
+// each change. Three watches serve a fleet of any size.
+BOOST_AUTO_TEST_CASE(three_routers_read_for_a_fleet_of_any_size)
+{
+    for (const std::size_t routers : {1U, 3U, 5U, 30U, 390U}) {
+        Fleet fleet(routers);
+        auto now = start;
+        fleet.runFor(5s, now);
+        BOOST_TEST(fleet.readers().size() == std::min(routers, RegistryReaders::wanted));
+    }
+}
+
+// All readers of a fleet die in the same moment. The others hear nobody and read at once: a change
+// that is accepted now must be in force everywhere within two seconds.
+BOOST_AUTO_TEST_CASE(readers_that_die_are_replaced_at_once)
+{
+    Fleet fleet(30);
+    auto now = start;
+    fleet.runFor(5s, now);
+    for (const auto reader : fleet.readers())
+        fleet.setDown(reader, true);
+    fleet.step(now);
+    BOOST_TEST(fleet.readers().size() >= RegistryReaders::wanted);
+    fleet.runFor(5s, now);
+    BOOST_TEST(fleet.readers().size() == RegistryReaders::wanted);
+}
+
+// A reader that comes and goes must not make others begin and stop with it; each costs a call.
+BOOST_AUTO_TEST_CASE(a_reader_that_comes_and_goes_stops_nobody)
+{
+    Fleet fleet(4);
+    auto now = start;
+    fleet.runFor(5s, now);
+    fleet.setDown(0, true);
+    fleet.step(now);
+    BOOST_TEST(fleet.readers().size() == 3);
+    for (int turn = 0; turn < 5; ++turn) {
+        fleet.setDown(0, false);
+        fleet.runFor(1s, now);
+        BOOST_TEST(fleet.readers().size() == 4);
+        fleet.setDown(0, true);
+        fleet.runFor(1s, now);
+        BOOST_TEST(fleet.readers().size() == 3);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -2,7 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <memory>
 #include <thread>
+#include <vector>
 
 namespace {
 
@@ -22,6 +25,40 @@
     return probe.received.substr(9, 3);
 }
 
+/// One gateway more than read the registry; all know the same configuration.
+class ReadingFleet
+{
+public:
+    explicit ReadingFleet(asio::io_context &loop)
+        : loop_(loop)
+    {
+        constexpr auto size = direct::RegistryReaders::wanted + 1;
+        reads.resize(size, true);
+        for (std::size_t i = 0; i < size; ++i) {
+            std::vector<core::Address> seeds;
+            if (i > 0)
+                seeds.push_back(gateways.front()->settings.peers);
+            gateways.push_back(std::make_unique<Gateway>(loop, seeds));
+            gateways[i]->host.onReadingTurn([this, i](bool turn) { reads[i] = turn; });
+            gateways[i]->tell(testConfiguration(1), {});
+        }
+    }
+
+    /// The number of the one that stops reading, since three others do.
+    auto waitForFollower() -> std::size_t
+    {
+        const auto first = [this] { return std::find(reads.begin(), reads.end(), false); };
+        BOOST_REQUIRE(runUntil(loop_, [&] { return first() != reads.end(); }));
+        return static_cast<std::size_t>(first() - reads.begin());
+    }
+
+    std::vector<bool> reads;
+    std::vector<std::unique_ptr<Gateway>> gateways;
+
+private:
+    asio::io_context &loop_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(gateway_process)
@@ -209,6 +246,39 @@
     BOOST_TEST(caller.gets("served"));
 }
 
+// Three routers read the registry for all. The other learns of a change from them at once, or it
+// would still refuse a customer's new key seconds after the operator was told that it holds.
+BOOST_AUTO_TEST_CASE(a_router_that_does_not_read_learns_of_each_change)
+{
+    asio::io_context loop(1);
+    ReadingFleet fleet(loop);
+    const auto follower = fleet.waitForFollower();
+    for (std::size_t i = 0; i < fleet.gateways.size(); ++i) {
+        fleet.gateways[i]->registry.configuration = testConfiguration(2);
+        if (i != follower)
+            fleet.gateways[i]->tell(testConfiguration(2), {});
+    }
+    BOOST_TEST(runUntil(loop, [&] {
+        return fleet.gateways[follower]->host.dispatcher().configuration()->version == 2;
+    }));
+    BOOST_TEST(std::count(fleet.reads.begin(), fleet.reads.end(), true) == 3);
+}
+
+// The registry turns away the routers that read it and would serve the other. That one notices that
+// nobody reads and does so itself; the fleet would else miss every change until the trouble is
+// over.
+BOOST_AUTO_TEST_CASE(a_router_reads_when_the_readers_are_turned_away)
+{
+    asio::io_context loop(1);
+    ReadingFleet fleet(loop);
+    const auto follower = fleet.waitForFollower();
+    for (std::size_t i = 0; i < fleet.gateways.size(); ++i) {
+        if (i != follower)
+            fleet.gateways[i]->host.registryLost("turned away");
+    }
+    BOOST_TEST(runUntil(loop, [&] { return fleet.reads[follower] == true; }));
+}
+
 // A router is held up for a moment, by a large configuration or a slow host. A caller's request
 // comes just before its idle connection was due to be closed, and both are found together. The
 // request must be answered; its caller would else see a connection that breaks without an answer.
