Refuse at once what would wait too long for a slot, and foresee the return

Now `Admission` foresees the wait from the slots taken and the mean time that one is held, and refuses at once a first try that would wait longer than 0.4 of its objective, the less urgent somewhat earlier; a customer far over its share counts as less urgent. A refused caller is told a time that grows with the callers refused before against those the service ends.

Ruled out: the memory of the engines as the bound (up to 64 requests, waits stay at 100 ms).

--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "applehatch/core/error.h"
+#include "applehatch/direct/admission.h"
 #include "applehatch/direct/choice.h"
 #include "applehatch/direct/directory.h"
 #include "applehatch/direct/load-book.h"
@@ -46,6 +47,7 @@
     Upstream upstream;
     std::uint32_t load = 0;
     std::uint32_t usable = 0;
+    Duration foreseenWait{0}; ///< For a slot there.
     bool heldContext = false;
     /// An engine that holds the context, where the chosen one does not: fetching 10,000 tokens
     /// takes some 5 ms, reading them 120 ms.
@@ -77,6 +79,10 @@
     [[nodiscard]] auto upstreams() const -> const UpstreamList & { return upstreams_; }
     [[nodiscard]] auto findUpstream(UpstreamId id) const -> const Upstream *;
 
+    /// Whether a request may still be sent to a chosen upstream: a connection may have taken
+    /// seconds to open, and one that leaves must get nothing new.
+    [[nodiscard]] auto mayTake(UpstreamId id) const -> bool;
+
     /// Finds the route and checks the key.
     [[nodiscard]] auto admit(std::string_view host, std::string_view path,
                              const std::optional<std::string> &key)
@@ -85,7 +91,7 @@
     /// Counts the request for the retry budget of its service.
     auto noteRequest(const Permit &permit, Instant now) -> void;
 
-    /// Picks an upstream that has not been tried.
+    /// Picks an upstream that has not been tried; refuses a first try that would wait too long.
     [[nodiscard]] auto choose(const Permit &permit, const Demand &demand, Instant now)
         -> std::variant<Choice, core::Failure>;
 
@@ -96,6 +102,13 @@
     auto noteSent(UpstreamId upstream, const Demand &demand, Instant now) -> void;
     /// The request left `upstream`, however it ended there.
     auto noteDone(UpstreamId upstream) -> void { loads_.noteDone(upstream); }
+    /// Counts the request for admission, from when it is sent until it leaves its upstream. `held`
+    /// is how long it kept a slot, where it was served.
+    auto noteTaken(const Permit &permit) -> void { admission_.noteSent(askOf(permit)); }
+    auto noteLeft(const Permit &permit, std::optional<Duration> held, Instant now) -> void
+    {
+        admission_.noteDone(askOf(permit), held, now);
+    }
     auto noteOutcome(UpstreamId upstream, Outcome outcome, Instant now) -> void;
     /// The first event came after `wait`.
     auto noteFirstEvent(UpstreamId upstream, Duration wait, Instant now) -> void;
@@ -106,6 +119,8 @@
     /// When a caller that is refused now should come back; spread so that callers do not return
     /// all at once.
     [[nodiscard]] auto retryAfter() -> Duration;
+    /// The same for a request that found no room: the more were refused, the later.
+    [[nodiscard]] auto returnTime(const Permit &permit, Instant now) -> Duration;
 
     [[nodiscard]] auto loads() -> LoadBook & { return loads_; }
     [[nodiscard]] auto contexts() -> ContextMap & { return contexts_; }
@@ -119,6 +134,7 @@
         -> std::optional<Address>;
     [[nodiscard]] auto drawTarget(const Route &route) -> const std::string &;
     [[nodiscard]] auto draw() -> std::uint64_t;
+    [[nodiscard]] static auto askOf(const Permit &permit) -> AdmissionAsk;
     [[nodiscard]] auto refusal(core::ErrorKind kind, std::string detail) -> core::Failure;
 
     Self self_;
@@ -133,6 +149,7 @@
     ContextMap contexts_;
     Suspects suspects_;
     RetryBudget budget_;
+    Admission admission_;
     std::size_t routers_ = 1;
 };
 
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -95,6 +95,7 @@
         Instant sentAt;
         bool sent = false;
         bool notRun = false;
+        bool served = false;
         bool isStream = false;
         std::optional<ResponseHead> head;
         std::string held; ///< Body of an answer that is not relayed as it comes.
@@ -124,6 +125,8 @@
     auto finishRelay() -> void;
     auto deliverHeld() -> void;
     auto closeAttempt(bool keepConnection) -> void;
+    /// Tells the decisions that the request has left its upstream.
+    auto noteLeft() -> void;
     /// Another upstream when that may be; else the final answer.
     auto tryAgainOr(const Failure &failure) -> void;
     [[nodiscard]] auto mayRepeat() const -> bool;
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "applehatch/direct/dispatcher.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace applehatch::direct {
@@ -19,6 +20,21 @@
 // failures in a row exceed it.
 constexpr double trustedFailureShare = 0.25;
 
+auto millisecondsText(Duration duration) -> std::string
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return std::to_string(count) + " ms";
+}
+
+// What decided, for the log.
+auto overloadText(const Choice &choice, const Verdict &verdict) -> std::string
+{
+    return "least load " + std::to_string(choice.load) + " of "
+        + std::to_string(choice.upstream.slots) + " slots, wait "
+        + millisecondsText(verdict.foreseenWait) + ", allowed "
+        + millisecondsText(verdict.patience);
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(Self self, RetryLimits retryLimits, Instant startedAt)
@@ -32,6 +48,7 @@
     if (configuration_ != nullptr && configuration->version <= configuration_->version)
         return false;
     configuration_ = std::move(configuration);
+    admission_.noteConfiguration();
     return true;
 }
 
@@ -58,6 +75,12 @@
     return found == indexOf_.end() ? nullptr : &upstreams_[found->second];
 }
 
+auto Dispatcher::mayTake(UpstreamId id) const -> bool
+{
+    const auto *upstream = findUpstream(id);
+    return upstream != nullptr && upstream->state != UpstreamState::Leaving;
+}
+
 auto Dispatcher::refusal(ErrorKind kind, std::string detail) -> Failure
 {
     return Failure{kind, Run::NotRun, std::move(detail), retryAfter()};
@@ -157,6 +180,11 @@
     Choice choice;
     choice.upstream = *upstream;
     choice.load = loads_.fleet(upstream->id, now);
+    const auto verdict = admission_.decide(askOf(permit), {choice.load, upstream->slots});
+    choice.foreseenWait = verdict.foreseenWait;
+    if (!verdict.admitted && demand.tried.empty())
+        return Failure{ErrorKind::Overloaded, Run::NotRun, overloadText(choice, verdict),
+                       returnTime(permit, now)};
     choice.usable = static_cast<std::uint32_t>(usable.size());
     choice.heldContext = std::find(holders.begin(), holders.end(), upstream->id) != holders.end();
     const auto mayFetch = permit.service != nullptr && permit.service->sharesContexts;
@@ -207,6 +235,18 @@
     return budget_.take(permit.serviceName, routers_, now);
 }
 
+auto Dispatcher::askOf(const Permit &permit) -> AdmissionAsk
+{
+    const auto &route = *permit.route;
+    return {permit.serviceName, permit.customer, permit.priority, route.priority, route.objective};
+}
+
+auto Dispatcher::returnTime(const Permit &permit, Instant now) -> Duration
+{
+    constexpr auto range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return admission_.returnTime(askOf(permit), static_cast<double>(draw()) / range, now);
+}
+
 auto Dispatcher::retryAfter() -> Duration
 {
     return earliestReturn + Duration(static_cast<Duration::rep>(draw() % returnSpread.count()));
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -194,10 +194,16 @@
             host_.pool->release(now_.choice.upstream.address, connection);
         return;
     }
-    if (connection) {
+    if (connection && host_.dispatcher->mayTake(now_.choice.upstream.id)) {
         now_.connection = connection;
         return sendRequest();
     }
+    if (connection) {
+        // Opening it took so long that the upstream has left meanwhile. Nothing was sent yet.
+        host_.pool->release(now_.choice.upstream.address, connection);
+        host_.note(id_, "upstream-left", now_.choice.upstream.instance);
+        return attempt() ? void() : answerExhausted();
+    }
     noteOutcome(Outcome::Unreachable);
     host_.pool->drop(now_.choice.upstream.address);
     host_.note(id_, "upstream-unreachable", now_.choice.upstream.instance);
@@ -215,6 +221,7 @@
     now_.sent = true;
     now_.sentAt = telemetry::steadyNow();
     host_.dispatcher->noteSent(now_.choice.upstream.id, demand_, now_.sentAt);
+    host_.dispatcher->noteTaken(permit_);
     AnswerHooks hooks;
     const auto self = shared_from_this();
     hooks.head = [self](ResponseHead &head) { self->onHead(head); };
@@ -328,9 +335,12 @@
         now_.connection->abort();
         return onFailed("ended inside an event");
     }
+    now_.served = true;
     noteOutcome(Outcome::Served);
     host_.dispatcher->suspects().noteServed(demand_.fingerprint);
-    host_.pace->noteStream(mostTokens_, telemetry::steadyNow() - arrivedAt_);
+    if (report_.firstByte)
+        host_.pace->noteStream(mostTokens_,
+                               telemetry::steadyNow() - arrivedAt_ - *report_.firstByte);
     closeAttempt(true);
     caller_->end();
     finish("answered", "");
@@ -341,8 +351,8 @@
     const auto head = *now_.head;
     const auto held = std::move(now_.held);
     const auto hasProof = head.headers.find(host_.vocabulary->proof) != nullptr;
-    const auto wait = host_.dispatcher->retryAfter();
     if (now_.notRun) {
+        const auto wait = host_.dispatcher->returnTime(permit_, telemetry::steadyNow());
         noteOutcome(Outcome::Refused);
         closeAttempt(true);
         return tryAgainOr({ErrorKind::Overloaded, Run::NotRun, "upstream refused", wait});
@@ -355,6 +365,7 @@
         return tryAgainOr({ErrorKind::UpstreamFailed, Run::Unknown, "no usable answer", {}});
     }
     const auto failed = head.status >= firstFailure;
+    now_.served = !failed;
     noteOutcome(failed ? Outcome::Failed : Outcome::Served);
     host_.dispatcher->suspects().noteServed(demand_.fingerprint);
     closeAttempt(true);
@@ -414,7 +425,7 @@
 {
     silence_.stop();
     if (now_.sent)
-        host_.dispatcher->noteDone(now_.choice.upstream.id);
+        noteLeft();
     now_.sent = false;
     const auto connection = std::exchange(now_.connection, nullptr);
     if (!connection)
@@ -425,6 +436,16 @@
         connection->abort();
 }
 
+auto Exchange::noteLeft() -> void
+{
+    const auto now = telemetry::steadyNow();
+    std::optional<Duration> held;
+    if (now_.served)
+        held = std::max(Duration(0), now - now_.sentAt - now_.choice.foreseenWait);
+    host_.dispatcher->noteDone(now_.choice.upstream.id);
+    host_.dispatcher->noteLeft(permit_, held, now);
+}
+
 auto Exchange::onCallerGone() -> void
 {
     if (phase_ == Phase::Ended)
--- /dev/null
+++ b/test/direct/admission-test.cc
@@ -0,0 +1,201 @@
+#include "applehatch/direct/admission.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace {
+
+using namespace applehatch::direct;
+using namespace std::chrono_literals;
+
+constexpr auto start = Instant(100s);
+
+auto chat(int priority = 0, const std::string &customer = {}) -> AdmissionAsk
+{
+    return {"pool", customer, priority, 0, 300ms};
+}
+
+/// What callers got of a load.
+struct Served
+{
+    std::uint32_t asked = 0;
+    std::uint32_t inTime = 0;
+    std::uint32_t refused = 0;
+
+    [[nodiscard]] auto share() const -> double { return static_cast<double>(inTime) / asked; }
+};
+
+/// Engines that run `slots` requests of 2.5 s on average at once and queue the rest, and callers
+/// that come evenly. No network, no processes: only the decision and virtual time.
+class Pool
+{
+public:
+    static constexpr std::size_t engines = 12;
+    static constexpr std::uint32_t slots = 64;
+    static constexpr Duration hold = 2500ms;
+
+    explicit Pool(bool admits)
+        : admits_(admits)
+    { }
+
+    /// `perSecond` of each priority for eight seconds.
+    auto play(const std::map<int, double> &perSecond) -> std::map<int, Served>
+    {
+        std::map<int, Served> served;
+        for (auto now = start; now < start + 8s; now += 1ms) {
+            release(now);
+            for (const auto &[priority, rate] : perSecond) {
+                due_[priority] += rate / 1000;
+                for (; due_[priority] >= 1; due_[priority] -= 1)
+                    ask(chat(priority), now, served[priority]);
+            }
+        }
+        return served;
+    }
+
+private:
+    struct Done
+    {
+        Instant at;
+        int priority = 0;
+        std::size_t engine = 0;
+        Duration held{0};
+
+        auto operator>(const Done &other) const -> bool { return at > other.at; }
+    };
+
+    auto release(Instant now) -> void
+    {
+        while (!done_.empty() && done_.top().at <= now) {
+            const auto done = done_.top();
+            done_.pop();
+            --load_[done.engine];
+            admission_.noteDone(chat(done.priority), done.held, now);
+        }
+    }
+
+    auto ask(const AdmissionAsk &request, Instant now, Served &served) -> void
+    {
+        ++served.asked;
+        const auto least = std::min_element(load_.begin(), load_.end());
+        const auto verdict = admission_.decide(request, {*least, slots});
+        if (admits_ && !verdict.admitted) {
+            ++served.refused;
+            return;
+        }
+        const auto engine = static_cast<std::size_t>(least - load_.begin());
+        auto &places = places_[engine];
+        // The slot that is free first.
+        const auto place = std::min_element(places.begin(), places.end());
+        const auto begins = std::max(*place, now);
+        const auto held = drawHold();
+        *place = begins + held;
+        ++load_[engine];
+        admission_.noteSent(request);
+        done_.push({*place, request.priority, engine, held});
+        if (begins - now <= request.objective)
+            ++served.inTime;
+    }
+
+    auto drawHold() -> Duration
+    {
+        std::exponential_distribution<double> drawn(1);
+        return std::chrono::duration_cast<Duration>(hold * drawn(random_));
+    }
+
+    bool admits_;
+    Admission admission_;
+    std::mt19937 random_{20261203};
+    std::vector<std::uint32_t> load_ = std::vector<std::uint32_t>(engines);
+    std::vector<std::vector<Instant>> places_ =
+        std::vector<std::vector<Instant>>(engines, std::vector<Instant>(slots));
+    std::priority_queue<Done, std::vector<Done>, std::greater<>> done_;
+    std::map<int, double> due_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(admission)
+
+// Twice as many chats come as the engines can run: 614 a second of 307. Queued, all wait for longer
+// and longer, and after a second and a half nobody's first token is in time. Refused early, half
+// are served in time for as long as it lasts, and the others know at once.
+BOOST_AUTO_TEST_CASE(under_twice_the_load_half_are_served_in_time)
+{
+    const auto before = Pool(false).play({{0, 614}}).at(0);
+    const auto after = Pool(true).play({{0, 614}}).at(0);
+    BOOST_TEST_MESSAGE("in time without refusals " << before.share() << ", with " << after.share());
+    BOOST_TEST(after.share() > 0.5);
+    BOOST_TEST(after.share() > 1.2 * before.share());
+    const auto late = after.asked - after.refused - after.inTime;
+    BOOST_TEST(late < after.asked / 20, "hardly any is taken and then late");
+}
+
+// Nothing is refused as long as there is room.
+BOOST_AUTO_TEST_CASE(a_load_that_fits_is_taken_whole)
+{
+    const auto served = Pool(true).play({{0, 120}, {1, 80}, {2, 40}});
+    for (const auto &[priority, got] : served)
+        BOOST_TEST(got.refused == 0U);
+}
+
+// A burst of urgent and less urgent chats at once. The urgent alone would fit; they must not be
+// turned away for the others, which get what is left.
+BOOST_AUTO_TEST_CASE(the_urgent_are_served_first)
+{
+    const auto served = Pool(true).play({{0, 250}, {1, 400}});
+    BOOST_TEST(served.at(0).share() > 0.95);
+    BOOST_TEST(served.at(1).inTime > 0U);
+    BOOST_TEST(served.at(1).share() < served.at(0).share());
+}
+
+// One route may answer later than another of the same priority. It must not take every place before
+// the other is let in.
+BOOST_AUTO_TEST_CASE(a_longer_objective_gives_no_precedence)
+{
+    Admission admission;
+    const AdmissionAsk drafts{"pool", "", 1, 0, 800ms};
+    const AdmissionAsk chats{"pool", "", 1, 0, 300ms};
+    admission.decide(chats, {0, 64});
+    for (std::uint32_t load = 50; load < 100; ++load)
+        BOOST_TEST(admission.decide(drafts, {load, 64}).admitted
+                   == admission.decide(chats, {load, 64}).admitted);
+}
+
+// One customer sends eight times its usual and fills the engines. The others must still be let in.
+BOOST_AUTO_TEST_CASE(a_customer_beyond_its_share_gives_way)
+{
+    Admission admission;
+    for (int i = 0; i < 40; ++i)
+        admission.noteSent(chat(0, "surging"));
+    for (const auto *other : {"a", "b", "c"})
+        admission.noteSent(chat(0, other));
+    BOOST_TEST(!admission.decide(chat(0, "surging"), {63, 64}).admitted);
+    BOOST_TEST(admission.decide(chat(0, "a"), {63, 64}).admitted);
+    BOOST_TEST(admission.decide(chat(0, "surging"), {40, 64}).admitted, "while there is room");
+}
+
+// Many were refused in the last seconds and will return. Told the same moment, they would all be
+// refused again; told a time that grows with their number, most find a place.
+BOOST_AUTO_TEST_CASE(returns_are_spread_over_what_the_refused_need)
+{
+    Admission admission;
+    const auto first = admission.returnTime(chat(), 1.0, start);
+    BOOST_TEST((first < 1s));
+    for (int i = 0; i < 100; ++i)
+        admission.noteDone(chat(), Pool::hold, start);
+    Duration last{0};
+    for (int i = 0; i < 150; ++i)
+        last = admission.returnTime(chat(), 1.0, start);
+    BOOST_TEST((last > 2s));
+    BOOST_TEST((admission.returnTime(chat(), 0.0, start) < 200ms), "some may come back soon");
+    BOOST_TEST((admission.returnTime(chat(), 1.0, start + 10s) < 1s),
+               "over as soon as the rush is");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
