--- a/include/applehatch/direct/admission.h
+++ b/include/applehatch/direct/admission.h
@@ -61,8 +61,6 @@
     static constexpr double fairShares = 2.0;
     /// Fewer running requests than this say nothing of shares.
     static constexpr std::uint32_t fewestToShare = 16;
-    /// Before anything was served; a mean answer of the engines that the product was measured with.
-    static constexpr Duration firstHold = std::chrono::seconds(2);
     /// Weight of the newest answer in the mean hold: about the last twenty count.
     static constexpr double holdWeight = 0.1;
     /// Refusals of this span are taken to come back.
@@ -93,7 +91,7 @@
 private:
     struct Service
     {
-        Duration hold = firstHold;
+        std::optional<Duration> hold; // None before anything was served: nothing is foreseen then.
         // The shortest by priority. A request that may begin later must not wait longer than one as
         // urgent that may not: it would take every place before the other may.
         std::map<int, Duration> objectives;
--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -19,10 +19,10 @@
 }
 
 // Time until a slot is free for one that comes after `load` others.
-auto waitFor(double load, std::uint32_t slots, Duration hold) -> Duration
+auto waitFor(double load, std::uint32_t slots, std::optional<Duration> hold) -> Duration
 {
     const auto ahead = load + 1 - slots;
-    return ahead <= 0 ? Duration(0) : scaled(hold, ahead / slots);
+    return ahead <= 0 || !hold ? Duration(0) : scaled(*hold, ahead / slots);
 }
 
 } // namespace
@@ -91,8 +91,10 @@
         service.ofCustomer.erase(own);
     service.ends.push_back(now);
     dropBefore(service.ends, now - returnWindow);
-    if (held)
-        service.hold += scaled(*held - service.hold, holdWeight);
+    if (!held)
+        return;
+    const auto before = service.hold.value_or(*held);
+    service.hold = before + scaled(*held - before, holdWeight);
 }
 
 auto Admission::returnTime(const AdmissionAsk &ask, double draw, Instant now) -> Duration
--- a/test/direct/admission-test.cc
+++ b/test/direct/admission-test.cc
@@ -167,10 +167,24 @@
                    == admission.decide(chats, {load, 64}).admitted);
 }
 
+// A router has just started and its first requests are all at one plain service with few slots. How
+// long these hold a slot is not known; refusing them on a guess would turn callers away for
+// nothing.
+BOOST_AUTO_TEST_CASE(nothing_is_refused_before_anything_was_served)
+{
+    Admission admission;
+    BOOST_TEST(admission.decide(chat(2), {20, 6}).admitted);
+    admission.noteSent(chat(2));
+    admission.noteDone(chat(2), 2500ms, start);
+    BOOST_TEST(!admission.decide(chat(2), {20, 6}).admitted);
+}
+
 // One customer sends eight times its usual and fills the engines. The others must still be let in.
 BOOST_AUTO_TEST_CASE(a_customer_beyond_its_share_gives_way)
 {
     Admission admission;
+    admission.noteSent(chat(0, "a"));
+    admission.noteDone(chat(0, "a"), Pool::hold, start);
     for (int i = 0; i < 40; ++i)
         admission.noteSent(chat(0, "surging"));
     for (const auto *other : {"a", "b", "c"})
