--- a/test/gateway/peers-test.cc
+++ b/test/gateway/peers-test.cc
@@ -1,3 +1,4 @@
+#include "applehatch/direct/registry-readers.h"
 #include "applehatch/gateway/peer-digest.h"
 #include "applehatch/gateway/peer-table.h"
 
@@ -96,6 +97,30 @@
     BOOST_TEST(read->changes.at(1).removed);
 }
 
+// A digest of more than 1,400 bytes travels in two packets and is lost when either is. One of 30
+// routers, with a request at each of 50 engines and 24 contexts used since the last round, must
+// fit.
+BOOST_AUTO_TEST_CASE(a_digest_fits_one_packet)
+{
+    constexpr std::size_t packetBytes = 1400;
+    const auto sized = [](std::size_t loads, std::size_t contexts) {
+        auto digest = digestOf(1);
+        for (std::size_t i = 0; i < direct::RegistryReaders::wanted + 1; ++i)
+            digest.readers.push_back({router(i), 1000, 300ms});
+        for (std::size_t i = 0; i < PeerTable::mostMembers; ++i)
+            digest.members.push_back(router(i));
+        for (std::uint64_t i = 0; i < loads; ++i)
+            digest.loads.push_back({core::stableHash("load", i), 2});
+        for (std::uint64_t i = 0; i < contexts; ++i)
+            digest.contexts.push_back(
+                {core::stableHash("context", i), core::stableHash("load", i)});
+        return encodeDigest(digest).size();
+    };
+    BOOST_TEST_MESSAGE("3 routers " << sized(15, 15) << " bytes, 30 " << sized(50, 24) << ", 390 "
+                                    << sized(36, direct::ContextMap::mostTold));
+    BOOST_TEST(sized(50, 24) < packetBytes);
+}
+
 // Told to all others five times a second, 390 routers would send 29 MB a second each. Each digest
 // goes to ten, and everybody is told within a round.
 BOOST_AUTO_TEST_CASE(digests_go_round_a_large_fleet)
