--- a/include/applehatch/gateway/peer-table.h
+++ b/include/applehatch/gateway/peer-table.h
@@ -62,6 +62,9 @@
     /// A digest is sent each `period`.
     PeerTable(Address self, Duration period);
 
+    /// A router's rank among those that may read the registry; it stays the same for its address.
+    [[nodiscard]] static auto rankOf(const Address &router) -> std::uint64_t;
+
     auto setSeeds(std::vector<Address> seeds) -> void { seeds_ = std::move(seeds); }
     /// False for a digest that is older than the last one of its sender, or this router's own.
     auto apply(const PeerDigest &digest, Instant now) -> bool;
--- /dev/null
+++ b/src/gateway/gateway-registry.cc
@@ -0,0 +1,183 @@
+// What the gateway's process does with the registry and its peers' news of it.
+#include "applehatch/gateway/gateway-host.h"
+
+#include "gateway-log.h"
+
+#include "applehatch/telemetry/clock.h"
+
+#include <map>
+#include <utility>
+
+namespace applehatch::gateway {
+
+using core::LogLine;
+using telemetry::LogLevel;
+using telemetry::steadyNow;
+
+namespace {
+
+// The registry's own watch usually brings a change sooner than this; then a peer is asked.
+constexpr Duration behindFor = std::chrono::milliseconds(250);
+
+} // namespace
+
+auto GatewayHost::newsSince(std::uint64_t held) -> const std::string &
+{
+    const auto isCached =
+        !given_.text.empty() && given_.since == held && given_.revision == replica_.revision();
+    if (!isCached)
+        given_ = {held, replica_.revision(), encodeNews(replica_.newsSince(held))};
+    return given_.text;
+}
+
+auto GatewayHost::registryRead(const direct::RegistrySnapshot &snapshot) -> void
+{
+    if (replica_.apply(snapshot, steadyNow()))
+        applyRegistry();
+}
+
+auto GatewayHost::registryChanged(const std::vector<direct::RegistryChange> &changes,
+                                  std::uint64_t revision) -> void
+{
+    if (replica_.apply(changes, revision, steadyNow()))
+        applyRegistry();
+}
+
+auto GatewayHost::registryLost(const std::string &why) -> void
+{
+    if (replica_.reachable()) {
+        metrics_.noteEvent("registry-lost");
+        log(LogLine("registry-lost").add("why", why), LogLevel::Warning);
+    }
+    replica_.noteLost();
+}
+
+auto GatewayHost::registryRegained() -> void
+{
+    if (!replica_.reachable()) {
+        metrics_.noteEvent("registry-regained");
+        log(LogLine("registry-regained")
+                .add("revision", static_cast<std::int64_t>(replica_.revision())));
+    }
+    replica_.noteRegained(steadyNow());
+}
+
+auto GatewayHost::applyRegistry() -> void
+{
+    auto decoded = decoder_(replica_.items());
+    for (const auto &problem : decoded.problems)
+        log(LogLine("registry-entry-unusable").add("why", problem), LogLevel::Warning);
+    if (decoded.configuration && dispatcher_.setConfiguration(decoded.configuration)) {
+        metrics_.noteEvent("configuration");
+        log(LogLine("configuration")
+                .add("version", static_cast<std::int64_t>(decoded.configuration->version))
+                .add("revision", static_cast<std::int64_t>(replica_.revision())));
+    }
+    logUpstreamChanges(decoded.upstreams);
+    dispatcher_.setUpstreams(std::move(decoded.upstreams));
+    if (readsWell() && !readers_.isSpare())
+        mesh_.tellNow();
+    releaseEarly(steadyNow());
+}
+
+auto GatewayHost::logUpstreamChanges(const direct::UpstreamList &upstreams) -> void
+{
+    std::map<direct::UpstreamId, direct::Upstream> before;
+    for (const auto &upstream : dispatcher_.upstreams())
+        before[upstream.id] = upstream;
+    const auto revision = static_cast<std::int64_t>(replica_.revision());
+    for (const auto &upstream : upstreams) {
+        const auto held = before.find(upstream.id);
+        const auto isNews = held == before.end() || held->second.state != upstream.state;
+        if (isNews)
+            log(LogLine("upstream")
+                    .add("upstream", upstream.instance)
+                    .add("service", upstream.service)
+                    .add("state", direct::stateName(upstream.state))
+                    .add("revision", revision));
+        if (held != before.end())
+            before.erase(held);
+    }
+    for (const auto &[id, upstream] : before) {
+        log(LogLine("upstream-gone").add("upstream", upstream.instance).add("revision", revision));
+        pool_.drop(upstream.address);
+    }
+}
+
+auto GatewayHost::peerHeard(const PeerDigest &digest) -> void
+{
+    const auto now = steadyNow();
+    if (!digest.brief) {
+        const auto peer = PeerTable::rankOf(digest.sender);
+        dispatcher_.loads().notePeer(peer, digest.loads, now);
+        dispatcher_.suspects().notePeer(peer, digest.crashes, now);
+        dispatcher_.contexts().notePeer(digest.contexts, now);
+    }
+    catchUp(now);
+}
+
+auto GatewayHost::catchUp(Instant now) -> void
+{
+    if (mesh_.newestRevision(now) <= replica_.revision()) {
+        behindSince_.reset();
+        return;
+    }
+    if (!behindSince_)
+        behindSince_ = now;
+    if (!dispatcher_.ready() || !readsWell() || now - *behindSince_ >= behindFor)
+        mesh_.fetchNewer(replica_.revision());
+}
+
+auto GatewayHost::readsWell() const -> bool
+{
+    return readers_.reads() && replica_.reachable() && replica_.revision() > 0;
+}
+
+auto GatewayHost::watchableRevision() const -> std::optional<std::uint64_t>
+{
+    if (!replica_.reachable() || replica_.revision() == 0)
+        return std::nullopt;
+    return replica_.revision();
+}
+
+auto GatewayHost::decideReading(Instant now) -> void
+{
+    direct::HeardRanks heard;
+    for (const auto &reader : mesh_.table().readers(now))
+        heard.reading.push_back(PeerTable::rankOf(reader.address));
+    for (const auto &peer : mesh_.table().alive(now))
+        heard.alive.push_back(PeerTable::rankOf(peer.address));
+    const auto before = readers_.reads();
+    const auto reads = readers_.decide(heard, now);
+    if (reads == before)
+        return;
+    const auto *event = reads ? "registry-turn" : "registry-turn-over";
+    metrics_.noteEvent(event);
+    log(LogLine(event)
+            .add("readers", static_cast<std::int64_t>(heard.reading.size()))
+            .add("revision", static_cast<std::int64_t>(replica_.revision())));
+    // Nobody has read the registry for a moment: it may have been away, and entries have lapsed.
+    if (reads && heard.reading.empty())
+        registryLost("no router reads it");
+    // What the readers tell counts like the registry's own word.
+    if (!reads)
+        registryRegained();
+    if (readingTurn_)
+        readingTurn_(reads);
+}
+
+auto GatewayHost::peerNews(const direct::RegistryNews &news) -> void
+{
+    const auto before = replica_.revision();
+    if (!replica_.apply(news, steadyNow()))
+        return catchUp(steadyNow());
+    metrics_.noteEvent("registry-from-peer");
+    log(LogLine("registry-from-peer")
+            .add("revision", static_cast<std::int64_t>(news.revision))
+            .add("before", static_cast<std::int64_t>(before))
+            .add("changes", static_cast<std::int64_t>(news.changes.size())));
+    applyRegistry();
+    catchUp(steadyNow());
+}
+
+} // namespace applehatch::gateway
--- a/src/gateway/peer-table.cc
+++ b/src/gateway/peer-table.cc
@@ -32,6 +32,11 @@
     , period_(period)
 { }
 
+auto PeerTable::rankOf(const Address &router) -> std::uint64_t
+{
+    return core::stableHash(keyOf(router));
+}
+
 auto PeerTable::apply(const PeerDigest &digest, Instant now) -> bool
 {
     if (digest.sender == self_)
--- /dev/null
+++ b/src/gateway/status.h
@@ -0,0 +1,26 @@
+/// What HTTP statuses mean to a gateway.
+#pragma once
+
+namespace applehatch::gateway {
+
+inline constexpr int firstFailure = 500;
+inline constexpr int requestTimeout = 408;
+inline constexpr int misdirected = 421;
+inline constexpr int tooManyRequests = 429;
+inline constexpr int unavailable = 503;
+inline constexpr int firstSuccess = 200;
+inline constexpr int firstRedirect = 300;
+
+// Statuses that tell a caller that its request did not run and never will.
+[[nodiscard]] inline auto promisesNotRun(int status) -> bool
+{
+    return status == requestTimeout || status == misdirected || status == tooManyRequests
+        || status == unavailable;
+}
+
+[[nodiscard]] inline auto isSuccess(int status) -> bool
+{
+    return status >= firstSuccess && status < firstRedirect;
+}
+
+} // namespace applehatch::gateway
