Ask a peer that has nothing new again only with the next tick

Cause: read in the diff, shown by a test: a router that is told less than its peer had announced asked again at once, hundreds of times until the announcement was too old. That is so when routers are killed together and start again empty. Test: a_peer_with_nothing_new_is_not_asked_again_at_once (more than ten questions in half a second before, at most one each 100 ms now).

Also: a refusal by an upstream counts for the return times only when the caller is told of it.

--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -106,10 +106,9 @@
     const auto held = std::move(now_.held);
     const auto hasProof = head.headers.find(host_.vocabulary->proof) != nullptr;
     if (now_.notRun) {
-        const auto wait = host_.dispatcher->returnTime(permit_, telemetry::steadyNow());
         noteOutcome(Outcome::Refused);
         closeAttempt(true);
-        return tryAgainOr({ErrorKind::Overloaded, Run::NotRun, "upstream refused", wait});
+        return tryAgainOr({ErrorKind::Overloaded, Run::NotRun, "upstream refused", {}});
     }
     // An upstream that breaks the protocol must not make this router promise what it cannot know.
     const auto unusable = (isSuccess(head.status) && !hasProof) || promisesNotRun(head.status);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -182,7 +182,9 @@
         // Opening it took so long that the upstream has left meanwhile. Nothing was sent yet.
         host_.pool->release(now_.choice.upstream.address, connection);
         host_.note(id_, "upstream-left", now_.choice.upstream.instance);
-        return attempt() ? void() : answerExhausted();
+        if (!attempt())
+            answerExhausted();
+        return;
     }
     noteOutcome(Outcome::Unreachable);
     host_.pool->drop(now_.choice.upstream.address);
@@ -342,8 +344,11 @@
     ResponseHead head;
     head.status = statusOf(failure);
     report_.status = head.status;
-    if (failure.retryAfter)
-        head.headers.add("Retry-After", secondsText(*failure.retryAfter));
+    auto comeBackAfter = failure.retryAfter;
+    if (!comeBackAfter && failure.kind == ErrorKind::Overloaded)
+        comeBackAfter = host_.dispatcher->returnTime(permit_, telemetry::steadyNow());
+    if (comeBackAfter)
+        head.headers.add("Retry-After", secondsText(*comeBackAfter));
     if (!id_.empty())
         head.headers.add(host_.vocabulary->requestId, id_);
     head.headers.add("Content-Type", "application/json");
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -169,8 +169,11 @@
 auto GatewayHost::peerNews(const direct::RegistryNews &news) -> void
 {
     const auto before = replica_.revision();
+    // A peer that was killed may have lost what it told of. It is asked again with the next tick:
+    // at once, two routers would ask each other hundreds of times while the whole fleet starts
+    // again.
     if (!replica_.apply(news, steadyNow()))
-        return catchUp(steadyNow());
+        return;
     metrics_.noteEvent("registry-from-peer");
     log(LogLine("registry-from-peer")
             .add("revision", static_cast<std::int64_t>(news.revision))
--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -1,5 +1,6 @@
 #include "gateway-fixture.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -311,6 +312,33 @@
     BOOST_TEST(runUntil(loop, [&] { return fleet.reads[follower] == true; }));
 }
 
+// A router told of a new revision, was killed, and answers again with an empty memory while the
+// others still believe the old word. Asking it again at once would keep both busy until that word
+// is too old, at the very moment when all routers start again.
+BOOST_AUTO_TEST_CASE(a_peer_with_nothing_new_is_not_asked_again_at_once)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream peer(loop, "peer", [](UpstreamSide &side, const std::string &) {
+        const auto nothing = encodeNews({});
+        side.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(nothing.size())
+                  + "\r\n\r\n" + nothing);
+    });
+    Gateway gateway(loop);
+    PeerDigest digest;
+    digest.sender = peer.entry("").address;
+    digest.life = 1;
+    digest.sequence = 1;
+    digest.revision = 1000;
+    asio::ip::udp::socket socket(loop, asio::ip::udp::v4());
+    const auto &to = gateway.settings.peers;
+    socket.send_to(asio::buffer(encodeDigest(digest)), {asio::ip::make_address(to.ip), to.port});
+    BOOST_REQUIRE(runUntil(loop, [&] { return !peer.requests().empty(); }));
+    runUntil(
+        loop, [] { return false; }, 500ms);
+    BOOST_TEST(peer.requests().size() > 1U, "it is asked again");
+    BOOST_TEST(peer.requests().size() < 10U, "with each look at what is known, ten a second");
+}
+
 // A router is held up for a moment, by a large configuration or a slow host. A caller's request
 // comes just before its idle connection was due to be closed, and both are found together. The
 // request must be answered; its caller would else see a connection that breaks without an answer.
