Test that changes in quick succession share calls, and that the loop's delay is told

Two decisions of the gateway had no test of their own: the pause of 100 ms after a change (with it taken out the new test is red, more than the six calls that half a second allows) and the metric of the event loop's lateness. No product code changed.

--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -378,6 +378,7 @@
     scraper.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
     BOOST_TEST(scraper.gets("applehatch_requests_total{outcome=\"answered\",status=\"200\"} 1"));
     BOOST_TEST(scraper.gets("applehatch_request_first_byte_seconds_bucket"));
+    BOOST_TEST(scraper.gets("applehatch_loop_delay_seconds_bucket"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/registry-client-test.cc
+++ b/test/platform/registry-client-test.cc
@@ -119,6 +119,25 @@
     BOOST_TEST(store.calls.at(2).find("after=9&") != std::string::npos);
 }
 
+// Dozens of upstreams start at once, and the store has a change for each call. Calls are limited
+// over the whole fleet: one brings what would take several, and no more than ten a second are made.
+BOOST_AUTO_TEST_CASE(changes_in_quick_succession_share_calls)
+{
+    int revision = 7;
+    Store store([&](UpstreamSide &side, const std::string &call, std::size_t) {
+        if (isRange(call))
+            return side.send(answer("200 OK", page(item(versionOne, 5), revision)));
+        ++revision;
+        side.send(answer("200 OK", events(item(versionTwo, revision), revision)));
+    });
+    BOOST_TEST(store.hasVersion(2));
+    const auto before = store.calls.size();
+    runUntil(
+        store.loop, [] { return false; }, 500ms);
+    BOOST_TEST(store.calls.size() > before);
+    BOOST_TEST(store.calls.size() - before <= 6U);
+}
+
 // The list is longer than a page. What is read is all pages, watched from the first one's revision,
 // so that no change between two pages is missed.
 BOOST_AUTO_TEST_CASE(all_pages_are_read)
