Send a context back to the engine that used it last, and to no other that held it

Hypothesis: each of up to four engines that had a context took the next request for it by load; every copy takes memory, which is short on some deployments.

--- a/include/applehatch/direct/choice.h
+++ b/include/applehatch/direct/choice.h
@@ -4,6 +4,7 @@
 #include "applehatch/direct/directory.h"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -26,13 +27,14 @@
     double slack = 2.5;
 };
 
-/// Picks an engine for a prompt: one that holds its context, else the less loaded of its homes by
-/// rendezvous hashing, while their load keeps to the bound; else the least loaded of all.
+/// Picks an engine for a prompt: the one that used its context last, else the less loaded of its
+/// homes by rendezvous hashing, while their load keeps to the bound; else the least loaded of all.
 ///
 /// Reading a context anew takes an engine an eighth of a second for 10,000 tokens and delays the
-/// tokens of all that run beside it. Every router finds the same homes without asking anyone. Null
-/// when nothing is usable.
-[[nodiscard]] auto chooseEngine(std::uint64_t context, const std::vector<UpstreamId> &holders,
+/// tokens of all that run beside it. Every router finds the same homes without asking anyone. A
+/// context that comes back to one engine alone takes the memory of one: copies push other contexts
+/// out where memory is short. Null when nothing is usable.
+[[nodiscard]] auto chooseEngine(std::uint64_t context, std::optional<UpstreamId> holder,
                                 const std::vector<ChoiceView> &usable, LoadBound bound)
     -> const Upstream *;
 
--- a/src/direct/choice.cc
+++ b/src/direct/choice.cc
@@ -82,17 +82,6 @@
     return least == views.end() ? nullptr : (*least)->upstream;
 }
 
-auto heldBy(const std::vector<UpstreamId> &holders, const std::vector<const ChoiceView *> &views)
-    -> std::vector<const ChoiceView *>
-{
-    std::vector<const ChoiceView *> held;
-    for (const auto *view : views) {
-        if (std::find(holders.begin(), holders.end(), view->upstream->id) != holders.end())
-            held.push_back(view);
-    }
-    return held;
-}
-
 // Best home of the context first.
 auto sortByHome(std::uint64_t context, std::vector<const ChoiceView *> &views) -> void
 {
@@ -120,7 +109,7 @@
 
 } // namespace
 
-auto chooseEngine(std::uint64_t context, const std::vector<UpstreamId> &holders,
+auto chooseEngine(std::uint64_t context, std::optional<UpstreamId> holder,
                   const std::vector<ChoiceView> &usable, LoadBound bound) -> const Upstream *
 {
     auto candidates = bestTier(usable);
@@ -128,13 +117,14 @@
     const auto mean = meanLoad(usable);
     std::vector<const ChoiceView *> roomy;
     for (const auto *view : candidates) {
-        if (isBelowBound(*view, mean, bound))
-            roomy.push_back(view);
+        if (!isBelowBound(*view, mean, bound))
+            continue;
+        if (view->upstream->id == holder)
+            return view->upstream;
+        roomy.push_back(view);
     }
     if (roomy.empty())
         return leastLoaded(candidates);
-    if (const auto *holder = leastLoaded(heldBy(holders, roomy)))
-        return holder;
     return leastLoaded(roomyHomes(candidates, roomy));
 }
 
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -173,7 +173,8 @@
     const auto isModel = !demand.prompt.empty();
     const auto context = sharedContext(demand.prompt).hash;
     const auto holders = isModel ? contexts_.places(context, now) : std::vector<UpstreamId>();
-    const auto *upstream = isModel ? chooseEngine(context, holders, usable, bound_)
+    const auto usedLast = holders.empty() ? std::nullopt : std::optional(holders.front());
+    const auto *upstream = isModel ? chooseEngine(context, usedLast, usable, bound_)
                                    : chooseService(usable, self_.dataCenter, draw());
     if (upstream == nullptr)
         return refusal(ErrorKind::NoUpstream, "no upstream of the service is known");
