--- a/test/direct/choice-test.cc
+++ b/test/direct/choice-test.cc
@@ -271,4 +271,21 @@
     BOOST_TEST(contexts.places(5, start + 60s).empty());
 }
 
+// A context that went to another engine, or that nobody asked for in half a minute, no longer
+// counts to an engine's memory; else engines would seem full for ever.
+BOOST_AUTO_TEST_CASE(memory_of_contexts_that_moved_or_expired_is_free)
+{
+    ContextMap contexts;
+    contexts.noteSent({5, 1, 1000}, start);
+    contexts.noteSent({6, 1, 300}, start);
+    contexts.noteSent({6, 1, 300}, start + 1s);
+    BOOST_TEST(contexts.tokensAt(1) == 1300U);
+    contexts.notePeer({{5, 2, 1000}}, start + 1s);
+    BOOST_TEST(contexts.tokensAt(1) == 300U);
+    BOOST_TEST(contexts.tokensAt(2) == 1000U);
+    contexts.expire(start + 32s);
+    BOOST_TEST(contexts.tokensAt(1) == 0U);
+    BOOST_TEST(contexts.tokensAt(2) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/gateway/peers-test.cc
+++ b/test/gateway/peers-test.cc
@@ -55,7 +55,7 @@
     digest.members = {router(5)};
     digest.loads = {{77, 6}};
     digest.crashes = {{88, 2}};
-    digest.contexts = {{99, 77}};
+    digest.contexts = {{99, 77, 10500}};
     const auto read = decodeDigest(encodeDigest(digest));
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST((read->sender == digest.sender));
@@ -66,7 +66,7 @@
     BOOST_TEST((read->members.at(0) == router(5)));
     BOOST_TEST(read->loads.at(0).running == 6U);
     BOOST_TEST(read->crashes.at(0).crashes == 2U);
-    BOOST_TEST(read->contexts.at(0).context == 99);
+    BOOST_TEST((read->contexts == digest.contexts));
 }
 
 // Anybody may send to the port. Bytes that are no message must change nothing and end nothing.
--- a/test/platform/decoder-test.cc
+++ b/test/platform/decoder-test.cc
@@ -25,7 +25,7 @@
      "public": false, "sticky": true, "itl-target-ms": 250},
     {"name": "r2", "host": "a.example", "path-prefix": "/y/", "type": "unheard-of",
      "service": "other", "timeout-ms": 600, "slo-ms": 100}],
-  "services": [{"name": "pool", "max-conns": 360, "backend": {"slots": 64, "moves": true}},
+  "services": [{"name": "pool", "max-conns": 360, "backend": {"slots": 64, "kv-capacity": 90000, "moves": true}},
                {"name": "other", "max-conns": 96}],
   "limits": {"max-header-bytes": 1000, "max-body-bytes": 2000, "header-timeout-ms": 300,
              "idle-timeout-ms": 4000},
@@ -63,6 +63,7 @@
     // A kind that is not known allows least: it runs at most once.
     BOOST_TEST((configuration->findRoute("a.example", "/y/1")->kind == RouteKind::Unsafe));
     BOOST_TEST(configuration->services.at("pool").sharesContexts);
+    BOOST_TEST(configuration->services.at("pool").memoryTokens == 90000U);
     BOOST_TEST(!configuration->services.at("other").isModel);
     BOOST_TEST((configuration->limits.headerTimeout == 300ms));
     BOOST_TEST(configuration->findCustomer("k1")->priority.value() == 0);
