--- a/src/direct/choice.cc
+++ b/src/direct/choice.cc
@@ -144,6 +144,7 @@
     -> std::vector<UpstreamId>
 {
     std::vector<const ChoiceView *> sorted;
+    sorted.reserve(usable.size());
     for (const auto &view : usable)
         sorted.push_back(&view);
     sortByHome(context, sorted);
