--- a/include/applehatch/direct/stream-pace.h
+++ b/include/applehatch/direct/stream-pace.h
@@ -14,8 +14,8 @@
 class StreamPace
 {
 public:
-    /// Before any stream was seen: twice a batch of 30 at the engines that the product was measured
-    /// with.
+    /// Before any stream was seen; slow enough that a stream taken before a stop still ends in
+    /// time.
     static constexpr Duration firstGuess = std::chrono::milliseconds(16);
     /// An engine whose neighbours have just left slows down by so much.
     static constexpr double safety = 1.5;
