Log lost and regained links with what decided it, and the age of it on failed answers

Two known failures could not be told apart by their logs: a router said nothing of links that it lost or gained, and a sidecar closed a link as silent without saying what the link still held.

Now: link-up and link-lost on the router (cause closed, silent or not-opened, for how long nothing was heard, how many requests depended on it); link-closed on both (batches that the peer had not taken, the age of the oldest, bytes that waited); silent_us on link-silent; answer-failed says how long ago its upstream was heard and its link lost.

--- a/include/applehatch/process/peer-links.h
+++ b/include/applehatch/process/peer-links.h
@@ -53,4 +53,7 @@
     std::unordered_map<wire::LinkId, Peer> peers_;
 };
 
+/// Logs what a link held when this side closed it.
+auto logClosedLink(wire::LinkId link, const wire::LinkBacklog &backlog) -> void;
+
 } // namespace applehatch::process
--- a/include/applehatch/wire/link-loop.h
+++ b/include/applehatch/wire/link-loop.h
@@ -14,6 +14,14 @@
 
 using LinkId = std::uint64_t;
 
+/// What a link still held when it was closed.
+struct LinkBacklog
+{
+    unsigned batches = 0;          ///< Sent, and not yet taken by the peer's process.
+    core::Duration oldestBatch{0}; ///< Since the first of these was sent.
+    std::size_t queuedBytes = 0;   ///< Not yet sent.
+};
+
 /// What happens on links; called on the loop's thread, so they must not block.
 struct LinkHooks
 {
@@ -22,6 +30,8 @@
     std::function<void(LinkId)> onDown;
     /// The peer's process took a batch that was sent to it; may be empty.
     std::function<void(LinkId)> onResponded;
+    /// The link was closed from this side; may be empty.
+    std::function<void(LinkId, const LinkBacklog &)> onClosed;
 };
 
 /// Bytes and messages carried, by message kind, for the control-traffic measure; called on the
--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -237,7 +237,12 @@
         .add("kind", answerFor(failure.kind).name)
         .add("run", runName(failure.run))
         .add("attempts", exchange.attempt)
+        .add("upstream", exchange.upstream == 0 ? "" : upstreamName(exchange.upstream))
+        .add("received", static_cast<std::int64_t>(exchange.answer.received))
+        .add("heard_ago_us", Duration(now_ - exchange.heardAt).count())
         .add("detail", failure.detail);
+    if (exchange.lostAt)
+        line.add("lost_ago_us", Duration(now_ - *exchange.lostAt).count());
     actions_.emplace_back(AnswerFailure{exchange.request, std::move(failure)});
     actions_.emplace_back(WriteLog{line});
     erase(exchange);
--- a/src/core/router-link-events.cc
+++ b/src/core/router-link-events.cc
@@ -20,9 +20,36 @@
     actions_.emplace_back(OpenLink{upstream});
 }
 
+auto RouterNode::State::linkLine(std::string_view event, UpstreamId upstream,
+                                 const Link &link) const -> LogLine
+{
+    LogLine line(event);
+    line.add("upstream", upstreamName(upstream))
+        .add("exchanges", static_cast<std::int64_t>(link.exchanges.size()));
+    return line;
+}
+
+// The number when the settings no longer name it.
+auto RouterNode::State::upstreamName(UpstreamId upstream) const -> std::string
+{
+    if (!settings_)
+        return std::to_string(upstream);
+    for (const auto &[teamName, team] : settings_->teams) {
+        for (const auto &[poolName, pool] : team->pools) {
+            if (const auto *member = PoolRef{team, &pool}.member(upstream))
+                return teamName + '/' + poolName + '/' + member->name;
+        }
+    }
+    return std::to_string(upstream);
+}
+
 auto RouterNode::State::on(LinkUp &event) -> void
 {
     auto &link = links_[event.upstream];
+    auto line = linkLine("link-up", event.upstream, link);
+    if (link.phase == LinkPhase::Opening)
+        line.add("opening_us", Duration(now_ - link.openedAt).count());
+    actions_.emplace_back(WriteLog{line});
     link.phase = LinkPhase::Open;
     if (link.incarnation != event.incarnation)
         link.leavingAt.reset();
@@ -48,11 +75,14 @@
 {
     const auto link = links_.find(event.upstream);
     if (link != links_.end())
-        linkLost(event.upstream, link->second);
+        linkLost(event.upstream, link->second, "closed");
 }
 
-auto RouterNode::State::linkLost(UpstreamId upstream, Link &link) -> void
+auto RouterNode::State::linkLost(UpstreamId upstream, Link &link, std::string_view cause) -> void
 {
+    auto line = linkLine("link-lost", upstream, link);
+    line.add("cause", cause).add("quiet_us", Duration(now_ - link.quietSince).count());
+    actions_.emplace_back(WriteLog{line});
     link.phase = LinkPhase::Closed;
     link.failedAt = now_;
     views_.clear();
@@ -106,7 +136,7 @@
 {
     if (link.phase == LinkPhase::Opening && now_ - link.openedAt >= links::openTimeout) {
         actions_.emplace_back(DropLink{upstream});
-        linkLost(upstream, link);
+        linkLost(upstream, link, "not-opened");
         return;
     }
     if (!isOutstanding(link))
@@ -121,7 +151,7 @@
         // Something between the two ends has lost track of the connection. It never reports an
         // error; the caller would see its stream stop for good. A new one works.
         actions_.emplace_back(DropLink{upstream});
-        linkLost(upstream, link);
+        linkLost(upstream, link, "silent");
         return;
     }
     const auto isQuiet = now_ - link.quietSince >= links::probeAfter;
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -197,7 +197,10 @@
     auto on(LinkUp &event) -> void;
     auto on(LinkDown &event) -> void;
     auto openLink(UpstreamId upstream) -> void;
-    auto linkLost(UpstreamId upstream, Link &link) -> void;
+    auto linkLost(UpstreamId upstream, Link &link, std::string_view cause) -> void;
+    [[nodiscard]] auto linkLine(std::string_view event, UpstreamId upstream, const Link &link) const
+        -> LogLine;
+    [[nodiscard]] auto upstreamName(UpstreamId upstream) const -> std::string;
     auto linkLost(Exchange &exchange) -> void;
     auto probe(UpstreamId upstream, Link &link) -> void;
     auto checkLink(UpstreamId upstream, Link &link) -> void;
--- a/src/core/sidecar-links.cc
+++ b/src/core/sidecar-links.cc
@@ -45,7 +45,9 @@
         if (found == links.end())
             continue;
         if (now - found->second.heardAt >= limits.silence) {
-            log(LogLine("link-silent").add("link", static_cast<std::int64_t>(id)));
+            log(LogLine("link-silent")
+                    .add("link", static_cast<std::int64_t>(id))
+                    .add("silent_us", Duration(now - found->second.heardAt).count()));
             links.erase(found);
             dropReaders(id);
             out.emplace_back(ClosePeer{id});
--- a/src/process/peer-links.cc
+++ b/src/process/peer-links.cc
@@ -1,5 +1,8 @@
 #include "applehatch/process/peer-links.h"
 
+#include "applehatch/core/log-line.h"
+#include "applehatch/telemetry/logger.h"
+
 #include <utility>
 
 namespace applehatch::process {
@@ -69,4 +72,15 @@
     return peer;
 }
 
+auto logClosedLink(wire::LinkId link, const wire::LinkBacklog &backlog) -> void
+{
+    telemetry::writeLog(telemetry::LogLevel::Info,
+                        core::LogLine("link-closed")
+                            .add("link", static_cast<std::int64_t>(link))
+                            .add("batches", backlog.batches)
+                            .add("oldest_us", backlog.oldestBatch.count())
+                            .add("queued_bytes", static_cast<std::int64_t>(backlog.queuedBytes))
+                            .text());
+}
+
 } // namespace applehatch::process
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -149,6 +149,7 @@
     hooks.onMessage = [this](wire::LinkId link, core::Message message) {
         onMessage(link, std::move(message));
     };
+    hooks.onClosed = process::logClosedLink;
     hooks.onDown = [this](wire::LinkId link) {
         const auto peer = links_.takeDown(link);
         const auto upstream = peer ? addresses_.upstreamAt(*peer) : 0;
--- a/src/sidecar/sidecar-host.cc
+++ b/src/sidecar/sidecar-host.cc
@@ -170,6 +170,7 @@
         if (!links_.peerOf(link))
             node_.handle(core::PeerResponded{link});
     };
+    hooks.onClosed = process::logClosedLink;
     hooks.onDown = [this](wire::LinkId link) {
         if (!links_.takeDown(link))
             node_.handle(core::PeerLinkDown{link});
--- a/src/wire/connection.cc
+++ b/src/wire/connection.cc
@@ -13,7 +13,7 @@
 
 // A peer that stops reading holds at most this many batches inside the RPC system; all else waits
 // in our own queue, where it is counted against the link's cap.
-constexpr unsigned maxOutstanding = 8;
+constexpr std::size_t maxOutstanding = 8;
 constexpr std::size_t maxBatchBytes = 1U << 20U;
 constexpr std::size_t maxBatchMessages = 4096;
 constexpr int nestingLimit = 32;
@@ -182,7 +182,7 @@
 
 auto Connection::flush() -> void
 {
-    while (up_ && !broken_ && !queued_.empty() && outstanding_ < maxOutstanding)
+    while (up_ && !broken_ && !queued_.empty() && outstanding_.size() < maxOutstanding)
         sendBatch();
 }
 
@@ -203,14 +203,24 @@
         queued_.pop_front();
     }
     queuedBytes_ -= std::min(bytes, queuedBytes_);
-    ++outstanding_;
+    outstanding_.push_back(std::chrono::steady_clock::now());
     KJ_ASSERT_NONNULL(tasks_)->add(request.send().then([this](auto && /*response*/) {
-        --outstanding_;
+        outstanding_.pop_front();
         responded();
         flush();
     }));
 }
 
+auto Connection::backlog() const -> LinkBacklog
+{
+    LinkBacklog backlog{static_cast<unsigned>(outstanding_.size()), {}, queuedBytes_};
+    if (!outstanding_.empty()) {
+        backlog.oldestBatch = std::chrono::duration_cast<core::Duration>(
+            std::chrono::steady_clock::now() - outstanding_.front());
+    }
+    return backlog;
+}
+
 // A report of each batch would cost the receiver of the reports as much as the batch itself.
 auto Connection::responded() -> void
 {
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -45,6 +45,8 @@
     auto enqueue(core::Message message) -> void;
     auto flush() -> void;
 
+    [[nodiscard]] auto backlog() const -> LinkBacklog;
+
 private:
     class PortServer;
     class LinkServer;
@@ -65,7 +67,8 @@
     std::deque<core::Message> queued_;
     std::size_t queuedBytes_ = 0;
     std::vector<core::Message> early_; ///< Arrived before the peer's end of the link was known.
-    unsigned outstanding_ = 0;         ///< Batches sent and not yet answered.
+    /// When each batch was sent that is not yet answered.
+    std::deque<std::chrono::steady_clock::time_point> outstanding_;
     std::optional<std::chrono::steady_clock::time_point> respondedAt_; ///< Last reported.
 
     kj::Own<kj::AsyncIoStream> stream_;
--- a/src/wire/link-loop.cc
+++ b/src/wire/link-loop.cc
@@ -68,6 +68,7 @@
     auto dropUnlessUp(LinkId link) -> void;
     auto broken(LinkId link) -> void;
     auto remove(LinkId link) -> bool;
+    auto closeNow(LinkId link) -> void;
     auto taskFailed(kj::Exception && /*exception*/) -> void override { }
 };
 
@@ -254,6 +255,14 @@
         hooks.onDown(link);
 }
 
+auto LinkLoop::State::closeNow(LinkId link) -> void
+{
+    const auto found = connections.find(link);
+    if (found != connections.end() && hooks.onClosed)
+        hooks.onClosed(link, found->second->backlog());
+    remove(link);
+}
+
 // Destroyed one turn later: the caller may be a promise that belongs to the connection.
 auto LinkLoop::State::remove(LinkId link) -> bool
 {
@@ -313,7 +322,7 @@
 
 auto LinkLoop::close(LinkId link) -> void
 {
-    state_->ask({0, std::nullopt, [state = state_.get(), link] { state->remove(link); }});
+    state_->ask({0, std::nullopt, [state = state_.get(), link] { state->closeNow(link); }});
 }
 
 } // namespace applehatch::wire
