Give each link its turn, so that a router behind on one hears the others

What callers saw: beside load, half of 300 streams ended with 502, "the retry budget is spent".

Cause: the link loop went on with one connection as long as that had more to read. Its sender is answered batch by batch and always has the next one ready, so a router that takes messages slower than one sidecar sends them never looked at its other sockets. It heard nothing of the other sidecars, nor they of it, until each side closed the links as silent after 4 s; new ones could not be opened within 2 s either, and the requests went to the retry budget.

Ruled out: a hold-up of the sidecar (its ticks were 56 to 81 ms apart at most), silence of the router's process (it served the fourth link and its timers), blocked logging (the log is a file).

Mend: a batch is answered when all other sockets that had something were looked at, and nothing more is read of a connection until then. A batch holds 256 messages or 64 KB, so that the turn of one link is short.

The new test was red before (the second link not heard within 20 s, unsanitized) and takes 0.6 s now.

--- a/src/wire/connection.cc
+++ b/src/wire/connection.cc
@@ -14,8 +14,11 @@
 // A peer that stops reading holds at most this many batches inside the RPC system; all else waits
 // in our own queue, where it is counted against the link's cap.
 constexpr std::size_t maxOutstanding = 8;
-constexpr std::size_t maxBatchBytes = 1U << 20U;
-constexpr std::size_t maxBatchMessages = 4096;
+// The peer's answer to a batch is its sign of life, so a batch must not take a busy peer seconds.
+constexpr std::size_t maxBatchBytes = 64U << 10U;
+constexpr std::size_t maxBatchMessages = 256;
+// The RPC system reads no further call of a connection until the last one was answered.
+constexpr std::size_t unansweredCallWords = 1;
 constexpr int nestingLimit = 32;
 
 // A batch is at most one message larger than `maxBatchBytes`, plus the RPC envelope.
@@ -54,7 +57,7 @@
     auto deliver(DeliverContext context) -> kj::Promise<void> override
     {
         connection_.receive(context.getParams().getBatch());
-        return kj::READY_NOW;
+        return connection_.hooks_.nextTurn();
     }
 
 private:
@@ -98,6 +101,7 @@
         rpc_.emplace(capnp::makeRpcServer(network_, kj::heap<PortServer>(*this)));
     else
         rpc_.emplace(capnp::makeRpcClient(network_));
+    KJ_ASSERT_NONNULL(rpc_).setFlowLimit(unansweredCallWords);
     disconnected_ = network_.onDisconnect()
                         .then([this] { breakOff(); })
                         .eagerlyEvaluate([this](kj::Exception && /*exception*/) { breakOff(); });
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -22,6 +22,8 @@
     std::function<void(core::Message)> onMessage;
     std::function<void()> onResponded; ///< A batch was answered.
     std::function<void()> onBroken;    ///< Closed by the peer, refused, silent or over its cap.
+    /// Ready once every other connection that has something to read had its turn.
+    std::function<kj::Promise<void>()> nextTurn;
 };
 
 class Connection
--- a/src/wire/link-loop.cc
+++ b/src/wire/link-loop.cc
@@ -239,6 +239,8 @@
             hooks.onResponded(link);
     };
     reports.onBroken = [this, link] { broken(link); };
+    // Timers are due only after all sockets were looked at.
+    reports.nextTurn = [this] { return io->provider->getTimer().afterDelay(0 * kj::SECONDS); };
     auto connection =
         kj::heap<Connection>(kj::mv(stream), std::move(reports), traffic, limits, fromPeer);
     auto &added = *connection;
--- a/test/wire/link-loop-test.cc
+++ b/test/wire/link-loop-test.cc
@@ -1,11 +1,13 @@
 #include "applehatch/wire/link-loop.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
 #include <condition_variable>
 #include <mutex>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace applehatch::wire {
@@ -197,6 +199,39 @@
     BOOST_TEST(near.down == std::vector<LinkId>{link});
 }
 
+// Guards against one sidecar's stream of chunks keeping a slow router from hearing the others.
+BOOST_AUTO_TEST_CASE(a_link_that_always_has_more_does_not_hold_up_the_others)
+{
+    constexpr auto perMessage = std::chrono::milliseconds(1);
+    constexpr auto silence = std::chrono::seconds(4); // Then a sidecar closes a link.
+    constexpr std::uint64_t count = 20000;
+    Recorder near;
+    Recorder far;
+    auto slow = far.hooks();
+    slow.onMessage = [&, record = slow.onMessage](LinkId link, core::Message message) {
+        std::this_thread::sleep_for(perMessage);
+        record(link, std::move(message));
+    };
+    LinkLoop server(slow, {});
+    LinkLoop flooding(near.hooks(), {});
+    LinkLoop quiet(near.hooks(), {});
+    const auto address = listenOn(server);
+    const auto flood = flooding.open(address);
+    for (std::uint64_t i = 0; i < count; ++i)
+        flooding.send(flood, chunk(i));
+    BOOST_REQUIRE(far.waitFor([&] { return !far.messages.empty(); }));
+    quiet.send(quiet.open(address), core::Heartbeat{});
+    std::size_t taken = 0;
+    const auto isHeard = [&] {
+        taken = far.messages.size();
+        return std::any_of(far.messages.begin(), far.messages.end(), [](const auto &entry) {
+            return std::holds_alternative<core::Heartbeat>(entry.second);
+        });
+    };
+    BOOST_REQUIRE(far.waitFor(isHeard));
+    BOOST_TEST(taken < static_cast<std::size_t>(silence / perMessage));
+}
+
 // The peer's process is frozen. Its kernel still takes bytes, so only the process's own response
 // tells the two apart; without it an engine would go on for a router that passes nothing on.
 BOOST_AUTO_TEST_CASE(only_a_process_that_takes_messages_responds)
