Send chunks that wait for a slow peer as few, so that it can catch up

What callers saw: beside load, streams of one router got their first events seconds late, and the later of 300 only when the first were over.

Cause: a router's cost of an answer is mostly one for each chunk message (decoding, the node, the caller's queue and a wake-up), and sidecars sent one for each token, however many of the same stream already waited for it. Behind once, the router stayed behind: 12,000 messages a second came.

Mend: a chunk that follows on the request's last queued one is appended to it, up to 16 KB. The more waits, the fewer messages carry it. Nothing waits longer for it.

--- a/src/wire/connection.cc
+++ b/src/wire/connection.cc
@@ -17,6 +17,8 @@
 // The peer's answer to a batch is its sign of life, so a batch must not take a busy peer seconds.
 constexpr std::size_t maxBatchBytes = 64U << 10U;
 constexpr std::size_t maxBatchMessages = 256;
+// Chunks of one answer that wait together become one up to this size.
+constexpr std::size_t maxMergedBytes = 16U << 10U;
 // The RPC system reads no further call of a connection until the last one was answered.
 constexpr std::size_t unansweredCallWords = 1;
 constexpr int nestingLimit = 32;
@@ -177,13 +179,39 @@
         return;
     }
     queuedBytes_ += bytes;
-    queued_.push_back(std::move(message));
+    if (!mergeChunk(message))
+        queued_.push_back(std::move(message));
     // A peer that stopped reading, with its kernel still accepting bytes, would otherwise grow this
     // queue until the process is killed; its requests go on over another link.
     if (queuedBytes_ > limits_.queuedBytes)
         breakOff();
 }
 
+// A peer that is behind gets fewer and larger messages the more waits for it, so that it can catch
+// up: most of its work for a chunk does not depend on the chunk's size.
+auto Connection::mergeChunk(core::Message &message) -> bool
+{
+    const auto number = sentMessages_ + queued_.size();
+    auto *chunk = std::get_if<core::Chunk>(&message);
+    if (chunk == nullptr) {
+        lastChunks_.clear();
+        return false;
+    }
+    const auto found = lastChunks_.find(chunk->request);
+    if (found == lastChunks_.end() || found->second < sentMessages_) {
+        lastChunks_.insert_or_assign(chunk->request, number);
+        return false;
+    }
+    auto &last = std::get<core::Chunk>(queued_[found->second - sentMessages_]);
+    const auto follows = last.offset + last.data.size() == chunk->offset;
+    if (!follows || last.data.size() + chunk->data.size() > maxMergedBytes) {
+        found->second = number;
+        return false;
+    }
+    last.data += chunk->data;
+    return true;
+}
+
 auto Connection::flush() -> void
 {
     while (up_ && !broken_ && !queued_.empty() && outstanding_.size() < maxOutstanding)
@@ -205,7 +233,10 @@
         if (traffic_.onSent)
             traffic_.onSent(kindName(message), structBytes(batch[index].asReader().totalSize()));
         queued_.pop_front();
+        ++sentMessages_;
     }
+    if (queued_.empty())
+        lastChunks_.clear();
     queuedBytes_ -= std::min(bytes, queuedBytes_);
     outstanding_.push_back(std::chrono::steady_clock::now());
     KJ_ASSERT_NONNULL(tasks_)->add(request.send().then([this](auto && /*response*/) {
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -11,6 +11,7 @@
 #include <kj/async-io.h>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace applehatch::wire {
@@ -56,6 +57,7 @@
     auto setPeer(schema::Link::Client peer) -> void;
     auto receive(capnp::List<schema::Message>::Reader batch) -> void;
     auto deliver(core::Message message) -> void;
+    auto mergeChunk(core::Message &message) -> bool;
     auto sendBatch() -> void;
     auto responded() -> void;
     auto breakOff() -> void;
@@ -68,6 +70,9 @@
     bool broken_ = false;
     std::deque<core::Message> queued_;
     std::size_t queuedBytes_ = 0;
+    std::uint64_t sentMessages_ = 0; ///< The number of the first message in `queued_`.
+    /// The number of each request's last queued chunk, while nothing else was queued after it.
+    std::unordered_map<core::RequestId, std::uint64_t> lastChunks_;
     std::vector<core::Message> early_; ///< Arrived before the peer's end of the link was known.
     /// When each batch was sent that is not yet answered.
     std::deque<std::chrono::steady_clock::time_point> outstanding_;
--- a/test/wire/link-loop-test.cc
+++ b/test/wire/link-loop-test.cc
@@ -232,6 +232,48 @@
     BOOST_TEST(taken < static_cast<std::size_t>(silence / perMessage));
 }
 
+// Guards against a peer that is behind falling further behind, one message for each token.
+BOOST_AUTO_TEST_CASE(chunks_that_wait_for_a_slow_peer_reach_it_as_few)
+{
+    constexpr std::size_t count = 5000;
+    std::mutex pause;
+    Recorder near;
+    Recorder far;
+    auto blocking = far.hooks();
+    blocking.onMessage = [&, record = blocking.onMessage](LinkId link, core::Message message) {
+        record(link, std::move(message));
+        const std::lock_guard wait(pause);
+    };
+    LinkLoop server(blocking, {});
+    LinkLoop client(near.hooks(), {});
+    const auto link = client.open(listenOn(server));
+    BOOST_REQUIRE(near.waitFor([&] { return !near.up.empty(); }));
+    std::string whole;
+    {
+        const std::unique_lock paused(pause);
+        for (std::size_t number = 0; number < count; ++number) {
+            const auto data = "token " + std::to_string(number) + '\n';
+            client.send(link, core::Chunk{"request", whole.size(), data});
+            whole += data;
+            if (number == 0)
+                BOOST_REQUIRE(far.waitFor([&] { return far.messages.size() == 1; }));
+        }
+    }
+    client.send(link, core::End{"request", whole.size(), 0, {}});
+    BOOST_REQUIRE(
+        far.waitFor([&] { return std::holds_alternative<core::End>(far.messages.back().second); }));
+    std::string taken;
+    for (const auto &[from, message] : far.messages) {
+        const auto *held = std::get_if<core::Chunk>(&message);
+        if (held == nullptr)
+            continue;
+        BOOST_REQUIRE_EQUAL(held->offset, taken.size());
+        taken += held->data;
+    }
+    BOOST_TEST(taken == whole);
+    BOOST_TEST(far.messages.size() < count / 10);
+}
+
 // The peer's process is frozen. Its kernel still takes bytes, so only the process's own response
 // tells the two apart; without it an engine would go on for a router that passes nothing on.
 BOOST_AUTO_TEST_CASE(only_a_process_that_takes_messages_responds)
