Judge others' silence by the time in which this process listened

What callers see: a sidecar that is held up takes its own pause for its routers' silence, closes their links when it wakes, or stops a stream that nobody seems to read, though the bytes that say otherwise lie unread in its sockets.

Cause: a pause of over 3 s was known to a sidecar (woke) and one of over 1 s between two ticks to a router; shorter ones were added to the silence before them, and many ticks that are each somewhat late were never seen.

Mend: ListeningClock, which counts at most 200 ms between two looks at the sockets; silence, an opening's time limit, a lost answer's search and a run without a reader go by it, in both nodes. Ticks run on the link loop's thread, after the sockets. The sidecar's own proof of life and all that guards at-most-once keep the plain clock.

Tests: own_sleep_closes_no_link and a_pause_of_the_router_itself_drops_no_link stay as they were.

--- a/include/applehatch/wire/link-loop.h
+++ b/include/applehatch/wire/link-loop.h
@@ -73,6 +73,10 @@
     /// Queues a message; dropped when the link is down. Thread-safe.
     auto send(LinkId link, core::Message message) -> void;
 
+    /// Runs `task` on the loop's thread once each `period`, each time after the links that had
+    /// something to read had their turn. Until `stop`; thread-safe.
+    auto every(core::Duration period, std::function<void()> task) -> void;
+
     /// Closes a link without `onDown`. Thread-safe.
     auto close(LinkId link) -> void;
 
--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -53,7 +53,7 @@
     writeDecision(exchange);
     auto &link = links_[exchange.upstream];
     if (!isOutstanding(link))
-        link.quietSince = now_;
+        link.quietSince = listened_;
     link.exchanges.insert(exchange.request);
     if (link.phase == LinkPhase::Open)
         serve(exchange);
@@ -242,7 +242,7 @@
         .add("heard_ago_us", Duration(now_ - exchange.heardAt).count())
         .add("detail", failure.detail);
     if (exchange.lostAt)
-        line.add("lost_ago_us", Duration(now_ - *exchange.lostAt).count());
+        line.add("lost_ago_us", Duration(listened_ - *exchange.lostAt).count());
     actions_.emplace_back(AnswerFailure{exchange.request, std::move(failure)});
     actions_.emplace_back(WriteLog{line});
     erase(exchange);
--- a/src/core/router-exchange.h
+++ b/src/core/router-exchange.h
@@ -93,7 +93,7 @@
     std::optional<Duration> retryAfter; ///< The shortest that a refusal named.
 
     Instant heardAt;                ///< Last message about this exchange, or its last send.
-    std::optional<Instant> lostAt;  ///< When its link went; none while it is well.
+    std::optional<Instant> lostAt;  ///< When its link went, on the listening clock; none if well.
     std::optional<Instant> askedAt; ///< Last `Resume`.
     std::uint64_t askedFrom = 0;
     Instant leftAt; ///< When the phase became finished or detached.
--- a/src/core/router-link-events.cc
+++ b/src/core/router-link-events.cc
@@ -16,7 +16,7 @@
     if (link.phase != LinkPhase::Closed)
         return;
     link.phase = LinkPhase::Opening;
-    link.openedAt = now_;
+    link.openedAt = listened_;
     actions_.emplace_back(OpenLink{upstream});
 }
 
@@ -48,15 +48,15 @@
     auto &link = links_[event.upstream];
     auto line = linkLine("link-up", event.upstream, link);
     if (link.phase == LinkPhase::Opening)
-        line.add("opening_us", Duration(now_ - link.openedAt).count());
+        line.add("opening_us", Duration(listened_ - link.openedAt).count());
     actions_.emplace_back(WriteLog{line});
     link.phase = LinkPhase::Open;
     if (link.incarnation != event.incarnation)
         link.leavingAt.reset();
     link.incarnation = event.incarnation;
     link.readClock(event.clock, now_);
-    link.quietSince = now_;
-    link.probedAt = now_;
+    link.quietSince = listened_;
+    link.probedAt = listened_;
     if (link.failedAt) {
         link.failedAt.reset();
         views_.clear();
@@ -81,7 +81,7 @@
 auto RouterNode::State::linkLost(UpstreamId upstream, Link &link, std::string_view cause) -> void
 {
     auto line = linkLine("link-lost", upstream, link);
-    line.add("cause", cause).add("quiet_us", Duration(now_ - link.quietSince).count());
+    line.add("cause", cause).add("quiet_us", Duration(listened_ - link.quietSince).count());
     actions_.emplace_back(WriteLog{line});
     link.phase = LinkPhase::Closed;
     link.failedAt = now_;
@@ -114,8 +114,9 @@
     }
     const auto firstLoss = !exchange.lostAt;
     if (firstLoss)
-        exchange.lostAt = now_;
-    if (!firstLoss && (exchange.mayRunAgain() || now_ - *exchange.lostAt >= limits::reopenWindow)) {
+        exchange.lostAt = listened_;
+    const auto isSought = listened_ - *exchange.lostAt < limits::reopenWindow;
+    if (!firstLoss && (exchange.mayRunAgain() || !isSought)) {
         lose(exchange, "its upstream cannot be reached");
         return;
     }
@@ -134,28 +135,28 @@
 
 auto RouterNode::State::checkLink(UpstreamId upstream, Link &link) -> void
 {
-    if (link.phase == LinkPhase::Opening && now_ - link.openedAt >= links::openTimeout) {
+    if (link.phase == LinkPhase::Opening && listened_ - link.openedAt >= links::openTimeout) {
         actions_.emplace_back(DropLink{upstream});
         linkLost(upstream, link, "not-opened");
         return;
     }
     if (!isOutstanding(link))
         return;
-    if (link.phase == LinkPhase::Closed && now_ - link.openedAt >= limits::reopenPause) {
+    if (link.phase == LinkPhase::Closed && listened_ - link.openedAt >= limits::reopenPause) {
         openLink(upstream);
         return;
     }
     if (link.phase != LinkPhase::Open)
         return;
-    if (now_ - link.quietSince >= links::silence) {
+    if (listened_ - link.quietSince >= links::silence) {
         // Something between the two ends has lost track of the connection. It never reports an
         // error; the caller would see its stream stop for good. A new one works.
         actions_.emplace_back(DropLink{upstream});
         linkLost(upstream, link, "silent");
         return;
     }
-    const auto isQuiet = now_ - link.quietSince >= links::probeAfter;
-    if (isQuiet && now_ - link.probedAt >= links::probeAfter)
+    const auto isQuiet = listened_ - link.quietSince >= links::probeAfter;
+    if (isQuiet && listened_ - link.probedAt >= links::probeAfter)
         probe(upstream, link);
 }
 
@@ -163,7 +164,7 @@
 // anew as soon as it is back.
 auto RouterNode::State::probe(UpstreamId upstream, Link &link) -> void
 {
-    link.probedAt = now_;
+    link.probedAt = listened_;
     send(upstream, Heartbeat{});
 }
 
--- a/src/core/router-links.h
+++ b/src/core/router-links.h
@@ -17,16 +17,17 @@
     Open,
 };
 
-/// The connection to one sidecar, and the requests that depend on it.
+/// The connection to one sidecar, and the requests that depend on it. What is concluded from its
+/// silence goes by the listening clock.
 struct Link
 {
     LinkPhase phase = LinkPhase::Closed;
     Incarnation incarnation = 0;
     Instant sidecarClock; ///< The sidecar's last reading.
     Instant clockReadAt;  ///< When that reading was received.
-    Instant openedAt;     ///< Since when it is opening.
-    Instant quietSince;   ///< Last message, or when something became outstanding.
-    Instant probedAt;     ///< Last heartbeat sent.
+    Instant openedAt;     ///< Since when it is opening; listening clock.
+    Instant quietSince;   ///< Last message, or when something became outstanding; the same clock.
+    Instant probedAt;     ///< Last heartbeat sent; the same clock.
     std::optional<Instant> failedAt;
     std::optional<Instant> leavingAt; ///< When it last refused because it is leaving.
     std::set<RequestId> exchanges;
@@ -55,7 +56,6 @@
 inline constexpr Duration failureMemory = 3s; ///< How long a failed link is passed over.
 inline constexpr Duration leavingMemory = 5s; ///< Until digests say so as well.
 inline constexpr Duration clockDoubt = 1s;    ///< Clocks that differ by more are compared anew.
-inline constexpr Duration lateTick = 1s;      ///< A longer gap between ticks is a pause of ours.
 inline constexpr std::size_t unwantedLimit = 1000;
 
 } // namespace links
--- a/src/core/router-node.cc
+++ b/src/core/router-node.cc
@@ -28,6 +28,7 @@
 auto RouterNode::handle(RouterEvent event, Instant now) -> std::vector<RouterAction>
 {
     state_->now_ = now;
+    state_->listened_ = state_->listening_.at(now);
     state_->handleEvent(event);
     state_->sayDrained();
     return std::exchange(state_->actions_, {});
@@ -125,7 +126,7 @@
 {
     const auto link = links_.find(event.upstream);
     if (link != links_.end())
-        link->second.quietSince = now_;
+        link->second.quietSince = listened_;
     std::visit([&](auto &message) { onMessage(event.upstream, message); }, event.message);
 }
 
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -1,6 +1,7 @@
 /// Everything one router node holds; the events are handled in the files named beside them.
 #pragma once
 
+#include "applehatch/core/listening-clock.h"
 #include "applehatch/core/router-node.h"
 
 #include "router-budget.h"
@@ -234,12 +235,13 @@
     RouterCounts counts_;
     bool draining_ = false;
     bool drainedSaid_ = false;
-    std::optional<Instant> tickedAt_;
+    ListeningClock listening_;
     Instant digestAt_;
     std::size_t digestPool_ = 0;
 
     std::vector<RouterAction> actions_; ///< Of the event being handled.
     Instant now_;                       ///< Of the event being handled.
+    Instant listened_;                  ///< The same on the listening clock.
 };
 
 } // namespace applehatch::core
--- a/src/core/router-tick.cc
+++ b/src/core/router-tick.cc
@@ -7,10 +7,7 @@
 
 auto RouterNode::State::on(Tick & /*event*/) -> void
 {
-    // After a pause of this process the messages that arrived meanwhile are still unread; the
-    // links are not silent.
-    const auto wasPaused = tickedAt_ && now_ - *tickedAt_ > links::lateTick;
-    tickedAt_ = now_;
+    listening_.look(now_);
     std::vector<RequestId> requests;
     requests.reserve(exchanges_.size());
     for (const auto &[request, exchange] : exchanges_)
@@ -20,11 +17,7 @@
             checkExchange(*exchange);
     }
     std::vector<UpstreamId> upstreams;
-    for (auto &[upstream, link] : links_) {
-        if (wasPaused) {
-            link.quietSince = now_;
-            link.openedAt = now_;
-        }
+    for (const auto &[upstream, link] : links_) {
         if (link.phase == LinkPhase::Opening || !link.exchanges.empty())
             upstreams.push_back(upstream);
     }
--- a/src/core/sidecar-answers.cc
+++ b/src/core/sidecar-answers.cc
@@ -182,7 +182,7 @@
     // let finish and recorded, so that the next send of its key is answered.
     if (job.phase == JobPhase::Running && !job.isRunOnce())
         cancel(job, refusalOf(ErrorKind::Revoked, Run::Unknown, "revoked"), "revoked");
-    job.unreadSince = now;
+    job.unreadSince = listened;
     return Run::Unknown;
 }
 
--- a/src/core/sidecar-links.cc
+++ b/src/core/sidecar-links.cc
@@ -6,7 +6,7 @@
 
 auto SidecarNode::State::on(const PeerLinkUp &event) -> void
 {
-    links[event.link] = {now, now};
+    links[event.link] = {listened, now};
     tellClock(event.link);
 }
 
@@ -20,7 +20,7 @@
 {
     const auto link = links.find(event.link);
     if (link != links.end())
-        link->second.heardAt = now;
+        link->second.heardAt = listened;
 }
 
 auto SidecarNode::State::tellClock(LinkId link) -> void
@@ -44,10 +44,10 @@
         const auto found = links.find(id);
         if (found == links.end())
             continue;
-        if (now - found->second.heardAt >= limits.silence) {
+        if (listened - found->second.heardAt >= limits.silence) {
             log(LogLine("link-silent")
                     .add("link", static_cast<std::int64_t>(id))
-                    .add("silent_us", Duration(now - found->second.heardAt).count()));
+                    .add("silent_us", Duration(listened - found->second.heardAt).count()));
             links.erase(found);
             dropReaders(id);
             out.emplace_back(ClosePeer{id});
@@ -64,7 +64,7 @@
         const auto dropped = std::erase_if(
             job.readers, [link](const Reader &reader) { return reader.link == link; });
         if (dropped != 0 && job.readers.empty())
-            job.unreadSince = now;
+            job.unreadSince = listened;
     }
 }
 
--- a/src/core/sidecar-node.cc
+++ b/src/core/sidecar-node.cc
@@ -40,17 +40,16 @@
         begunAt = to;
     } else if (to - now > sleepGap) {
         // It woke from a sleep. What it knew of the others' load is old, and admitting by an old
-        // mean could bury the upstream; links were not silent, it was deaf.
+        // mean could bury the upstream.
         loads = LoadTable();
         sums = PoolSums();
         ownMadeAt.reset();
         reportsSincePause = 0;
-        for (auto &[id, link] : links)
-            link.heardAt = to;
         log(LogLine("woke").add("slept_us", Duration(to - now).count()));
     }
     // Two of the host's threads may read the clock in one order and get here in the other.
     now = std::max(now, to);
+    listened = listening.at(now);
 }
 
 auto SidecarNode::State::on(FromPeer &event) -> void
@@ -59,7 +58,7 @@
     const auto link = links.find(event.link);
     if (link == links.end())
         return;
-    link->second.heardAt = now;
+    link->second.heardAt = listened;
     auto &message = event.message;
     if (auto *toSubmit = std::get_if<Submit>(&message))
         submit(event.link, std::move(*toSubmit));
@@ -77,6 +76,7 @@
 
 auto SidecarNode::State::on(const Tick & /*event*/) -> void
 {
+    listening.look(now);
     watchLinks();
     watchLost();
     watchHeld();
--- a/src/core/sidecar-runs.cc
+++ b/src/core/sidecar-runs.cc
@@ -238,7 +238,7 @@
 {
     const auto mean = serviceTime.mean();
     const auto refuses = pool.queueOrder == settings::QueueOrder::DeadlineWithRefusal;
-    const auto isUnread = job.unreadSince && now - *job.unreadSince >= limits.linkGrace;
+    const auto isUnread = job.unreadSince && listened - *job.unreadSince >= limits.linkGrace;
     if (job.notAfter <= now)
         fail(job, refusalOf(ErrorKind::DeadlineExceeded, Run::NotRun, "waited too long"),
              "deadline");
@@ -255,7 +255,7 @@
 
 auto SidecarNode::State::watchRunning(Job &job) -> void
 {
-    const auto isUnread = job.unreadSince && now - *job.unreadSince >= limits.linkGrace;
+    const auto isUnread = job.unreadSince && listened - *job.unreadSince >= limits.linkGrace;
     if (job.notAfter <= now)
         cancel(job, refusalOf(ErrorKind::DeadlineExceeded, Run::Ran, "deadline passed"),
                "deadline");
--- a/src/core/sidecar-state.h
+++ b/src/core/sidecar-state.h
@@ -8,6 +8,7 @@
 #include "applehatch/core/crash-book.h"
 #include "applehatch/core/expiring-map.h"
 #include "applehatch/core/gossip.h"
+#include "applehatch/core/listening-clock.h"
 #include "applehatch/core/order-plan.h"
 #include "applehatch/core/rendezvous.h"
 #include "applehatch/core/run-once-table.h"
@@ -65,7 +66,7 @@
     Instant acceptedAt;
     Instant startedAt;
     Instant brokenAt;
-    std::optional<Instant> unreadSince; ///< Since when no link reads it.
+    std::optional<Instant> unreadSince; ///< Since when no link reads it; listening clock.
     RunBreak brokenHow = RunBreak::Lost;
     std::string keyName;    ///< Its name in the run-once table; empty without a key.
     bool continued = false; ///< Goes on with a stream of an earlier life.
@@ -96,7 +97,7 @@
 
 struct PeerLink
 {
-    Instant heardAt; ///< Last message, or word that its process took ours.
+    Instant heardAt; ///< Last message, or word that its process took ours; listening clock.
     Instant clockToldAt;
 };
 
@@ -116,6 +117,8 @@
     UpstreamId self = 0;
     Random random;
     Instant now;
+    ListeningClock listening;
+    Instant listened; ///< `now` on the listening clock.
     bool begun = false;
     Instant begunAt;
     std::vector<SidecarAction> out;
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -46,7 +46,6 @@
 {
     waitForCallers();
     feed_.stop();
-    ticks_.reset();
     loop_.stop();
 }
 
@@ -64,8 +63,8 @@
     if (const auto error = server_.start(callers, serve, bound))
         return error;
     feed_.start();
-    ticks_ =
-        std::make_unique<process::Periodic>(tickPeriod, [this] { node_.handle(core::Tick{}); });
+    // On the loop's thread, so that silence is judged only after what has arrived was read.
+    loop_.every(tickPeriod, [this] { node_.handle(core::Tick{}); });
     return {};
 }
 
--- a/src/router/router-host.h
+++ b/src/router/router-host.h
@@ -10,7 +10,6 @@
 #include "applehatch/process/http-server.h"
 #include "applehatch/process/node-runner.h"
 #include "applehatch/process/peer-links.h"
-#include "applehatch/process/periodic.h"
 #include "applehatch/process/settings-feed.h"
 #include "applehatch/process/traffic.h"
 #include "applehatch/settings/process-file.h"
@@ -101,7 +100,6 @@
     process::PeerLinks links_;
     process::SettingsFeed feed_;
     wire::DigestSocket digests_; ///< After the feed, which its thread calls.
-    std::unique_ptr<process::Periodic> ticks_;
     process::AdminServer admin_;
     process::HttpServer server_; ///< Last: stops first, while all that its callers need still runs.
 };
--- a/src/sidecar/sidecar-host.cc
+++ b/src/sidecar/sidecar-host.cc
@@ -57,7 +57,6 @@
     feed_.stop();
     cachePolls_.reset();
     statePolls_.reset();
-    ticks_.reset();
     workers_.stop();
     loop_.stop();
 }
@@ -72,8 +71,9 @@
     if (const auto error = admin_.start(file_->admin, bound))
         return error;
     feed_.start();
+    // On the loop's thread, so that silence is judged only after what has arrived was read.
+    loop_.every(tickPeriod, [this] { node_.handle(core::Tick{}); });
     using process::Periodic;
-    ticks_ = std::make_unique<Periodic>(tickPeriod, [this] { node_.handle(core::Tick{}); });
     statePolls_ = std::make_unique<Periodic>(statePeriod, [this] { pollState(); });
     cachePolls_ = std::make_unique<Periodic>(cachePeriod, [this] { pollCacheEvents(); });
     return {};
--- a/src/sidecar/sidecar-host.h
+++ b/src/sidecar/sidecar-host.h
@@ -86,7 +86,6 @@
     WorkerPool workers_;
     RunTable runs_;
     wire::DigestSocket digests_; ///< After the feed, which its thread calls.
-    std::unique_ptr<process::Periodic> ticks_;
     std::unique_ptr<process::Periodic> statePolls_;
     std::unique_ptr<process::Periodic> cachePolls_;
     process::AdminServer admin_;
--- a/src/wire/link-loop.cc
+++ b/src/wire/link-loop.cc
@@ -69,6 +69,7 @@
     auto broken(LinkId link) -> void;
     auto remove(LinkId link) -> bool;
     auto closeNow(LinkId link) -> void;
+    auto runEvery(kj::Duration period, std::function<void()> task) -> kj::Promise<void>;
     auto taskFailed(kj::Exception && /*exception*/) -> void override { }
 };
 
@@ -257,6 +258,15 @@
         hooks.onDown(link);
 }
 
+auto LinkLoop::State::runEvery(kj::Duration period, std::function<void()> task) -> kj::Promise<void>
+{
+    return io->provider->getTimer().afterDelay(period).then(
+        [this, period, held = std::move(task)]() mutable {
+            held();
+            return runEvery(period, std::move(held));
+        });
+}
+
 auto LinkLoop::State::closeNow(LinkId link) -> void
 {
     const auto found = connections.find(link);
@@ -322,6 +332,14 @@
     state_->ask({link, std::move(message), nullptr});
 }
 
+auto LinkLoop::every(core::Duration period, std::function<void()> task) -> void
+{
+    state_->ask({0, std::nullopt, [state = state_.get(), period, held = std::move(task)]() mutable {
+                     state->tasks->add(
+                         state->runEvery(period.count() * kj::MICROSECONDS, std::move(held)));
+                 }});
+}
+
 auto LinkLoop::close(LinkId link) -> void
 {
     state_->ask({0, std::nullopt, [state = state_.get(), link] { state->closeNow(link); }});
--- /dev/null
+++ b/test/core/listening-clock-test.cc
@@ -0,0 +1,47 @@
+#include "applehatch/core/listening-clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace applehatch::core {
+
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(listening_clock)
+
+BOOST_AUTO_TEST_CASE(it_goes_with_the_time_while_looks_are_frequent)
+{
+    ListeningClock clock;
+    const Instant start{10s};
+    BOOST_TEST((clock.at(start) == start));
+    for (auto passed = 50ms; passed <= 5s; passed += 50ms)
+        clock.look(start + passed);
+    BOOST_TEST((clock.at(start + 5s) == start + 5s));
+    BOOST_TEST((clock.at(start + 5100ms) == start + 5100ms));
+}
+
+// Guards against time in which nobody could be heard counting as others' silence.
+BOOST_AUTO_TEST_CASE(it_stands_still_while_nothing_is_looked_at)
+{
+    ListeningClock clock;
+    const Instant start{10s};
+    clock.look(start);
+    BOOST_TEST((clock.at(start + 1h) == start + ListeningClock::longestStep));
+    clock.look(start + 1h);
+    BOOST_TEST((clock.at(start + 1h) == start + ListeningClock::longestStep));
+    clock.look(start + 1h + 50ms);
+    BOOST_TEST((clock.at(start + 1h + 50ms) == start + ListeningClock::longestStep + 50ms));
+}
+
+// Guards against two threads that read the time in one order and ask in the other.
+BOOST_AUTO_TEST_CASE(it_never_goes_back)
+{
+    ListeningClock clock;
+    const Instant start{10s};
+    clock.look(start);
+    clock.look(start + 100ms);
+    BOOST_TEST((clock.at(start + 90ms) == start + 100ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace applehatch::core
--- a/test/core/router-links-test.cc
+++ b/test/core/router-links-test.cc
@@ -92,6 +92,23 @@
     BOOST_TEST(Bench::of<DropLink>(bench.all).size() == 1U);
 }
 
+// Guards against many ticks that come late, none of them very late, being taken for silence.
+BOOST_AUTO_TEST_CASE(ticks_that_all_come_late_drop_no_link)
+{
+    Bench bench;
+    const auto upstream = beginStream(bench);
+    constexpr auto late = 900ms;
+    for (auto passed = 0ms; passed < 8s; passed += late) {
+        bench.now += late;
+        bench.feed(Tick{});
+    }
+    BOOST_TEST(Bench::of<DropLink>(bench.all).empty());
+    bench.pass(4s);
+    const auto dropped = Bench::of<DropLink>(bench.all);
+    BOOST_REQUIRE(dropped.size() == 1U);
+    BOOST_TEST(dropped[0].upstream == upstream);
+}
+
 // A router that slept sends what it had queued. The attempt must carry a time on the sidecar's own
 // clock that is over by then.
 BOOST_AUTO_TEST_CASE(deadlines_are_reckoned_from_the_links_last_reading_of_the_sidecars_clock)
--- a/test/core/sidecar-answers-test.cc
+++ b/test/core/sidecar-answers-test.cc
@@ -217,4 +217,45 @@
     BOOST_TEST(sidecar.did<ClosePeer>().empty());
 }
 
+// Guards against a pause of the sidecar that is added to a silence before it.
+BOOST_AUTO_TEST_CASE(an_own_pause_after_a_quiet_while_closes_no_link)
+{
+    Sidecar sidecar(modelPool());
+    sidecar.run(sidecar.request("r1"));
+    sidecar.pass(2s);
+    sidecar.now += 2500ms;
+    sidecar.give(Tick{});
+    BOOST_TEST(sidecar.did<ClosePeer>().empty());
+    sidecar.pass(1500ms);
+    BOOST_TEST(sidecar.did<ClosePeer>().empty());
+    sidecar.pass(500ms);
+    BOOST_TEST(sidecar.did<ClosePeer>().size() == 1U);
+}
+
+// Guards against many ticks that come late, none of them very late, being taken for silence.
+BOOST_AUTO_TEST_CASE(ticks_that_all_come_late_close_no_link)
+{
+    Sidecar sidecar(modelPool());
+    sidecar.run(sidecar.request("r1"));
+    sidecar.pass(8s, 900ms);
+    BOOST_TEST(sidecar.did<ClosePeer>().empty());
+    sidecar.pass(4s);
+    BOOST_TEST(sidecar.did<ClosePeer>().size() == 1U);
+}
+
+// Guards against a sidecar that was held up stopping a stream whose router has asked for it again
+// meanwhile.
+BOOST_AUTO_TEST_CASE(a_run_without_a_link_outlives_an_own_pause)
+{
+    Sidecar sidecar(modelPool());
+    const auto run = sidecar.run(sidecar.request("r1"));
+    sidecar.give(RunHead{run, 200, {}, false}).give(PeerLinkDown{routerLink});
+    sidecar.pass(1s);
+    sidecar.now += 20s;
+    sidecar.give(Tick{});
+    BOOST_TEST(sidecar.did<CancelRun>().empty());
+    sidecar.give(PeerLinkUp{2}).from(Resume{"r1", "tai/c1", 0}, 2);
+    BOOST_TEST(sidecar.sent<Head>(2).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/process/settings-feed-test.cc
+++ b/test/process/settings-feed-test.cc
@@ -65,6 +65,7 @@
         return {[](wire::LinkId) {},
                 [](wire::LinkId, const core::Message &) {},
                 [](wire::LinkId) {},
+                {},
                 {}};
     }
 
