Seek a lost answer on where it runs while the retry budget is spent

Cause: after a second failed opening a request that may run again was given up for its next attempt even when that attempt could not be paid for, so it could only be refused.

Nothing is added to the engines' load: resuming is not charged, running again is, as before. Weighed: not charging the second run (an outage would run everything twice, which the budget exists to prevent); telling the caller when to come back (it would run twice too, and may not know that it may).

Test: 60 requests on a link that is lost and not opened once.

--- a/src/core/router-attempts.cc
+++ b/src/core/router-attempts.cc
@@ -61,9 +61,14 @@
         openLink(exchange.upstream);
 }
 
+auto RouterNode::State::budgetOf(const Exchange &exchange) -> RetryBudget &
+{
+    return budgets_[exchange.terms.team + '/' + exchange.terms.pool];
+}
+
 auto RouterNode::State::pay(const Exchange &exchange, AttemptCost cost) -> bool
 {
-    auto &budget = budgets_[exchange.terms.team + '/' + exchange.terms.pool];
+    auto &budget = budgetOf(exchange);
     if (cost == AttemptCost::Hop)
         budget.borrow(now_);
     if (cost == AttemptCost::OneRetry && !budget.spend(now_)) {
--- a/src/core/router-budget.cc
+++ b/src/core/router-budget.cc
@@ -25,10 +25,15 @@
     tokens_ = std::max(-burst, tokens_ - 1);
 }
 
-auto RetryBudget::spend(Instant now) -> bool
+auto RetryBudget::hasOne(Instant now) -> bool
 {
     refill(now);
-    if (tokens_ < 1)
+    return tokens_ >= 1;
+}
+
+auto RetryBudget::spend(Instant now) -> bool
+{
+    if (!hasOne(now))
         return false;
     tokens_ -= 1;
     return true;
--- a/src/core/router-budget.h
+++ b/src/core/router-budget.h
@@ -25,6 +25,9 @@
     /// Takes one retry whether or not one is left; what is owed is paid before the next `spend`.
     auto borrow(Instant now) -> void;
 
+    /// Whether `spend` would succeed.
+    [[nodiscard]] auto hasOne(Instant now) -> bool;
+
     /// Takes one retry; false when the budget is spent.
     [[nodiscard]] auto spend(Instant now) -> bool;
 
--- a/src/core/router-link-events.cc
+++ b/src/core/router-link-events.cc
@@ -116,7 +116,9 @@
     if (firstLoss)
         exchange.lostAt = listened_;
     const auto isSought = listened_ - *exchange.lostAt < limits::reopenWindow;
-    if (!firstLoss && (exchange.mayRunAgain() || !isSought)) {
+    // With the budget spent it can only be refused, while its first run may still be answered.
+    const auto runsAgain = exchange.mayRunAgain() && budgetOf(exchange).hasOne(now_);
+    if (!firstLoss && (runsAgain || !isSought)) {
         lose(exchange, "its upstream cannot be reached");
         return;
     }
--- a/src/core/router-requests.cc
+++ b/src/core/router-requests.cc
@@ -42,8 +42,7 @@
         fail(exchange, std::move(*refused));
         return;
     }
-    budgets_[exchange.terms.team + '/' + exchange.terms.pool].earn(exchange.pool.pool->retryBudget,
-                                                                   now_);
+    budgetOf(exchange).earn(exchange.pool.pool->retryBudget, now_);
     start(std::move(exchange));
 }
 
--- a/src/core/router-state.h
+++ b/src/core/router-state.h
@@ -162,6 +162,7 @@
 
     // router-attempts.cc
     auto advance(Exchange &exchange, AttemptCost cost) -> void;
+    [[nodiscard]] auto budgetOf(const Exchange &exchange) -> RetryBudget &;
     [[nodiscard]] auto pay(const Exchange &exchange, AttemptCost cost) -> bool;
     auto giveUp(Exchange &exchange, ErrorKind kind, std::string detail) -> void;
     auto serve(Exchange &exchange) -> void;
--- a/test/core/router-links-test.cc
+++ b/test/core/router-links-test.cc
@@ -225,6 +225,29 @@
     BOOST_TEST(Bench::of<AnswerHead>(bench.last).size() == 1U);
 }
 
+// Guards against an outage of one connection refusing all that the retry budget does not cover,
+// while their first runs go on.
+BOOST_AUTO_TEST_CASE(a_request_that_may_not_be_run_again_yet_is_sought_where_it_runs)
+{
+    constexpr std::size_t count = 60;
+    Bench bench;
+    for (std::size_t number = 0; number < count; ++number)
+        bench.feed(chatRequest("r" + std::to_string(number), 5));
+    const auto upstream = Bench::of<OpenLink>(bench.all).at(0).upstream;
+    bench.up(upstream);
+    BOOST_REQUIRE(Bench::sent<Submit>(bench.all).size() == count);
+    bench.feed(LinkDown{upstream});
+    bench.feed(LinkDown{upstream});
+    bench.pass(500ms);
+    BOOST_TEST(bench.failures().empty());
+    bench.all.clear();
+    bench.up(upstream);
+    // What was run again elsewhere is revoked here.
+    const auto movedOn = Bench::sent<Revoke>(bench.all).size();
+    BOOST_TEST(movedOn < count / 2);
+    BOOST_TEST(Bench::sent<Resume>(bench.all).size() == count - movedOn);
+}
+
 BOOST_AUTO_TEST_CASE(a_flapping_link_is_not_reopened_without_a_pause)
 {
     Bench bench;
