Count what was meant to be waited for an upstream, not what passed

What callers see: a stream cut though its engine went on, when its sidecar was held up twice for over 5 s.

Cause: the client of upstreams measured a pause by the clock. After a hold-up of the sidecar the bytes lay unread, the limit was long over, and the engine was blamed for a silence; a stream may be sought at its engine twice for that.

Mend: steps of 50 ms are counted as planned, so a hold-up adds one of them at most, and what has arrived is read before the next.

The same elsewhere: the listening clock does this for the two nodes; the gateway's timers run on the loop that reads its sockets, sockets first.

--- a/src/clients/upstream-client-exchange.cc
+++ b/src/clients/upstream-client-exchange.cc
@@ -109,20 +109,22 @@
     , block_(kj::heapArray<char>(blockBytes))
 { }
 
-auto Exchange::giveUp(Clock::time_point since) -> kj::Promise<void>
+// Counts what it meant to wait, not what passed: after a hold-up of this process the upstream's
+// bytes lie unread, and it would be blamed for a silence that was ours.
+auto Exchange::giveUp(core::Duration waited) -> kj::Promise<void>
 {
     if (cancelled_.load()) {
         stop_ = ExchangeStop::Cancelled;
         return kj::READY_NOW;
     }
-    const auto left = pause_ - std::chrono::duration_cast<core::Duration>(Clock::now() - since);
+    const auto left = pause_ - waited;
     if (left <= core::Duration::zero()) {
         stop_ = ExchangeStop::Silent;
         return kj::READY_NOW;
     }
     const auto wait = std::min<core::Duration>(left, checkPeriod);
-    return io_.provider->getTimer().afterDelay(wait.count() * kj::MICROSECONDS).then([this, since] {
-        return giveUp(since);
+    return io_.provider->getTimer().afterDelay(wait.count() * kj::MICROSECONDS).then([=, this] {
+        return giveUp(waited + wait);
     });
 }
 
@@ -130,7 +132,7 @@
 auto Exchange::await(kj::Promise<T> promise) -> kj::Maybe<T>
 {
     auto work = promise.then([](T &&value) -> kj::Maybe<T> { return kj::mv(value); });
-    auto limit = giveUp(Clock::now()).then([]() -> kj::Maybe<T> { return nullptr; });
+    auto limit = giveUp(core::Duration::zero()).then([]() -> kj::Maybe<T> { return nullptr; });
     return work.exclusiveJoin(kj::mv(limit)).wait(io_.waitScope);
 }
 
--- a/src/clients/upstream-client-exchange.h
+++ b/src/clients/upstream-client-exchange.h
@@ -84,11 +84,9 @@
     [[nodiscard]] auto stop() const -> ExchangeStop { return stop_; }
 
 private:
-    using Clock = std::chrono::steady_clock;
-
     template <typename T>
     auto await(kj::Promise<T> promise) -> kj::Maybe<T>;
-    auto giveUp(Clock::time_point since) -> kj::Promise<void>;
+    auto giveUp(core::Duration waited) -> kj::Promise<void>;
     auto toKj(const core::Headers &headers) const -> kj::HttpHeaders;
 
     kj::AsyncIoContext io_;
