Count a merged chunk's bytes once, as they are sent

What callers would see: streams cut again and again on a link that had merged chunks for some minutes, since it was closed as over its cap of 64 MB while nothing waited.

Cause: a chunk that was merged was counted in the queue with the fixed part of a message, which is taken off once for the merged one. Found by reading the change that brought merging.

Test: 200 rounds of 100 chunks over a link with a cap of 256 KB; the link was closed before.

--- a/src/wire/connection.cc
+++ b/src/wire/connection.cc
@@ -178,9 +178,10 @@
             traffic_.onMalformed();
         return;
     }
-    queuedBytes_ += bytes;
-    if (!mergeChunk(message))
+    if (!mergeChunk(message)) {
+        queuedBytes_ += bytes;
         queued_.push_back(std::move(message));
+    }
     // A peer that stopped reading, with its kernel still accepting bytes, would otherwise grow this
     // queue until the process is killed; its requests go on over another link.
     if (queuedBytes_ > limits_.queuedBytes)
@@ -209,6 +210,7 @@
         return false;
     }
     last.data += chunk->data;
+    queuedBytes_ += chunk->data.size();
     return true;
 }
 
--- a/test/wire/link-loop-test.cc
+++ b/test/wire/link-loop-test.cc
@@ -274,6 +274,33 @@
     BOOST_TEST(far.messages.size() < count / 10);
 }
 
+// Guards against a link that is closed as over its cap after it has merged chunks for a while.
+BOOST_AUTO_TEST_CASE(merged_chunks_are_no_longer_counted_once_they_are_sent)
+{
+    constexpr std::size_t rounds = 200;
+    constexpr std::size_t chunksEach = 100;
+    Recorder near;
+    Recorder far;
+    LinkLoop server(far.hooks(), {});
+    LinkLimits limits;
+    limits.queuedBytes = 256U << 10U;
+    LinkLoop client(near.hooks(), {}, limits);
+    const auto link = client.open(listenOn(server));
+    std::uint64_t offset = 0;
+    for (std::uint64_t round = 0; round < rounds; ++round) {
+        for (std::size_t number = 0; number < chunksEach; ++number, offset += 4)
+            client.send(link, chunk(offset));
+        client.send(link, core::End{"request", offset, round, {}});
+        const auto isTaken = [&] {
+            const auto *end = far.messages.empty()
+                ? nullptr
+                : std::get_if<core::End>(&far.messages.back().second);
+            return end != nullptr && end->hash == round;
+        };
+        BOOST_REQUIRE(far.waitFor(isTaken));
+    }
+}
+
 // The peer's process is frozen. Its kernel still takes bytes, so only the process's own response
 // tells the two apart; without it an engine would go on for a router that passes nothing on.
 BOOST_AUTO_TEST_CASE(only_a_process_that_takes_messages_responds)
