Send what was given to send before a stop ends the link loop

What operators and callers see: a router and a sidecar stopped at once, and the sidecar stays for its drain limit and ends with work cut (exit 4), since it waits for word of answers that the router had given and never sent.

Cause: a stop ended the loop's thread in the same turn in which it took the last messages; they were queued on their connections and dropped with them.

Mend: the loop goes on until what was sent is taken by the peers, for a second at most.

--- a/include/applehatch/wire/link-loop.h
+++ b/include/applehatch/wire/link-loop.h
@@ -80,8 +80,9 @@
     /// Closes a link without `onDown`. Thread-safe.
     auto close(LinkId link) -> void;
 
-    /// Closes every link without `onDown` and joins the thread; no hook is called afterwards, and
-    /// what is still sent or opened is dropped. Once; not from a hook.
+    /// Closes every link without `onDown` and joins the thread; no hook is called afterwards. What
+    /// was sent before goes out, for up to a second; what is sent or opened since is dropped. Once;
+    /// not from a hook.
     auto stop() -> void;
 
 private:
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -50,6 +50,12 @@
 
     [[nodiscard]] auto backlog() const -> LinkBacklog;
 
+    /// Something given to send was not yet taken by the peer, which may still do so.
+    [[nodiscard]] auto isSending() const -> bool
+    {
+        return up_ && !broken_ && (!queued_.empty() || !outstanding_.empty());
+    }
+
 private:
     class PortServer;
     class LinkServer;
--- a/src/wire/link-loop.cc
+++ b/src/wire/link-loop.cc
@@ -3,6 +3,7 @@
 #include "connection.h"
 #include "socket-address.h"
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <mutex>
@@ -18,6 +19,8 @@
 namespace {
 
 constexpr auto pauseAfterFailure = 100 * kj::MILLISECONDS;
+constexpr auto sendsRestFor = 1 * kj::SECONDS;
+constexpr auto sendsRestCheck = 5 * kj::MILLISECONDS;
 
 using Wake = kj::Own<kj::CrossThreadPromiseFulfiller<void>>;
 
@@ -55,6 +58,7 @@
 
     auto ask(Asked what) -> void;
     auto runLoop() -> void;
+    auto sendRest(kj::WaitScope &scope) -> void;
     auto nextWake() -> kj::Promise<void>;
     auto takeAsked() -> void;
     auto deliver(LinkId link, core::Message message) -> void;
@@ -140,6 +144,7 @@
         nextWake().wait(context.waitScope);
         takeAsked();
     }
+    sendRest(context.waitScope);
     tasks = nullptr;
     listeners.clear();
     connections.clear();
@@ -147,6 +152,16 @@
     wake = nullptr;
 }
 
+// A sidecar that leaves waits for a router's last acknowledgements, also when both are stopped.
+auto LinkLoop::State::sendRest(kj::WaitScope &scope) -> void
+{
+    const auto isSending = [](const auto &entry) { return entry.second->isSending(); };
+    auto &timer = io->provider->getTimer();
+    const auto until = timer.now() + sendsRestFor;
+    while (timer.now() < until && std::any_of(connections.begin(), connections.end(), isSending))
+        timer.afterDelay(sendsRestCheck).wait(scope);
+}
+
 auto LinkLoop::State::listenNow(const core::Address &address, core::Address &bound)
     -> std::error_code
 {
--- a/test/wire/link-loop-test.cc
+++ b/test/wire/link-loop-test.cc
@@ -301,6 +301,23 @@
     }
 }
 
+// Guards against a stop of a router and a sidecar at once that waits for a word never sent.
+BOOST_AUTO_TEST_CASE(what_was_sent_before_a_stop_arrives)
+{
+    constexpr std::uint64_t count = 1000;
+    Recorder near;
+    Recorder far;
+    LinkLoop server(far.hooks(), {});
+    LinkLoop client(near.hooks(), {});
+    const auto link = client.open(listenOn(server));
+    BOOST_REQUIRE(near.waitFor([&] { return !near.up.empty(); }));
+    for (std::uint64_t i = 0; i < count; ++i)
+        client.send(link, core::Acknowledge{"request", i, true});
+    client.stop();
+    BOOST_REQUIRE(far.waitFor([&] { return !far.down.empty(); }));
+    BOOST_TEST(far.messages.size() == count);
+}
+
 // The peer's process is frozen. Its kernel still takes bytes, so only the process's own response
 // tells the two apart; without it an engine would go on for a router that passes nothing on.
 BOOST_AUTO_TEST_CASE(only_a_process_that_takes_messages_responds)
