--- a/test/wire/link-loop-test.cc
+++ b/test/wire/link-loop-test.cc
@@ -33,6 +33,17 @@
         return hooks;
     }
 
+    /// Records each message and then waits for `pause`.
+    auto hooksHeldUpBy(std::mutex &pause) -> LinkHooks
+    {
+        auto held = hooks();
+        held.onMessage = [&pause, record = held.onMessage](LinkId link, core::Message message) {
+            record(link, std::move(message));
+            const std::lock_guard wait(pause);
+        };
+        return held;
+    }
+
     template <typename Condition>
     auto waitFor(Condition condition) -> bool
     {
@@ -239,12 +250,7 @@
     std::mutex pause;
     Recorder near;
     Recorder far;
-    auto blocking = far.hooks();
-    blocking.onMessage = [&, record = blocking.onMessage](LinkId link, core::Message message) {
-        record(link, std::move(message));
-        const std::lock_guard wait(pause);
-    };
-    LinkLoop server(blocking, {});
+    LinkLoop server(far.hooksHeldUpBy(pause), {});
     LinkLoop client(near.hooks(), {});
     const auto link = client.open(listenOn(server));
     BOOST_REQUIRE(near.waitFor([&] { return !near.up.empty(); }));
@@ -325,12 +331,7 @@
     std::mutex pause;
     Recorder near;
     Recorder far;
-    auto blocking = far.hooks();
-    blocking.onMessage = [&, record = blocking.onMessage](LinkId link, core::Message message) {
-        record(link, std::move(message));
-        const std::lock_guard wait(pause);
-    };
-    LinkLoop server(blocking, {});
+    LinkLoop server(far.hooksHeldUpBy(pause), {});
     LinkLimits limits;
     limits.respondedPeriod = core::Duration(0);
     LinkLoop client(near.hooks(), {}, limits);
