Time words about readers by a heartbeat that only the reader raises

All three readers of the registry were cut off from it; the others went on believing in them for four seconds more after the readers themselves had stopped saying that they read.

Cause: a digest told other readers with the age of the word, and the youngest age won. The way, a late turn of the loop and the rounding down to milliseconds are missing from the age, so each hop makes it younger, and of many paths the fastest wins. Now a word bears the reader's heartbeat; the same heartbeat again changes nothing, and ages are rounded up.

Ruled out: the readers' own word.

--- a/include/applehatch/gateway/peer-digest.h
+++ b/include/applehatch/gateway/peer-digest.h
@@ -3,6 +3,7 @@
 
 #include "applehatch/direct/context-map.h"
 #include "applehatch/direct/load-book.h"
+#include "applehatch/direct/reader-book.h"
 #include "applehatch/direct/registry-replica.h"
 #include "applehatch/direct/suspects.h"
 
@@ -16,14 +17,6 @@
 
 using core::Address;
 
-/// A router that reads the registry itself, as last heard, directly or through others.
-struct ReaderSeen
-{
-    Address router;
-    std::uint64_t revision = 0; ///< That it had then.
-    core::Duration age{0};      ///< Since it said so.
-};
-
 /// Sent to some peers several times a second, in one datagram.
 struct PeerDigest
 {
@@ -35,8 +28,8 @@
     /// Tells only of the registry, at once after a change; the lists below are empty and say
     /// nothing.
     bool brief = false;
-    std::vector<ReaderSeen> readers; ///< The sender among them, if it is one.
-    std::vector<Address> members;    ///< Some of the routers that the sender heard of.
+    std::vector<direct::ReaderWord> readers; ///< The sender among them, if it is one.
+    std::vector<Address> members;            ///< Some of the routers that the sender heard of.
     std::vector<direct::PeerLoad> loads;
     std::vector<direct::CrashCount> crashes;
     std::vector<direct::ContextPlace> contexts; ///< Used a moment ago.
--- a/include/applehatch/gateway/peer-mesh.h
+++ b/include/applehatch/gateway/peer-mesh.h
@@ -54,6 +54,7 @@
     auto fetchNewer(std::uint64_t revision) -> void;
     [[nodiscard]] auto newestRevision(Instant now) const -> std::uint64_t;
     [[nodiscard]] auto table() const -> const PeerTable & { return table_; }
+    [[nodiscard]] auto readerBook() -> direct::ReaderBook & { return table_.readerBook(); }
 
 private:
     auto receive() -> void;
@@ -74,8 +75,8 @@
     UpstreamPool &pool_;
     Address self_;
     PeerMeshHooks hooks_;
-    PeerTable table_;
     std::uint64_t life_;
+    PeerTable table_;
     std::uint64_t sequence_ = 0;
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint from_;
--- a/include/applehatch/gateway/peer-table.h
+++ b/include/applehatch/gateway/peer-table.h
@@ -25,14 +25,6 @@
     Instant heardAt;
 };
 
-/// A router that reads the registry, heard directly or through others.
-struct ReaderRow
-{
-    Address address;
-    std::uint64_t revision = 0;
-    Instant seenAt; ///< When it said so, as far as the ages told add up.
-};
-
 /// Finds routers from seeds and from what routers tell of each other; no clock, no I/O.
 ///
 /// Seeds may be stale or down. Every router tells some addresses it knows, so one live seed, or one
@@ -56,11 +48,9 @@
     static constexpr Duration knownFor = std::chrono::seconds(10);
     /// The retry share counts routers heard within this time: one that is cut off still spends.
     static constexpr Duration countedFor = std::chrono::seconds(60);
-    /// A reader not heard of for this long reads no more: three digests and the way of the news.
-    static constexpr Duration readerHeardFor = std::chrono::milliseconds(800);
 
-    /// A digest is sent each `period`.
-    PeerTable(Address self, Duration period);
+    /// A digest is sent each `period`; `life` rises with each process at this address.
+    PeerTable(Address self, Duration period, std::uint64_t life);
 
     /// A router's rank among those that may read the registry; it stays the same for its address.
     [[nodiscard]] static auto rankOf(const Address &router) -> std::uint64_t;
@@ -76,8 +66,8 @@
     /// Some known routers, in turn.
     [[nodiscard]] auto nextMembers(Instant now) -> std::vector<Address>;
     [[nodiscard]] auto alive(Instant now) const -> std::vector<PeerRow>;
-    /// Other routers that read the registry, youngest word first.
-    [[nodiscard]] auto readers(Instant now) const -> std::vector<ReaderRow>;
+    [[nodiscard]] auto readerBook() -> direct::ReaderBook & { return readerBook_; }
+    [[nodiscard]] auto readerBook() const -> const direct::ReaderBook & { return readerBook_; }
     /// Routers that share the retry budget, this one included; at least the number of seeds.
     [[nodiscard]] auto routers(Instant now) const -> std::size_t;
     /// The time after which every known router has had a digest.
@@ -100,7 +90,7 @@
     std::vector<Address> seeds_;
     std::map<std::string, PeerRow> heard_;
     std::map<std::string, Told> told_; // Named by others, not heard yet.
-    std::map<std::string, ReaderRow> readers_;
+    direct::ReaderBook readerBook_;
     std::size_t targetTurn_ = 0;
     std::size_t memberTurn_ = 0;
 };
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -256,11 +256,14 @@
     const auto now = steadyNow();
     digest.revision = replica_.revision();
     digest.leaving = stopAskedAt_.has_value();
-    if (readsWell())
-        digest.readers.push_back({digest.sender, digest.revision, Duration(0)});
-    for (const auto &reader : mesh_.table().readers(now)) {
+    auto &book = mesh_.readerBook();
+    if (readsWell()) {
+        book.beat(now);
+        digest.readers.push_back(*book.ownWord(digest.revision, now));
+    }
+    for (const auto &reader : book.readers(now)) {
         if (digest.readers.size() <= direct::RegistryReaders::wanted)
-            digest.readers.push_back({reader.address, reader.revision, now - reader.seenAt});
+            digest.readers.push_back(reader);
     }
     if (digest.brief)
         return;
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -145,8 +145,8 @@
 auto GatewayHost::decideReading(Instant now) -> void
 {
     direct::HeardRanks heard;
-    for (const auto &reader : mesh_.table().readers(now))
-        heard.reading.push_back(PeerTable::rankOf(reader.address));
+    for (const auto &reader : mesh_.readerBook().readers(now))
+        heard.reading.push_back(direct::readerRank(reader.router));
     for (const auto &peer : mesh_.table().alive(now))
         heard.alive.push_back(PeerTable::rankOf(peer.address));
     const auto before = readers_.reads();
--- a/src/gateway/peer-digest.cc
+++ b/src/gateway/peer-digest.cc
@@ -113,7 +113,8 @@
     digest.leaving = from.getLeaving();
     digest.brief = from.getBrief();
     for (const auto reader : from.getReaders())
-        digest.readers.push_back({read(reader.getRouter()), reader.getRevision(),
+        digest.readers.push_back({read(reader.getRouter()), reader.getHeartbeat(),
+                                  reader.getRevision(),
                                   std::chrono::milliseconds(reader.getAgeMs())});
     for (const auto member : from.getMembers())
         digest.members.push_back(read(member));
@@ -144,9 +145,10 @@
     return news;
 }
 
+// Rounded up, so that passing an age on never makes it younger.
 auto ageMs(core::Duration age) -> std::uint32_t
 {
-    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    const auto count = std::chrono::ceil<std::chrono::milliseconds>(age).count();
     return static_cast<std::uint32_t>(std::max<std::chrono::milliseconds::rep>(0, count));
 }
 
@@ -165,6 +167,7 @@
     auto readers = root.initReaders(static_cast<unsigned>(digest.readers.size()));
     for (unsigned i = 0; i < readers.size(); ++i) {
         write(readers[i].initRouter(), digest.readers[i].router);
+        readers[i].setHeartbeat(digest.readers[i].heartbeat);
         readers[i].setRevision(digest.readers[i].revision);
         readers[i].setAgeMs(ageMs(digest.readers[i].age));
     }
--- a/src/gateway/peer-mesh.cc
+++ b/src/gateway/peer-mesh.cc
@@ -33,8 +33,8 @@
     : pool_(pool)
     , self_(std::move(self))
     , hooks_(std::move(hooks))
-    , table_(self_, period)
     , life_(telemetry::wallMicroseconds())
+    , table_(self_, period, life_)
     , socket_(loop)
     , timer_(loop.get_executor())
     , fetchTimer_(loop.get_executor())
@@ -131,7 +131,7 @@
     std::uint64_t newest = 0;
     for (const auto &row : table_.alive(now))
         newest = std::max(newest, row.revision);
-    for (const auto &reader : table_.readers(now))
+    for (const auto &reader : table_.readerBook().readers(now))
         newest = std::max(newest, reader.revision);
     return newest;
 }
@@ -151,8 +151,8 @@
     };
     for (const auto &row : table_.alive(now))
         weigh(row.address, row.revision);
-    for (const auto &reader : table_.readers(now))
-        weigh(reader.address, reader.revision);
+    for (const auto &reader : table_.readerBook().readers(now))
+        weigh(reader.router, reader.revision);
     if (peers.empty())
         return std::nullopt;
     return peers[random_() % peers.size()];
--- a/src/gateway/peer-table.cc
+++ b/src/gateway/peer-table.cc
@@ -27,14 +27,15 @@
 
 } // namespace
 
-PeerTable::PeerTable(Address self, Duration period)
+PeerTable::PeerTable(Address self, Duration period, std::uint64_t life)
     : self_(std::move(self))
     , period_(period)
+    , readerBook_(self_, life)
 { }
 
 auto PeerTable::rankOf(const Address &router) -> std::uint64_t
 {
-    return core::stableHash(keyOf(router));
+    return direct::readerRank(router);
 }
 
 auto PeerTable::apply(const PeerDigest &digest, Instant now) -> bool
@@ -58,18 +59,11 @@
 
 auto PeerTable::applyReaders(const PeerDigest &digest, Instant now) -> void
 {
-    // A sender that is not among its own readers has stopped reading.
-    readers_.erase(keyOf(digest.sender));
-    for (const auto &reader : digest.readers) {
-        if (reader.router == self_)
-            continue;
-        const auto seenAt = now - reader.age;
-        auto &row = readers_[keyOf(reader.router)];
-        if (row.seenAt < seenAt)
-            row = {reader.router, std::max(row.revision, reader.revision), seenAt};
-    }
-    std::erase_if(readers_,
-                  [now](const auto &entry) { return now - entry.second.seenAt > readerHeardFor; });
+    const auto isSender = [&](const auto &word) { return word.router == digest.sender; };
+    if (std::none_of(digest.readers.begin(), digest.readers.end(), isSender))
+        readerBook_.noteStopped(digest.sender);
+    for (const auto &word : digest.readers)
+        readerBook_.note(word, now);
 }
 
 auto PeerTable::members(Instant now) const -> std::vector<Address>
@@ -121,18 +115,6 @@
     return rows;
 }
 
-auto PeerTable::readers(Instant now) const -> std::vector<ReaderRow>
-{
-    std::vector<ReaderRow> rows;
-    for (const auto &[key, row] : readers_) {
-        if (now - row.seenAt <= readerHeardFor)
-            rows.push_back(row);
-    }
-    std::sort(rows.begin(), rows.end(),
-              [](const ReaderRow &a, const ReaderRow &b) { return a.seenAt > b.seenAt; });
-    return rows;
-}
-
 auto PeerTable::routers(Instant now) const -> std::size_t
 {
     std::size_t counted = 1;
--- a/src/gateway/peer.capnp
+++ b/src/gateway/peer.capnp
@@ -25,10 +25,11 @@
   tokens @2 :UInt32;
 }
 
-struct ReaderSeen {
+struct ReaderWord {
   router @0 :Member;
   revision @1 :UInt64;
   ageMs @2 :UInt32;
+  heartbeat @3 :UInt64;
 }
 
 struct PeerDigest {
@@ -41,7 +42,7 @@
   loads @6 :List(Load);
   crashes @7 :List(Crash);
   contexts @8 :List(Context);
-  readers @9 :List(ReaderSeen);
+  readers @9 :List(ReaderWord);
   brief @10 :Bool;
 }
 
--- a/test/gateway/peers-test.cc
+++ b/test/gateway/peers-test.cc
@@ -51,7 +51,7 @@
 {
     auto digest = digestOf(3);
     digest.leaving = true;
-    digest.readers = {{router(4), 12, 300ms}};
+    digest.readers = {{router(4), 7, 12, 300ms}};
     digest.members = {router(5)};
     digest.loads = {{77, 6}};
     digest.crashes = {{88, 2}};
@@ -61,6 +61,7 @@
     BOOST_TEST((read->sender == digest.sender));
     BOOST_TEST(read->leaving);
     BOOST_TEST((read->readers.at(0).router == router(4)));
+    BOOST_TEST(read->readers.at(0).heartbeat == 7U);
     BOOST_TEST(read->readers.at(0).revision == 12);
     BOOST_TEST((read->readers.at(0).age == 300ms));
     BOOST_TEST((read->members.at(0) == router(5)));
@@ -106,7 +107,7 @@
     const auto sized = [](std::size_t loads, std::size_t contexts) {
         auto digest = digestOf(1);
         for (std::size_t i = 0; i < direct::RegistryReaders::wanted + 1; ++i)
-            digest.readers.push_back({router(i), 1000, 300ms});
+            digest.readers.push_back({router(i), 1000000, 1000, 300ms});
         for (std::size_t i = 0; i < PeerTable::mostMembers; ++i)
             digest.members.push_back(router(i));
         for (std::uint64_t i = 0; i < loads; ++i)
@@ -126,7 +127,7 @@
 BOOST_AUTO_TEST_CASE(digests_go_round_a_large_fleet)
 {
     constexpr std::size_t fleet = 390;
-    PeerTable table(router(0), period);
+    PeerTable table(router(0), period, 1);
     for (std::size_t i = 1; i < fleet; ++i)
         table.apply(digestOf(i), start);
     std::set<std::string> told;
@@ -146,20 +147,20 @@
 // is too old; and at once that a reader stopped, when that one says so itself.
 BOOST_AUTO_TEST_CASE(readers_are_known_through_others)
 {
-    PeerTable table(router(0), period);
+    PeerTable table(router(0), period, 1);
     auto told = digestOf(1);
-    told.readers = {{router(2), 11, 300ms}};
+    told.readers = {{router(2), 5, 11, 300ms}};
     table.apply(told, start);
-    BOOST_TEST(table.readers(start).size() == 1);
-    BOOST_TEST(table.readers(start).at(0).revision == 11);
-    BOOST_TEST(table.readers(start + 400ms).size() == 1);
-    BOOST_TEST(table.readers(start + 600ms).empty());
+    BOOST_TEST(table.readerBook().readers(start).size() == 1);
+    BOOST_TEST(table.readerBook().readers(start).at(0).revision == 11);
+    BOOST_TEST(table.readerBook().readers(start + 400ms).size() == 1);
+    BOOST_TEST(table.readerBook().readers(start + 600ms).empty());
     told.sequence = 2;
-    told.readers = {{router(2), 12, 0ms}};
+    told.readers = {{router(2), 6, 12, 0ms}};
     table.apply(told, start + 1s);
-    BOOST_TEST(table.readers(start + 1s).size() == 1);
+    BOOST_TEST(table.readerBook().readers(start + 1s).size() == 1);
     table.apply(digestOf(2), start + 1s);
-    BOOST_TEST(table.readers(start + 1s).empty());
+    BOOST_TEST(table.readerBook().readers(start + 1s).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
