Let each router begin its round of digests elsewhere

What callers met: on the large deployment 17 routers read the registry where three are wanted, turns ended 82 times, and a change or the loss of a reader was known late.

Cause: all routers hold the same sorted list of the others and began at its head, in step. In each 200 ms the whole fleet sent to the same ten routers, so that what is passed on spread as slowly as one router's own round: 1.4 s at 68 routers, 7.8 s at 390, longer than a word about a reader counts (0.8 s). Now each begins at a place of its own, and the turn rises without end, so that a list which changes its length does not bring turns together again.

Ruled out: the number of partners.

Evidence: reading_fleet/a_word_reaches_a_large_fleet_within_a_few_digests, virtual time.

--- a/include/applehatch/gateway/peer-table.h
+++ b/include/applehatch/gateway/peer-table.h
@@ -91,8 +91,8 @@
     std::map<std::string, PeerRow> heard_;
     std::map<std::string, Told> told_; // Named by others, not heard yet.
     direct::ReaderBook readerBook_;
-    std::size_t targetTurn_ = 0;
-    std::size_t memberTurn_ = 0;
+    std::size_t targetTurn_;
+    std::size_t memberTurn_;
 };
 
 } // namespace applehatch::gateway
--- a/src/gateway/peer-table.cc
+++ b/src/gateway/peer-table.cc
@@ -12,7 +12,8 @@
     return address.ip + ':' + std::to_string(address.port);
 }
 
-// The next `count` of `all` after those taken before; all of them when there are no more.
+// The next `count` of `all` after those taken before; all of them when there are no more. The turn
+// goes on rising, so that a list that has changed its length does not bring turns together.
 auto takeInTurn(const std::vector<Address> &all, std::size_t count, std::size_t &turn)
     -> std::vector<Address>
 {
@@ -21,16 +22,25 @@
     std::vector<Address> taken;
     for (std::size_t i = 0; i < count; ++i)
         taken.push_back(all[(turn + i) % all.size()]);
-    turn = (turn + count) % all.size();
+    turn += count;
     return taken;
 }
 
+// Each router begins elsewhere. From the same place on, all would send to the same few at a time,
+// and what is passed on would reach the last of 68 routers after a whole round of 1.4 s.
+auto firstTurn(const Address &self) -> std::size_t
+{
+    return static_cast<std::uint32_t>(direct::readerRank(self));
+}
+
 } // namespace
 
 PeerTable::PeerTable(Address self, Duration period, std::uint64_t life)
     : self_(std::move(self))
     , period_(period)
     , readerBook_(self_, life)
+    , targetTurn_(firstTurn(self_))
+    , memberTurn_(targetTurn_)
 { }
 
 auto PeerTable::rankOf(const Address &router) -> std::uint64_t
--- a/test/gateway/reading-fleet-test.cc
+++ b/test/gateway/reading-fleet-test.cc
@@ -24,6 +24,17 @@
                 {[this](std::size_t router, PeerDigest &digest) { fill(router, digest); }})
     { }
 
+    /// Whether every other router knows of all readers.
+    auto isKnownToAll() -> bool
+    {
+        for (std::size_t i = direct::RegistryReaders::wanted; i < fleet.size(); ++i) {
+            const auto known = fleet.table(i).readerBook().readers(fleet.now).size();
+            if (known < direct::RegistryReaders::wanted)
+                return false;
+        }
+        return true;
+    }
+
     /// Whether any other router still believes in a reader.
     auto isBelieved() -> bool
     {
@@ -75,4 +86,20 @@
     }
 }
 
+// Guards against routers that all send to the same few at a time: a word then reaches the last of
+// them after a whole round.
+BOOST_AUTO_TEST_CASE(a_word_reaches_a_large_fleet_within_a_few_digests)
+{
+    for (const std::size_t size : {30U, 68U, 390U}) {
+        FixedReaders routers(size, 19);
+        auto &fleet = routers.fleet;
+        while (!routers.isKnownToAll() && fleet.now - fleetStart < 10s)
+            fleet.runFor(10ms);
+        const auto took =
+            std::chrono::duration_cast<std::chrono::milliseconds>(fleet.now - fleetStart);
+        BOOST_TEST_MESSAGE(size << " routers: known to all after " << took.count() << " ms");
+        BOOST_TEST((took <= 5 * digestPeriod));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
