Count a reader by the registry's last answer to it, not by its own word

From 1.0 s on a third of the hosts were cut off from the registry in silence, all three readers among them. No host had news until 8.06 s, though two thirds of them could reach the registry all the while.

Cause: a reader's word said that it reads, and was true to its knowledge until its watch failed, 3 to 4 s later. Nobody could tell the reader of a quiet registry from one that is cut off.

Now its heartbeat rises with each answer of the registry. The three watches are a third of their period apart, so that a registry that is well answers somebody every 0.83 s at no more calls. When nobody is heard to be answered for 0.65 of the bound on a change (told by the settings), the readers are set aside and the next in rank read, first with a short watch that proves the registry there. Digests tell the readers of lowest rank, by which all decide, in place of the youngest words, of which many readers heard too few to stop. After an own hold-up nothing is concluded before the sockets were read. No router says any more that the registry is lost because it hears no reader; its own call tells.

Ruled out: shorter watches or probes (more calls, which are priced).

Evidence: reading_fleet, all readers cut off at the moment of a change, virtual time. With words raised by the reader itself 3,390, 3,600, 3,590 and 4,080 ms at 5, 30, 68 and 390 routers (red at 5 and 30, bound 2 s, and 7 checks in all); now 990, 1,640, 1,940 and 2,040.

--- a/include/applehatch/direct/registry-readers.h
+++ b/include/applehatch/direct/registry-readers.h
@@ -45,6 +45,18 @@
     static constexpr Duration startStep = std::chrono::milliseconds(150);
     /// At the most; a change must be in force within two seconds.
     static constexpr Duration longestDelay = std::chrono::milliseconds(1200);
+    /// The part of the bound on a change that may pass without an answer of the registry to
+    /// anybody. The rest is for the turn, the call and the way of the news.
+    static constexpr double quietShare = 0.65;
+    /// The first watch of a turn waits no longer: its answer proves that the registry is there.
+    static constexpr Duration proofWait = std::chrono::milliseconds(50);
+
+    /// How long the registry may answer nobody before the next in rank read, when a change must be
+    /// in force everywhere within `bound`.
+    [[nodiscard]] static auto quietFor(Duration bound) -> Duration
+    {
+        return std::chrono::duration_cast<Duration>(bound * quietShare);
+    }
 
     RegistryReaders(std::uint64_t ownRank, Instant startedAt)
         : ownRank_(ownRank)
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -37,6 +37,8 @@
     direct::RetryLimits retries;
     direct::LoadBound loadBound;
     Duration stopWithin = std::chrono::seconds(8); ///< From the request to stop to its end.
+    /// From the registry's word of a change until it is in force on every router.
+    Duration changeWithin = std::chrono::seconds(2);
 };
 
 /// The registry's contents in the project's own types.
@@ -71,6 +73,8 @@
     /// The revision from which the registry may be watched on; none when all of it must be read.
     [[nodiscard]] auto watchableRevision() const -> std::optional<std::uint64_t>;
 
+    /// How long the next watch waits for a change.
+    [[nodiscard]] auto nextWatch() const -> Duration;
     /// How long routers that come first are given to reach the registry when nobody does.
     [[nodiscard]] auto readingDelay() const -> Duration { return readers_.delay(); }
 
@@ -79,7 +83,8 @@
     auto registryChanged(const std::vector<direct::RegistryChange> &changes, std::uint64_t revision)
         -> void;
     auto registryLost(const std::string &why) -> void;
-    auto registryRegained() -> void;
+    /// Any good answer, whether it told of a change or not.
+    auto registryAnswered() -> void;
 
     [[nodiscard]] auto isReady() const -> bool;
     [[nodiscard]] auto pool() -> UpstreamPool & { return pool_; }
@@ -98,14 +103,19 @@
     auto logUpstreamChanges(const direct::UpstreamList &upstreams) -> void;
     auto peerHeard(const PeerDigest &digest) -> void;
     auto peerNews(const direct::RegistryNews &news) -> void;
+    auto registryRegained() -> void;
     /// Decides whether this router reads the registry itself.
     auto decideReading(Instant now) -> void;
+    auto noteQuiet(Instant now) -> void;
+    auto noteTurn(bool reads, std::size_t readers, Instant now) -> void;
+    /// Since the registry last answered anybody; -1 when no answer is known.
+    [[nodiscard]] auto sinceAnswerMs(Instant now) const -> std::int64_t;
     [[nodiscard]] auto readsWell() const -> bool;
     auto fillDigest(PeerDigest &digest) -> void;
     auto exchangeEnded(const ExchangeReport &report) -> void;
     auto tick() -> void;
-    /// Tells when the loop was busy with something else for long.
-    auto noteHoldUp(Instant now) -> void;
+    /// Tells when the loop was busy with something else for long; true then.
+    auto noteHoldUp(Instant now) -> bool;
     auto continueStop(Instant now) -> void;
     [[nodiscard]] auto leftForStreams() const -> std::optional<Duration>;
     [[nodiscard]] auto hasReadyPeer(Instant now) const -> bool;
@@ -150,6 +160,7 @@
     std::size_t inFlight_ = 0;
     std::optional<Instant> stopAskedAt_;
     std::optional<Instant> behindSince_;
+    bool tellsNextAnswer_ = false; // Nobody was heard to read; this router's turn came for it.
 };
 
 } // namespace applehatch::gateway
--- a/include/applehatch/gateway/peer-mesh.h
+++ b/include/applehatch/gateway/peer-mesh.h
@@ -47,6 +47,8 @@
     /// Tells the registry's revision at once: peers that are behind learn of a change without
     /// waiting for the next digest.
     auto tellNow() -> void;
+    /// Tells the next peers that the registry answered; they pass it on.
+    auto tellSome() -> void;
     auto setSeeds(std::vector<Address> seeds) -> void { table_.setSeeds(std::move(seeds)); }
     /// Asks a peer that knows more of the registry than `revision` for what came since; one at a
     /// time, and any of those with the newest view, so that a reader does not answer the whole
@@ -60,7 +62,7 @@
     auto receive() -> void;
     auto take(std::string_view bytes) -> void;
     auto tick() -> void;
-    auto send(bool brief) -> void;
+    auto send(bool brief, const std::vector<Address> &targets) -> void;
     [[nodiscard]] auto newestPeer(std::uint64_t revision) -> std::optional<Address>;
     auto noteLiveness(Instant now) -> void;
     auto request(const Address &peer, std::uint64_t revision,
--- a/include/applehatch/gateway/peer-table.h
+++ b/include/applehatch/gateway/peer-table.h
@@ -61,6 +61,8 @@
 
     /// Whom the next digest goes to: routers and seeds in turn, at most `fanout`.
     [[nodiscard]] auto nextTargets(Instant now) -> std::vector<Address>;
+    /// As many, in a turn of their own: whom a brief digest goes to that is not for all.
+    [[nodiscard]] auto nextTold(Instant now) -> std::vector<Address>;
     /// All known routers and the seeds.
     [[nodiscard]] auto targets(Instant now) const -> std::vector<Address>;
     /// Some known routers, in turn.
@@ -92,6 +94,7 @@
     std::map<std::string, Told> told_; // Named by others, not heard yet.
     direct::ReaderBook readerBook_;
     std::size_t targetTurn_;
+    std::size_t toldTurn_;
     std::size_t memberTurn_;
 };
 
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -159,6 +159,7 @@
     settings_.seeds = settings.seeds;
     settings_.retries = settings.retries;
     settings_.stopWithin = settings.stopWithin;
+    settings_.changeWithin = settings.changeWithin;
     settings_.loadBound = settings.loadBound;
     mesh_.setSeeds(settings_.seeds);
     dispatcher_.setRetryLimits(settings_.retries);
@@ -256,15 +257,9 @@
     const auto now = steadyNow();
     digest.revision = replica_.revision();
     digest.leaving = stopAskedAt_.has_value();
-    auto &book = mesh_.readerBook();
-    if (readsWell()) {
-        book.beat(now);
-        digest.readers.push_back(*book.ownWord(digest.revision, now));
-    }
-    for (const auto &reader : book.readers(now)) {
-        if (digest.readers.size() <= direct::RegistryReaders::wanted)
-            digest.readers.push_back(reader);
-    }
+    const auto &book = mesh_.readerBook();
+    const auto own = readsWell() ? book.ownWord(digest.revision, now) : std::nullopt;
+    digest.readers = book.told(own, now);
     if (digest.brief)
         return;
     digest.loads = dispatcher_.loads().ownLoads();
@@ -277,7 +272,7 @@
 auto GatewayHost::tick() -> void
 {
     const auto now = steadyNow();
-    noteHoldUp(now);
+    const auto wasHeldUp = noteHoldUp(now);
     if (replica_.expire(now))
         applyRegistry();
     dispatcher_.loads().setPeerLifetime(mesh_.table().believedFor(now));
@@ -285,7 +280,9 @@
     dispatcher_.contexts().expire(now);
     dispatcher_.setRouters(mesh_.table().routers(now));
     pool_.expire(now);
-    decideReading(now);
+    // What others said meanwhile lies unread: the next tick decides.
+    if (!wasHeldUp)
+        decideReading(now);
     catchUp(now);
     releaseEarly(now);
     for (auto &listener : listeners_)
@@ -296,14 +293,15 @@
     tick_.start(tickPeriod, [this] { tick(); });
 }
 
-auto GatewayHost::noteHoldUp(Instant now) -> void
+auto GatewayHost::noteHoldUp(Instant now) -> bool
 {
     const auto late = now - tickDueAt_.value_or(now);
     metrics_.noteLoopDelay(late);
     if (late < heldUpFor)
-        return;
+        return false;
     metrics_.noteEvent("held-up");
     log(LogLine("held-up").add("lateMs", milliseconds(late)), LogLevel::Warning);
+    return true;
 }
 
 auto GatewayHost::stop() -> void
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -52,6 +52,22 @@
     replica_.noteLost();
 }
 
+auto GatewayHost::registryAnswered() -> void
+{
+    registryRegained();
+    mesh_.readerBook().beat(steadyNow());
+    // When nobody was heard to read, all are told: else the next in rank would read as well.
+    if (std::exchange(tellsNextAnswer_, false))
+        mesh_.tellNow();
+    else
+        mesh_.tellSome();
+}
+
+auto GatewayHost::nextWatch() const -> Duration
+{
+    return mesh_.table().readerBook().nextWatch(steadyNow());
+}
+
 auto GatewayHost::registryRegained() -> void
 {
     if (!replica_.reachable()) {
@@ -137,13 +153,14 @@
 
 auto GatewayHost::watchableRevision() const -> std::optional<std::uint64_t>
 {
-    if (!replica_.reachable() || replica_.revision() == 0)
+    if (replica_.revision() == 0)
         return std::nullopt;
     return replica_.revision();
 }
 
 auto GatewayHost::decideReading(Instant now) -> void
 {
+    noteQuiet(now);
     direct::HeardRanks heard;
     for (const auto &reader : mesh_.readerBook().readers(now))
         heard.reading.push_back(direct::readerRank(reader.router));
@@ -153,14 +170,8 @@
     const auto reads = readers_.decide(heard, now);
     if (reads == before)
         return;
-    const auto *event = reads ? "registry-turn" : "registry-turn-over";
-    metrics_.noteEvent(event);
-    log(LogLine(event)
-            .add("readers", static_cast<std::int64_t>(heard.reading.size()))
-            .add("revision", static_cast<std::int64_t>(replica_.revision())));
-    // Nobody has read the registry for a moment: it may have been away, and entries have lapsed.
-    if (reads && heard.reading.empty())
-        registryLost("no router reads it");
+    noteTurn(reads, heard.reading.size(), now);
+    tellsNextAnswer_ = reads && heard.reading.empty();
     // What the readers tell counts like the registry's own word.
     if (!reads)
         registryRegained();
@@ -168,6 +179,33 @@
         readingTurn_(reads);
 }
 
+auto GatewayHost::noteQuiet(Instant now) -> void
+{
+    const auto limit = direct::RegistryReaders::quietFor(settings_.changeWithin);
+    // One that reads itself knows by its own calls.
+    if (readers_.reads() || !mesh_.readerBook().setAsideWhenQuiet(limit, now))
+        return;
+    metrics_.noteEvent("registry-quiet");
+    log(LogLine("registry-quiet").add("sinceAnswerMs", sinceAnswerMs(now)));
+}
+
+auto GatewayHost::noteTurn(bool reads, std::size_t readers, Instant now) -> void
+{
+    const auto *event = reads ? "registry-turn" : "registry-turn-over";
+    metrics_.noteEvent(event);
+    log(LogLine(event)
+            .add("readers", static_cast<std::int64_t>(readers))
+            .add("sinceAnswerMs", sinceAnswerMs(now))
+            .add("revision", static_cast<std::int64_t>(replica_.revision())));
+}
+
+auto GatewayHost::sinceAnswerMs(Instant now) const -> std::int64_t
+{
+    constexpr std::int64_t never = -1;
+    const auto since = mesh_.table().readerBook().sinceAnswer(now);
+    return since ? std::chrono::duration_cast<std::chrono::milliseconds>(*since).count() : never;
+}
+
 auto GatewayHost::peerNews(const direct::RegistryNews &news) -> void
 {
     const auto before = replica_.revision();
--- a/src/gateway/peer-mesh.cc
+++ b/src/gateway/peer-mesh.cc
@@ -81,12 +81,13 @@
 
 auto PeerMesh::tick() -> void
 {
-    send(false);
-    noteLiveness(telemetry::steadyNow());
+    const auto now = telemetry::steadyNow();
+    send(false, table_.nextTargets(now));
+    noteLiveness(now);
     timer_.start(period, [this] { tick(); });
 }
 
-auto PeerMesh::send(bool brief) -> void
+auto PeerMesh::send(bool brief, const std::vector<Address> &targets) -> void
 {
     const auto now = telemetry::steadyNow();
     PeerDigest digest;
@@ -98,7 +99,7 @@
     if (!brief)
         digest.members = table_.nextMembers(now);
     const auto bytes = encodeDigest(digest);
-    for (const auto &target : brief ? table_.targets(now) : table_.nextTargets(now)) {
+    for (const auto &target : targets) {
         error_code error; // A datagram that cannot be sent is made up for by the next one.
         socket_.send_to(asio::buffer(bytes), endpointOf(target), 0, error);
     }
@@ -107,7 +108,13 @@
 auto PeerMesh::tellNow() -> void
 {
     if (socket_.is_open())
-        send(true);
+        send(true, table_.targets(telemetry::steadyNow()));
+}
+
+auto PeerMesh::tellSome() -> void
+{
+    if (socket_.is_open())
+        send(true, table_.nextTold(telemetry::steadyNow()));
 }
 
 auto PeerMesh::noteLiveness(Instant now) -> void
--- a/src/gateway/peer-table.cc
+++ b/src/gateway/peer-table.cc
@@ -40,6 +40,7 @@
     , period_(period)
     , readerBook_(self_, life)
     , targetTurn_(firstTurn(self_))
+    , toldTurn_(targetTurn_)
     , memberTurn_(targetTurn_)
 { }
 
@@ -109,6 +110,11 @@
     return takeInTurn(targets(now), fanout, targetTurn_);
 }
 
+auto PeerTable::nextTold(Instant now) -> std::vector<Address>
+{
+    return takeInTurn(targets(now), fanout, toldTurn_);
+}
+
 auto PeerTable::nextMembers(Instant now) -> std::vector<Address>
 {
     return takeInTurn(members(now), mostMembers, memberTurn_);
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -316,6 +316,7 @@
         registry.configuration = std::move(configuration);
         registry.upstreams = std::move(upstreams);
         ++revision_;
+        host.registryAnswered();
         host.registryRead({revision_, {{"all", std::to_string(revision_), revision_}}});
     }
 
