Hear a process that started with its clock set back

What callers met: none was seen; found by reading, for the table of what is told. A gateway's life is the time of day at its start. Its loads and contexts were unknown, and it counted as gone.

Now a lower life is late only while the row is fresh; and a reader's lower heartbeat counts once the known one has ended.

Evidence: a_process_that_starts_with_its_clock_set_back_is_heard, red before.

--- a/src/direct/reader-book.cc
+++ b/src/direct/reader-book.cc
@@ -44,7 +44,10 @@
     std::erase_if(rows_,
                   [now](const auto &entry) { return now - entry.second.beatAt > rememberedFor; });
     auto &row = rows_[readerRank(word.router)];
-    if (word.heartbeat > row.word.heartbeat) {
+    // Of a process that started after the time of day was set back.
+    const auto isOtherLife = word.heartbeat < row.word.heartbeat && word.age < trustedFor
+        && now - row.beatAt > trustedFor;
+    if (word.heartbeat > row.word.heartbeat || isOtherLife) {
         const auto isKnown = row.word.heartbeat > 0;
         row = {word, now - word.age, false};
         // It was not the registry that was quiet, nor its readers: their words came late.
--- a/src/gateway/peer-table.cc
+++ b/src/gateway/peer-table.cc
@@ -54,9 +54,10 @@
     if (digest.sender == self_)
         return false;
     auto &row = heard_[keyOf(digest.sender)];
-    const auto isOld =
-        digest.life < row.life || (digest.life == row.life && digest.sequence <= row.sequence);
-    if (isOld)
+    // A lower life is a late datagram of an earlier process, or the time of day was set back.
+    const auto isLate = digest.life < row.life && now - row.heardAt <= aliveFor;
+    const auto isOld = digest.life == row.life && digest.sequence <= row.sequence;
+    if (isLate || isOld)
         return false;
     row = {digest.sender, digest.life, digest.sequence, digest.revision, digest.leaving, now};
     told_.erase(keyOf(digest.sender));
--- a/test/gateway/peers-test.cc
+++ b/test/gateway/peers-test.cc
@@ -143,6 +143,29 @@
     BOOST_TEST(table.nextMembers(start).size() <= PeerTable::mostMembers);
 }
 
+// Guards against a process that is never heard again because the time of day was set back before it
+// started: its life is then lower than that of the process before.
+BOOST_AUTO_TEST_CASE(a_process_that_starts_with_its_clock_set_back_is_heard)
+{
+    PeerTable table(router(0), period, 1);
+    auto digest = digestOf(1, 900);
+    digest.life = 5000;
+    digest.readers = {{router(1), 5900, 11, 0ms}};
+    BOOST_TEST(table.apply(digest, start));
+    auto next = digestOf(1, 1);
+    next.life = 2000;
+    next.readers = {{router(1), 2001, 12, 0ms}};
+    BOOST_TEST(!table.apply(next, start + 200ms)); // It may be the earlier process's, late.
+    const auto later = start + PeerTable::aliveFor + 1ms;
+    next.sequence = 2;
+    BOOST_TEST(table.apply(next, later));
+    const auto muchLater = start + direct::ReaderBook::trustedFor + 1ms;
+    next.sequence = 3;
+    next.readers = {{router(1), 2002, 12, 0ms}};
+    BOOST_TEST(table.apply(next, muchLater));
+    BOOST_TEST(table.readerBook().readers(muchLater).size() == 1);
+}
+
 // A router hears of a reader only through another. It must know that somebody reads, until the word
 // is too old; and at once that a reader stopped, when that one says so itself.
 BOOST_AUTO_TEST_CASE(readers_are_known_through_others)
