--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -280,8 +280,9 @@
     dispatcher_.contexts().expire(now);
     dispatcher_.setRouters(mesh_.table().routers(now));
     pool_.expire(now);
-    // What others said meanwhile lies unread: the next tick decides.
-    if (!wasHeldUp)
+    // What others said meanwhile lies unread: whether this router must read waits for the next
+    // tick. That it need not is decided at once, as reading may be what holds it up.
+    if (!wasHeldUp || readers_.reads())
         decideReading(now);
     catchUp(now);
     releaseEarly(now);
--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -1,6 +1,8 @@
 #include "gateway-fixture.h"
 
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -312,6 +314,22 @@
     BOOST_TEST(runUntil(loop, [&] { return fleet.reads[follower] == true; }));
 }
 
+// Guards against a router that never stops reading because reading holds it up: hundreds that start
+// together then all read on, and none serves.
+BOOST_AUTO_TEST_CASE(a_router_that_is_always_held_up_still_stops_reading)
+{
+    asio::io_context loop(1);
+    asio::steady_timer work(loop);
+    std::function<void()> holdUp = [&] {
+        std::this_thread::sleep_for(300ms);
+        work.expires_after(1ms);
+        work.async_wait([&](boost::system::error_code) { holdUp(); });
+    };
+    asio::post(loop, [&] { holdUp(); });
+    ReadingFleet fleet(loop);
+    fleet.waitForFollower();
+}
+
 // A router told of a new revision, was killed, and answers again with an empty memory while the
 // others still believe the old word. Asking it again at once would keep both busy until that word
 // is too old, at the very moment when all routers start again.
--- a/test/platform/registry-client-test.cc
+++ b/test/platform/registry-client-test.cc
@@ -2,6 +2,7 @@
 #include "registry-client.h"
 #include "words.h"
 
+#include "applehatch/core/base64.h"
 #include "applehatch/telemetry/logger.h"
 #include "gateway/gateway-fixture.h"
 
@@ -198,6 +199,20 @@
     BOOST_TEST(store.hasVersion(2));
 }
 
+// Guards against whole reads repeated by hundreds of routers that start together: the first of this
+// one failed, and it has meanwhile been given everything by a peer.
+BOOST_AUTO_TEST_CASE(a_first_read_that_failed_goes_on_from_what_a_peer_gave)
+{
+    Store store([](UpstreamSide &side, const std::string &call, std::size_t) {
+        side.send(isRange(call) ? answer("503 Busy", "")
+                                : answer("200 OK", events(item(versionTwo, 9), 9)));
+    });
+    store.gateway.registryRead({7, {{"op/config", *core::decodeBase64(versionOne), 5}}});
+    BOOST_TEST(store.hasVersion(2));
+    BOOST_TEST(store.calls.at(0).find("/v1/kv-range?") != std::string::npos);
+    BOOST_TEST(store.calls.at(1).find("after=7&wait-ms=50") != std::string::npos);
+}
+
 // The answer to a watch is lost, and nothing more comes on that connection. After the time that a
 // watch may take at most, everything is read again on another connection.
 BOOST_AUTO_TEST_CASE(a_watch_without_an_answer_is_given_up)
