Check the bound on a change, and keep a floor under what counts as quiet

A bound of 0 would have made every router call the registry without end, and one below 1.9 s more often than three watches answer. A bound that is not above 0 is an error that names it; the time without an answer is at least 1.25 s.

--- a/include/applehatch/direct/reader-book.h
+++ b/include/applehatch/direct/reader-book.h
@@ -31,10 +31,10 @@
 /// Tells readers that the registry answers from those that only wait for it; no clock, no I/O.
 ///
 /// A word counts by the registry's last answer, not by when it was heard: a reader that is cut off
-/// in silence goes on sending words, and only their age shows it. A word with the count that is
-/// known already changes nothing, however young it claims to be. Each router passes words on, the
-/// way takes time, and among many ways the fastest would otherwise make an old word young again and
-/// again, so that the fleet believes for seconds in a reader that is gone.
+/// in silence goes on sending words, and only their age shows it. A word with the heartbeat
+/// that is known already changes nothing, however young it claims to be. Each router passes words
+/// on, the way takes time, and among many ways the fastest would otherwise make an old word young
+/// again and again, so that the fleet believes for seconds in a reader that is gone.
 class ReaderBook
 {
 public:
@@ -46,7 +46,8 @@
     /// A heartbeat is remembered for longer than any word of it can be under way.
     static constexpr Duration rememberedFor = 3 * trustedFor;
 
-    /// `firstHeartbeat` is higher than any of an earlier process at this address.
+    /// `firstHeartbeat` is higher than any of an earlier process at this address, unless the time
+    /// of day was set back.
     ReaderBook(Address self, std::uint64_t firstHeartbeat);
 
     /// The registry answered this router.
@@ -65,8 +66,8 @@
     /// The other routers that read, lowest rank first, with their ages as of now.
     [[nodiscard]] auto readers(Instant now) const -> std::vector<ReaderWord>;
     /// What a digest tells: this router's own word, if it reads, and those of the lowest ranks.
-    /// Every router decides by these alone; where the youngest words were told instead, each of
-    /// many readers heard too few of lower rank and went on reading.
+    /// Every router decides by these alone: of the youngest words each of many readers would hear
+    /// too few of lower rank, and read on.
     [[nodiscard]] auto told(std::optional<ReaderWord> own, Instant now) const
         -> std::vector<ReaderWord>;
     /// Since the youngest answer to anybody; none when no answer is known.
--- a/include/applehatch/direct/registry-readers.h
+++ b/include/applehatch/direct/registry-readers.h
@@ -3,6 +3,7 @@
 
 #include "applehatch/core/identity.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -48,6 +49,9 @@
     /// The part of the bound on a change that may pass without an answer of the registry to
     /// anybody. The rest is for the turn, the call and the way of the news.
     static constexpr double quietShare = 0.65;
+    /// Three watches answer every 0.83 s, and the word of it takes up to 0.4 s. A shorter time
+    /// would send all routers to the registry again and again.
+    static constexpr Duration shortestQuiet = std::chrono::milliseconds(1250);
     /// The first watch of a turn waits no longer: its answer proves that the registry is there.
     static constexpr Duration proofWait = std::chrono::milliseconds(50);
 
@@ -55,7 +59,7 @@
     /// in force everywhere within `bound`.
     [[nodiscard]] static auto quietFor(Duration bound) -> Duration
     {
-        return std::chrono::duration_cast<Duration>(bound * quietShare);
+        return std::max(shortestQuiet, std::chrono::duration_cast<Duration>(bound * quietShare));
     }
 
     RegistryReaders(std::uint64_t ownRank, Instant startedAt)
--- a/test/gateway/reading-fleet-test.cc
+++ b/test/gateway/reading-fleet-test.cc
@@ -25,6 +25,7 @@
 constexpr std::array fleets{FleetSize{5, 2s}, FleetSize{30, 2s}, FleetSize{68, 4s},
                             FleetSize{390, 18s}};
 constexpr std::size_t largest = 390;
+constexpr Duration tooShort = 500ms;
 constexpr Duration settling = 5s;
 
 /// The first routers read, and all pass on whom they know to read.
@@ -176,7 +177,9 @@
 BOOST_AUTO_TEST_CASE(three_idle_watches_serve_a_fleet)
 {
     constexpr Duration idle = 10s;
-    for (const auto &[size, bound] : fleets) {
+    auto bounds = std::vector<FleetSize>(fleets.begin(), fleets.end());
+    bounds.push_back({30, tooShort});
+    for (const auto &[size, bound] : bounds) {
         RegistryFleet routers(size, 37, bound);
         routers.fleet.runFor(settling);
         const auto start = routers.calls;
--- a/test/platform/decoder-test.cc
+++ b/test/platform/decoder-test.cc
@@ -35,7 +35,8 @@
   "node-name": "edge-1", "zone": "east", "ip": "10.0.0.1", "new-field": [1],
   "listen": {"front": "10.0.0.1:8000", "ready": "10.0.0.1:8001", "control": "10.0.0.1:8002"},
   "port-range": [7000, 7010], "seeds": ["10.0.0.1:8002", "10.0.0.2:8002", 5, "nonsense"],
-  "bounds": {"retry-ratio": 0.2, "retry-window-s": 10, "retry-extra": 52, "grace-s": 8},
+  "bounds": {"retry-ratio": 0.2, "retry-window-s": 10, "retry-extra": 52, "grace-s": 8,
+             "config-ms": 4000},
   "platform": {"addr": "10.9.0.1:8223"}})";
 
 auto held(const std::string &value, std::uint64_t revision) -> direct::HeldItem
@@ -145,6 +146,7 @@
     BOOST_TEST(settings->gateway.peers.port == 7000);
     BOOST_TEST(settings->gateway.seeds.size() == 2);
     BOOST_TEST(settings->gateway.retries.extra == 52);
+    BOOST_TEST((settings->gateway.changeWithin == 4s));
     BOOST_TEST(settings->registry.ip == "10.9.0.1");
 }
 
@@ -158,6 +160,10 @@
     BOOST_TEST(!parseSettings("{}", problem));
     BOOST_TEST(problem.find("node-name") != std::string::npos);
     BOOST_TEST(!parseSettings("", problem));
+    text = settingsText;
+    text.replace(text.find("4000"), 4, "0");
+    BOOST_TEST(!parseSettings(text, problem));
+    BOOST_TEST(problem.find("/bounds/config-ms") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(prompts_and_loads_are_read)
