Read all runs of a sidecar on its link loop

What callers saw: on a busy machine the first event of a new stream came 1.2 to 1.8 s after its request while 300 streams ran through the same router, and 300 streams took longer to open than the 6 s that one lasts (0 to 23 under way of 300 when several fleets were played at once).

Cause: a sidecar read each stream on a thread with an event loop of its own. Each token was a wake-up of that thread, a timer, a lock, a message, a wake-up of the link loop's thread, however many tokens lay ready: a sidecar that is behind stays behind, and its hundred threads take the processor from those who accept, choose and submit.

Mend: UpstreamRuns carries all runs out on the link loop's thread. What the loop's own thread asks of the loop costs no wake-up. Silence is counted in planned steps on the same thread, after what had arrived was read.

In the clients' tests UpstreamClient::run was called in one place each; these now go through test/clients/one-run.h, their checks are unchanged.

--- a/include/applehatch/wire/link-loop.h
+++ b/include/applehatch/wire/link-loop.h
@@ -10,6 +10,10 @@
 #include <string_view>
 #include <system_error>
 
+namespace kj {
+struct AsyncIoContext;
+} // namespace kj
+
 namespace applehatch::wire {
 
 using LinkId = std::uint64_t;
@@ -73,6 +77,10 @@
     /// Queues a message; dropped when the link is down. Thread-safe.
     auto send(LinkId link, core::Message message) -> void;
 
+    /// Runs `task` on the loop's thread, which it must not block; dropped after `stop`. What it
+    /// puts on the loop must be gone before `stop`. Thread-safe.
+    auto run(std::function<void(kj::AsyncIoContext &)> task) -> void;
+
     /// Runs `task` on the loop's thread once each `period`, each time after the links that had
     /// something to read had their turn. Until `stop`; thread-safe.
     auto every(core::Duration period, std::function<void()> task) -> void;
--- a/src/clients/upstream-client-exchange.cc
+++ b/src/clients/upstream-client-exchange.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <chrono>
+#include <utility>
 
 namespace applehatch::clients {
 
@@ -10,6 +12,7 @@
 
 constexpr std::size_t maxHeaders = 100;
 constexpr std::size_t maxHeaderBytes = 32768;
+constexpr auto listeningStep = std::chrono::milliseconds(50);
 
 constexpr std::array<std::string_view, 10> connectionHeaders = {
     "connection", "content-length", "host",    "keep-alive",        "proxy-connection",
@@ -101,44 +104,16 @@
            });
 }
 
-Exchange::Exchange(const core::Address &upstream, const std::atomic<bool> &cancelled)
-    : io_(kj::setupAsyncIo())
-    , upstream_(upstream)
-    , cancelled_(cancelled)
-    , table_(kj::HttpHeaderTable::Builder().build())
+Exchange::Exchange(kj::Network &network, const kj::HttpHeaderTable &table, core::Address upstream)
+    : network_(network)
+    , table_(table)
+    , upstream_(std::move(upstream))
     , block_(kj::heapArray<char>(blockBytes))
 { }
 
-// Counts what it meant to wait, not what passed: after a hold-up of this process the upstream's
-// bytes lie unread, and it would be blamed for a silence that was ours.
-auto Exchange::giveUp(core::Duration waited) -> kj::Promise<void>
-{
-    if (cancelled_.load()) {
-        stop_ = ExchangeStop::Cancelled;
-        return kj::READY_NOW;
-    }
-    const auto left = pause_ - waited;
-    if (left <= core::Duration::zero()) {
-        stop_ = ExchangeStop::Silent;
-        return kj::READY_NOW;
-    }
-    const auto wait = std::min<core::Duration>(left, checkPeriod);
-    return io_.provider->getTimer().afterDelay(wait.count() * kj::MICROSECONDS).then([=, this] {
-        return giveUp(waited + wait);
-    });
-}
-
-template <typename T>
-auto Exchange::await(kj::Promise<T> promise) -> kj::Maybe<T>
-{
-    auto work = promise.then([](T &&value) -> kj::Maybe<T> { return kj::mv(value); });
-    auto limit = giveUp(core::Duration::zero()).then([]() -> kj::Maybe<T> { return nullptr; });
-    return work.exclusiveJoin(kj::mv(limit)).wait(io_.waitScope);
-}
-
 auto Exchange::toKj(const core::Headers &headers) const -> kj::HttpHeaders
 {
-    kj::HttpHeaders result(*table_);
+    kj::HttpHeaders result(table_);
     result.set(kj::HttpHeaderId::HOST, kj::str(upstream_.ip.c_str(), ":", upstream_.port));
     for (const auto &[name, value] : headers) {
         if (!concernsConnection(name)) {
@@ -148,23 +123,20 @@
     return result;
 }
 
-auto Exchange::connect(core::Duration limit) -> bool
+auto Exchange::connect() -> kj::Promise<void>
 {
-    pause_ = limit;
-    auto address =
-        await(io_.provider->getNetwork().parseAddress(upstream_.ip.c_str(), upstream_.port));
-    KJ_IF_MAYBE (found, address) {
-        auto opened = await((*found)->connect());
-        KJ_IF_MAYBE (stream, opened) {
-            stream_ = kj::mv(*stream);
-            client_ = kj::newHttpClient(*table_, *stream_);
-            return true;
-        }
-    }
-    return false;
+    return network_.parseAddress(upstream_.ip.c_str(), upstream_.port)
+        .then([](kj::Own<kj::NetworkAddress> address) {
+            auto opening = address->connect();
+            return opening.attach(kj::mv(address));
+        })
+        .then([this](kj::Own<kj::AsyncIoStream> &&stream) {
+            stream_ = kj::mv(stream);
+            client_ = kj::newHttpClient(table_, *stream_);
+        });
 }
 
-auto Exchange::send(const ExchangeRequest &request) -> std::optional<ExchangeHead>
+auto Exchange::send(const ExchangeRequest &request) -> kj::Promise<std::optional<ExchangeHead>>
 {
     kj::HttpMethod method{};
     KJ_IF_MAYBE (known, kj::tryParseHttpMethod(request.method.c_str())) {
@@ -185,25 +157,32 @@
     } else {
         call.body = nullptr;
     }
-    auto answered = await(kj::mv(call.response));
-    KJ_IF_MAYBE (response, answered) {
-        auto head = readHead(*response);
-        body_ = kj::mv(response->body);
+    return call.response.then([this](kj::HttpClient::Response &&response) {
+        auto head = readHead(response);
+        body_ = kj::mv(response.body);
         if (head) {
             stage_ = ExchangeStage::HeadRead;
         }
         return head;
-    }
-    return std::nullopt;
+    });
 }
 
-auto Exchange::read() -> std::string_view
+auto Exchange::read() -> kj::Promise<std::string_view>
 {
-    auto got = await(body_->tryRead(block_.begin(), 1, block_.size()));
-    KJ_IF_MAYBE (count, got) {
-        return {block_.begin(), *count};
+    return body_->tryRead(block_.begin(), 1, block_.size()).then([this](std::size_t count) {
+        return std::string_view(block_.begin(), count);
+    });
+}
+
+auto afterListening(kj::Timer &timer, core::Duration limit) -> kj::Promise<void>
+{
+    if (limit <= core::Duration::zero()) {
+        return kj::READY_NOW;
     }
-    return {};
+    const auto step = std::min<core::Duration>(limit, listeningStep);
+    return timer.afterDelay(step.count() * kj::MICROSECONDS).then([&timer, limit, step] {
+        return afterListening(timer, limit - step);
+    });
 }
 
 } // namespace applehatch::clients
--- a/src/clients/upstream-client-exchange.h
+++ b/src/clients/upstream-client-exchange.h
@@ -1,4 +1,4 @@
-/// One HTTP exchange with an upstream on an event loop of its own.
+/// One HTTP exchange with an upstream on the event loop of the calling thread.
 #pragma once
 
 #include "applehatch/core/message.h"
@@ -6,9 +6,6 @@
 #include <kj/async-io.h>
 #include <kj/compat/http.h>
 
-#include <atomic>
-#include <chrono>
-#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,13 +19,6 @@
     HeadRead,
 };
 
-/// Why an exchange was given up.
-enum class ExchangeStop {
-    None,
-    Cancelled,
-    Silent, ///< No byte for the longest allowed pause.
-};
-
 /// What is sent.
 struct ExchangeRequest
 {
@@ -55,47 +45,35 @@
 /// The value of a header, whatever its name's case; empty when absent.
 [[nodiscard]] auto headerValue(const core::Headers &headers, std::string_view name) -> std::string;
 
-/// Drives one connection from the calling thread, which must not run an event loop already.
-///
-/// Every wait ends when `cancelled` is set (within `checkPeriod`) or when the allowed pause has
-/// passed without a byte. Failures of the connection are thrown as `kj::Exception` and never leave
-/// this package.
+/// Drives one connection. Promises are rejected when the connection breaks or cannot be opened;
+/// they and the exchange belong to one thread, and the promises must end before the exchange.
 class Exchange
 {
 public:
-    static constexpr auto checkPeriod = std::chrono::milliseconds(50);
-    static constexpr std::size_t blockBytes = 65536;
+    static constexpr std::size_t blockBytes = 16384;
 
-    Exchange(const core::Address &upstream, const std::atomic<bool> &cancelled);
+    /// `table` must outlive the exchange.
+    Exchange(kj::Network &network, const kj::HttpHeaderTable &table, core::Address upstream);
 
-    /// Longest wait for the next byte from now on.
-    auto allowPause(core::Duration pause) -> void { pause_ = pause; }
+    /// Opens the connection.
+    [[nodiscard]] auto connect() -> kj::Promise<void>;
 
-    /// Opens the connection; false when it could not be opened in time.
-    [[nodiscard]] auto connect(core::Duration limit) -> bool;
+    /// Sends the request and reads the head of the answer; none when it is larger than allowed.
+    [[nodiscard]] auto send(const ExchangeRequest &request)
+        -> kj::Promise<std::optional<ExchangeHead>>;
 
-    /// Sends the request and reads the head of the answer; none when given up.
-    [[nodiscard]] auto send(const ExchangeRequest &request) -> std::optional<ExchangeHead>;
-
-    /// The next bytes of the body; empty at its end or when given up.
-    [[nodiscard]] auto read() -> std::string_view;
+    /// The next bytes of the body, which the next read overwrites; empty at its end.
+    [[nodiscard]] auto read() -> kj::Promise<std::string_view>;
 
     [[nodiscard]] auto stage() const -> ExchangeStage { return stage_; }
-    [[nodiscard]] auto stop() const -> ExchangeStop { return stop_; }
 
 private:
-    template <typename T>
-    auto await(kj::Promise<T> promise) -> kj::Maybe<T>;
-    auto giveUp(core::Duration waited) -> kj::Promise<void>;
-    auto toKj(const core::Headers &headers) const -> kj::HttpHeaders;
+    [[nodiscard]] auto toKj(const core::Headers &headers) const -> kj::HttpHeaders;
 
-    kj::AsyncIoContext io_;
+    kj::Network &network_;
+    const kj::HttpHeaderTable &table_;
     core::Address upstream_;
-    const std::atomic<bool> &cancelled_;
-    core::Duration pause_{std::chrono::seconds(10)};
     ExchangeStage stage_ = ExchangeStage::NotConnected;
-    ExchangeStop stop_ = ExchangeStop::None;
-    kj::Own<kj::HttpHeaderTable> table_;
     kj::Own<kj::AsyncIoStream> stream_;
     kj::Own<kj::HttpClient> client_;
     kj::Maybe<kj::Promise<void>> upload_; ///< The request's body on its way.
@@ -103,4 +81,9 @@
     kj::Array<char> block_;
 };
 
+/// Ready once `limit` has passed, counted in steps that a hold-up of this process does not
+/// lengthen: after one the upstream's bytes lie unread, and it would be blamed for a silence that
+/// was ours.
+[[nodiscard]] auto afterListening(kj::Timer &timer, core::Duration limit) -> kj::Promise<void>;
+
 } // namespace applehatch::clients
--- a/src/clients/upstream-client.cc
+++ b/src/clients/upstream-client.cc
@@ -3,132 +3,209 @@
 #include "upstream-client-exchange.h"
 #include "upstream-client-stream-end.h"
 
-#include <algorithm>
-#include <array>
+#include <nlohmann/json.hpp>
+
+#include <utility>
 
 namespace applehatch::clients {
 
 namespace {
 
-constexpr auto connectLimit = std::chrono::seconds(2);
-/// An engine that reads a long context for the first time pauses longer than ever between tokens.
-constexpr auto firstByteFactor = 4;
-constexpr auto chatPath = "/v1/chat/completions";
+using nlohmann::json;
+
+constexpr auto callLimit = std::chrono::seconds(5);
+constexpr std::size_t maxAnswerBytes = 1U << 20U;
+constexpr std::size_t maxContextBytes = 64U << 20U;
+
+/// An answer read whole.
+struct Answer
+{
+    int status = 0;
+    std::string body;
+};
 
-auto setHeader(core::Headers &headers, std::string_view name, const std::string &value) -> void
+/// One short call on an event loop of its own, which runs in the calling thread.
+class ShortCall
 {
-    std::erase_if(headers, [name](const auto &header) { return sameName(header.first, name); });
-    if (!value.empty()) {
-        headers.emplace_back(name, value);
+public:
+    ShortCall(const core::Address &upstream, std::size_t maxBytes)
+        : maxBytes_(maxBytes)
+        , exchange_(io_.provider->getNetwork(), *table_, upstream)
+    { }
+
+    /// None when it broke, took longer than `limit` or answered more than `maxBytes`.
+    auto run(const ExchangeRequest &request, core::Duration limit) -> std::optional<Answer>
+    {
+        using Result = std::optional<Answer>;
+        auto work = exchange_.connect()
+                        .then([this, &request] { return exchange_.send(request); })
+                        .then([this](std::optional<ExchangeHead> &&head) -> kj::Promise<bool> {
+                            if (!head || !head->framed) {
+                                return false;
+                            }
+                            answer_.status = head->status;
+                            return readOn();
+                        })
+                        .then([this](bool whole) { return whole ? Result(answer_) : Result(); });
+        auto tooLate =
+            afterListening(io_.provider->getTimer(), limit).then([] { return Result(); });
+        return work.exclusiveJoin(kj::mv(tooLate)).wait(io_.waitScope);
     }
-}
 
-/// Whoever goes on with a stream may never have seen the call that began it.
-auto isContinuation(const core::StartRun &start) -> bool
+private:
+    auto readOn() -> kj::Promise<bool>
+    {
+        return exchange_.read().then([this](std::string_view data) -> kj::Promise<bool> {
+            answer_.body.append(data);
+            const auto fits = answer_.body.size() <= maxBytes_;
+            return data.empty() || !fits ? kj::Promise<bool>(fits) : readOn();
+        });
+    }
+
+    std::size_t maxBytes_;
+    kj::AsyncIoContext io_ = kj::setupAsyncIo();
+    kj::Own<kj::HttpHeaderTable> table_ = kj::HttpHeaderTable::Builder().build();
+    Exchange exchange_;
+    Answer answer_;
+};
+
+auto call(const core::Address &upstream, const ExchangeRequest &request, core::Duration limit,
+          std::size_t maxBytes) -> std::optional<Answer>
 {
-    return start.call.method.empty();
+    if (!sendable(request)) {
+        return std::nullopt;
+    }
+    try {
+        return ShortCall(upstream, maxBytes).run(request, limit);
+    } catch (const kj::Exception &) {
+        // Every way of failing is alike to a caller that asks again later.
+        return std::nullopt;
+    }
 }
 
-auto requestFor(const core::StartRun &start) -> ExchangeRequest
+auto getJson(const core::Address &upstream, const std::string &path, core::Duration limit) -> json
 {
-    ExchangeRequest request{start.call.method, start.call.path, start.call.headers, {}};
-    if (start.call.body) {
-        request.body = *start.call.body;
+    const auto answer = call(upstream, {"GET", path, {}, {}}, limit, maxAnswerBytes);
+    if (!answer || answer->status != 200) {
+        return json(json::value_t::discarded);
     }
-    const auto resume = start.resumeFrom == 0 ? "" : std::to_string(start.resumeFrom);
-    if (isContinuation(start)) {
-        request.method = "POST";
-        request.path = chatPath;
-    }
-    setHeader(request.headers, "X-Request-Id", start.request);
-    setHeader(request.headers, "X-Priority", std::to_string(start.priority));
-    setHeader(request.headers, "X-Chat-Key", start.chat == 0 ? "" : chatHex(start.chat));
-    setHeader(request.headers, "X-Resume-From", resume);
-    return request;
+    return json::parse(answer->body, nullptr, false);
 }
 
-auto isEventStream(const ExchangeHead &head) -> bool
+auto number(const json &document, const char *key) -> std::uint64_t
 {
-    return head.status == 200
-        && headerValue(head.headers, "Content-Type").starts_with("text/event-stream");
+    const auto found = document.find(key);
+    return found != document.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
 }
 
-/// Reads the body to its end; true when the end shows that all of it arrived.
-auto readWhole(Exchange &exchange, const ExchangeHead &head, const core::StartRun &start,
-               const CallHooks &hooks) -> bool
+auto text(const json &document, const char *key) -> std::string
 {
-    StreamEnd end(start.resumeFrom > 0);
-    const auto events = isEventStream(head);
-    while (true) {
-        const auto data = exchange.read();
-        if (exchange.stop() != ExchangeStop::None) {
-            return false;
-        }
-        if (data.empty()) {
-            return events ? end.reachedAtClose() : head.framed;
-        }
-        hooks.onData(std::string(data));
-        end.take(data);
-        if (events && end.reached()) {
-            return true;
-        }
-    }
+    const auto found = document.find(key);
+    return found != document.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+auto contextPath(core::ChatKey chat) -> std::string
+{
+    return "/v1/cache/" + chatHex(chat);
 }
 
-auto breakFor(const Exchange &exchange) -> core::RunBreak
+auto addEvent(const json &event, core::CacheEvents &events) -> void
 {
-    if (exchange.stop() == ExchangeStop::Silent
-        && exchange.stage() != ExchangeStage::NotConnected) {
-        return core::RunBreak::Silent;
+    if (!event.is_object()) {
+        events.gap = true;
+        return;
     }
-    switch (exchange.stage()) {
-    case ExchangeStage::NotConnected:
-        return core::RunBreak::NeverSent;
-    case ExchangeStage::Sent:
-        return core::RunBreak::Lost;
-    case ExchangeStage::HeadRead:
-        break;
+    const auto chat = chatFromHex(text(event, "chat"));
+    const auto kind = text(event, "op");
+    if (kind == "stored" && chat != 0) {
+        events.stored.push_back(chat);
+    } else if (kind == "evicted" && chat != 0) {
+        events.evicted.push_back(chat);
     }
-    return exchange.stop() == ExchangeStop::None ? core::RunBreak::EndedEarly
-                                                 : core::RunBreak::Lost;
 }
 
 } // namespace
 
-UpstreamClient::UpstreamClient(core::Address upstream, core::Duration silence)
+UpstreamClient::UpstreamClient(core::Address upstream)
     : upstream_(std::move(upstream))
-    , silence_(silence)
 { }
 
-auto UpstreamClient::run(const core::StartRun &start, const CallHooks &hooks,
-                         const std::atomic<bool> &cancelled) const -> CallOutcome
+auto UpstreamClient::cancel(const core::RequestId &request) const -> std::error_code
 {
-    const auto request = requestFor(start);
-    if (!sendable(request)) {
-        return {false, core::RunBreak::NeverSent};
+    const auto answer =
+        call(upstream_, {"POST", "/v1/cancel/" + request, {}, {}}, callLimit, maxAnswerBytes);
+    return answer ? std::error_code{} : std::make_error_code(std::errc::host_unreachable);
+}
+
+auto UpstreamClient::state(core::Duration timeout) const -> core::UpstreamReport
+{
+    core::UpstreamReport report;
+    const auto document = getJson(upstream_, "/v1/state", timeout);
+    if (!document.is_object() || text(document, "epoch").empty()) {
+        return report;
     }
-    Exchange exchange(upstream_, cancelled);
-    try {
-        if (!exchange.connect(connectLimit)) {
-            return {false, core::RunBreak::NeverSent};
-        }
-        // A plain answer comes in one piece after the whole run, so only a stream's pauses tell
-        // that an upstream went silent; a plain answer may take until its deadline.
-        const auto wholeRun = std::max(silence_, start.remaining);
-        exchange.allowPause(start.call.stream ? firstByteFactor * silence_ : wholeRun);
-        const auto head = exchange.send(request);
-        if (!head) {
-            return {false, breakFor(exchange)};
+    report.reachable = true;
+    report.epoch = text(document, "epoch");
+    report.running = static_cast<std::uint32_t>(number(document, "running"));
+    report.waiting = static_cast<std::uint32_t>(number(document, "waiting"));
+    report.fence = number(document, "fence");
+    for (const auto &model : document.value("models", json::array())) {
+        if (model.is_string()) {
+            report.models.push_back(model.get<std::string>());
         }
-        exchange.allowPause(start.call.stream ? silence_ : wholeRun);
-        hooks.onHead(head->status, head->headers, headerValue(head->headers, "X-Cache") == "warm");
-        if (readWhole(exchange, *head, start, hooks)) {
-            return {true, core::RunBreak::Lost};
+    }
+    return report;
+}
+
+auto UpstreamClient::cacheEvents(std::uint64_t &sequence) const -> core::CacheEvents
+{
+    core::CacheEvents events;
+    const auto document =
+        getJson(upstream_, "/v1/cache/events?after=" + std::to_string(sequence), callLimit);
+    if (!document.is_object()) {
+        return events;
+    }
+    const auto gap = document.find("gap");
+    events.gap = gap != document.end() && *gap == true;
+    const auto list = document.find("events");
+    if (list != document.end() && list->is_array()) {
+        for (const auto &event : *list) {
+            addEvent(event, events);
         }
-    } catch (const kj::Exception &) {
-        // The stage reached says all that can be said of a broken connection.
     }
-    return {false, breakFor(exchange)};
+    sequence = number(document, "next");
+    return events;
+}
+
+auto UpstreamClient::order(const core::GiveOrder &order) const -> core::OrderAnswered
+{
+    const auto *kind = order.kind == core::OrderKind::LoadModel ? "load-model" : "unload-model";
+    const auto body = json{{"fence", order.fence}, {"kind", kind}, {"model", order.model}}.dump();
+    const core::Headers headers = {{"Content-Type", "application/json"}};
+    const auto answer =
+        call(upstream_, {"POST", "/v1/orders", headers, body}, callLimit, maxAnswerBytes);
+    if (!answer) {
+        return {order.fence, false, "no answer"};
+    }
+    return {order.fence, answer->status == 200, "status " + std::to_string(answer->status)};
+}
+
+auto UpstreamClient::handOff(core::ChatKey chat, const core::Address &to) const -> std::error_code
+{
+    const auto path = contextPath(chat);
+    const auto exported = call(upstream_, {"GET", path, {}, {}}, callLimit, maxContextBytes);
+    if (!exported) {
+        return std::make_error_code(std::errc::host_unreachable);
+    }
+    if (exported->status != 200) {
+        return std::make_error_code(std::errc::no_such_file_or_directory);
+    }
+    const auto imported = call(to, {"PUT", path, {}, exported->body}, callLimit, maxAnswerBytes);
+    if (!imported) {
+        return std::make_error_code(std::errc::host_unreachable);
+    }
+    return imported->status == 200 ? std::error_code{}
+                                   : std::make_error_code(std::errc::operation_not_permitted);
 }
 
 } // namespace applehatch::clients
--- a/src/sidecar/run-table.h
+++ b/src/sidecar/run-table.h
@@ -1,43 +1,37 @@
-/// The runs at the upstream and the flags that stop them.
+/// The runs at the upstream, on the link loop's thread.
 #pragma once
 
-#include "applehatch/clients/upstream-client.h"
+#include "applehatch/clients/upstream-runs.h"
 #include "applehatch/core/sidecar-node.h"
+#include "applehatch/wire/link-loop.h"
 
-#include "worker-pool.h"
-
-#include <atomic>
 #include <functional>
-#include <memory>
-#include <mutex>
-#include <unordered_map>
+#include <optional>
 
 namespace applehatch::sidecar {
 
-/// Runs calls on a pool of threads and reports them as node events, from those threads.
+/// Carries runs out on the loop that also sends their answers on, so that a token costs no change
+/// of thread. All but `stop` is thread-safe and never blocks.
 class RunTable
 {
 public:
-    RunTable(const clients::UpstreamClient &client, WorkerPool &workers,
+    /// `silence` is the longest pause of a stream; `report` gets the runs' events on the loop's
+    /// thread.
+    RunTable(wire::LinkLoop &loop, core::Address upstream, core::Duration silence,
              std::function<void(core::SidecarEvent)> report);
 
     auto start(core::StartRun start) -> void;
-    auto cancel(core::RunId run) -> void;
+
+    /// Ends a run here; `stopAtUpstream` is called with its request unless it has ended.
+    auto cancel(core::RunId run, std::function<void(core::RequestId)> stopAtUpstream) -> void;
+
+    /// Ends all runs without a report and waits for that; before the loop's stop, not on its
+    /// thread.
+    auto stop() -> void;
 
 private:
-    struct Running
-    {
-        core::RequestId request;
-        std::shared_ptr<std::atomic<bool>> cancelled;
-    };
-
-    auto carryOut(const core::StartRun &start, const std::atomic<bool> &cancelled) -> void;
-
-    const clients::UpstreamClient &client_;
-    WorkerPool &workers_;
-    std::function<void(core::SidecarEvent)> report_;
-    std::mutex mutex_; ///< Guards `running_`.
-    std::unordered_map<core::RunId, Running> running_;
+    wire::LinkLoop &loop_;
+    std::optional<clients::UpstreamRuns> runs_; ///< The loop's thread only.
 };
 
 } // namespace applehatch::sidecar
--- a/src/sidecar/sidecar-host.cc
+++ b/src/sidecar/sidecar-host.cc
@@ -17,8 +17,8 @@
 // the first of a long prompt.
 constexpr core::Duration upstreamSilence = std::chrono::seconds(5);
 
-// The node bounds the runs by the upstream's slots; this only guards against a node gone wrong.
-constexpr std::size_t mostWorkers = 1024;
+// For orders, handed-off contexts and stopped runs; more of them wait.
+constexpr std::size_t mostWorkers = 64;
 
 auto identityOf(const settings::ProcessFile &file) -> core::SidecarIdentity
 {
@@ -37,13 +37,13 @@
 SidecarHost::SidecarHost(std::shared_ptr<const settings::ProcessFile> file)
     : file_(std::move(file))
     , traffic_(metrics_)
-    , upstream_(file_->upstream, upstreamSilence)
+    , upstream_(file_->upstream)
     , node_([this](core::SidecarAction &action) { act(action); }, identityOf(*file_))
     , loop_(linkHooks(), traffic_.linkHooks())
     , links_(loop_)
     , feed_(file_, addresses_, loop_, links_, feedHooks())
     , workers_(mostWorkers)
-    , runs_(upstream_, workers_,
+    , runs_(loop_, file_->upstream, upstreamSilence,
             [this](core::SidecarEvent event) { node_.handle(std::move(event)); })
     , digests_(digestHooks())
     , admin_(metrics_, health(), adminSource())
@@ -58,6 +58,7 @@
     cachePolls_.reset();
     statePolls_.reset();
     workers_.stop();
+    runs_.stop();
     loop_.stop();
 }
 
@@ -121,7 +122,10 @@
 
 auto SidecarHost::carry(core::CancelRun &cancel) -> void
 {
-    runs_.cancel(cancel.run);
+    // The engine would go on computing for nobody; an error here costs only its time.
+    runs_.cancel(cancel.run, [this](core::RequestId request) {
+        workers_.run([this, held = std::move(request)] { (void)upstream_.cancel(held); });
+    });
 }
 
 auto SidecarHost::carry(core::GiveOrder &order) -> void
--- a/src/wire/link-loop.cc
+++ b/src/wire/link-loop.cc
@@ -22,6 +22,9 @@
 constexpr auto sendsRestFor = 1 * kj::SECONDS;
 constexpr auto sendsRestCheck = 5 * kj::MILLISECONDS;
 
+// The loop that the current thread runs, if any.
+thread_local const void *loopOfThisThread = nullptr;
+
 using Wake = kj::Own<kj::CrossThreadPromiseFulfiller<void>>;
 
 // One thing that another thread asks of the loop: a message for a link, or a task.
@@ -44,10 +47,11 @@
     // Guards `asked` and `wake`; the innermost lock of the process, nothing is called under it.
     std::mutex mutex;
     std::vector<Asked> asked;
-    kj::Maybe<Wake> wake;
+    kj::Maybe<Wake> wake; ///< Ends the loop's sleep; none while it is awake for what was asked.
 
     // Below: the loop's thread only.
     kj::AsyncIoContext *io = nullptr;
+    kj::Own<kj::PromiseFulfiller<void>> turn; ///< Makes the loop take what was asked.
     kj::Own<kj::TaskSet> tasks;
     std::unordered_map<LinkId, kj::Own<Connection>> connections;
     /// Being connected and not yet in `connections`, with what waits to be sent.
@@ -59,7 +63,7 @@
     auto ask(Asked what) -> void;
     auto runLoop() -> void;
     auto sendRest(kj::WaitScope &scope) -> void;
-    auto nextWake() -> kj::Promise<void>;
+    auto nextTurn() -> kj::Promise<void>;
     auto takeAsked() -> void;
     auto deliver(LinkId link, core::Message message) -> void;
     auto listenNow(const core::Address &address, core::Address &bound) -> std::error_code;
@@ -81,23 +85,32 @@
 {
     const std::lock_guard lock(mutex);
     asked.push_back(std::move(what));
+    if (loopOfThisThread == this) {
+        turn->fulfill();
+        return;
+    }
     KJ_IF_MAYBE (sleeping, wake) {
         (*sleeping)->fulfill();
         wake = nullptr;
     }
 }
 
-// Messages queued while the loop is busy are taken in one wake-up, so a wake-up's cost is shared
-// by more messages the busier the process is.
-auto LinkLoop::State::nextWake() -> kj::Promise<void>
+// Messages queued while the loop is busy are taken in one turn, so a turn's cost is shared by more
+// messages the busier the process is. What the loop's own thread asks needs no wake-up, which would
+// cost it two system calls.
+auto LinkLoop::State::nextTurn() -> kj::Promise<void>
 {
-    auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+    auto next = kj::newPromiseAndFulfiller<void>();
+    turn = kj::mv(next.fulfiller);
     const std::lock_guard lock(mutex);
-    if (asked.empty())
-        wake = kj::mv(pair.fulfiller);
-    else
-        pair.fulfiller->fulfill();
-    return kj::mv(pair.promise);
+    if (!asked.empty()) {
+        turn->fulfill();
+    } else if (wake == nullptr) {
+        auto other = kj::newPromiseAndCrossThreadFulfiller<void>();
+        wake = kj::mv(other.fulfiller);
+        tasks->add(other.promise.then([this] { turn->fulfill(); }));
+    }
+    return kj::mv(next.promise);
 }
 
 auto LinkLoop::State::takeAsked() -> void
@@ -139,15 +152,18 @@
 {
     auto context = kj::setupAsyncIo();
     io = &context;
+    loopOfThisThread = this;
     tasks = kj::heap<kj::TaskSet>(*this);
     while (!stopping) {
-        nextWake().wait(context.waitScope);
+        nextTurn().wait(context.waitScope);
         takeAsked();
     }
     sendRest(context.waitScope);
     tasks = nullptr;
     listeners.clear();
     connections.clear();
+    turn = nullptr;
+    loopOfThisThread = nullptr;
     const std::lock_guard lock(mutex);
     wake = nullptr;
 }
@@ -347,6 +363,12 @@
     state_->ask({link, std::move(message), nullptr});
 }
 
+auto LinkLoop::run(std::function<void(kj::AsyncIoContext &)> task) -> void
+{
+    state_->ask(
+        {0, std::nullopt, [state = state_.get(), held = std::move(task)] { held(*state->io); }});
+}
+
 auto LinkLoop::every(core::Duration period, std::function<void()> task) -> void
 {
     state_->ask({0, std::nullopt, [state = state_.get(), period, held = std::move(task)]() mutable {
--- /dev/null
+++ b/test/clients/one-run.h
@@ -0,0 +1,55 @@
+/// One run at an upstream, seen to its end.
+#pragma once
+
+#include "applehatch/clients/upstream-runs.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <variant>
+
+namespace applehatch::clients {
+
+/// What happens while a run goes on; called on the thread that runs it.
+struct CallHooks
+{
+    std::function<void(int status, core::Headers headers, bool warm)> onHead;
+    std::function<void(std::string data)> onData;
+};
+
+/// How a run ended; `how` when it did not end whole.
+struct CallOutcome
+{
+    bool whole = false;
+    core::RunBreak how = core::RunBreak::Lost;
+};
+
+/// Carries out one run in the calling thread; ends it once `cancelled` is true.
+inline auto runOne(const core::Address &upstream, core::Duration silence,
+                   const core::StartRun &start, const CallHooks &hooks,
+                   const std::atomic<bool> &cancelled) -> CallOutcome
+{
+    constexpr auto lookPeriod = 5 * kj::MILLISECONDS;
+    auto io = kj::setupAsyncIo();
+    std::optional<CallOutcome> outcome;
+    UpstreamRuns runs(io, upstream, silence, [&](core::SidecarEvent event) {
+        if (auto *head = std::get_if<core::RunHead>(&event))
+            hooks.onHead(head->status, std::move(head->headers), head->warm);
+        else if (auto *chunk = std::get_if<core::RunChunk>(&event))
+            hooks.onData(std::move(chunk->data));
+        else if (const auto *broken = std::get_if<core::RunBroken>(&event))
+            outcome = CallOutcome{false, broken->how};
+        else
+            outcome = CallOutcome{std::holds_alternative<core::RunEnd>(event), {}};
+    });
+    runs.start(start);
+    while (!outcome) {
+        io.provider->getTimer().afterDelay(lookPeriod).wait(io.waitScope);
+        if (cancelled)
+            (void)runs.cancel(start.run);
+    }
+    return *outcome;
+}
+
+} // namespace applehatch::clients
--- a/test/clients/upstream-client-test.cc
+++ b/test/clients/upstream-client-test.cc
@@ -3,6 +3,8 @@
 #include "applehatch/emulator/engine.h"
 #include "applehatch/experiment/socket.h"
 
+#include "clients/one-run.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <future>
@@ -44,13 +46,12 @@
 auto runCall(const core::Address &upstream, const core::StartRun &start,
              const std::atomic<bool> &cancelled = false) -> Result
 {
-    const clients::UpstreamClient client(upstream, silence);
     Result result;
     clients::CallHooks hooks;
     hooks.onHead = [&](int status, const core::Headers &, bool) { result.status = status; };
     hooks.onData = [&](const std::string &data) { result.body += data; };
     const auto begin = experiment::Clock::now();
-    result.outcome = client.run(start, hooks, cancelled);
+    result.outcome = clients::runOne(upstream, silence, start, hooks, cancelled);
     result.took =
         std::chrono::duration_cast<std::chrono::milliseconds>(experiment::Clock::now() - begin);
     return result;
@@ -263,7 +264,7 @@
             (void)socket.sendAll(row.answer);
             (void)socket.receive(row.answer.empty() ? 2000ms : 1ms);
         });
-        const clients::UpstreamClient client(upstream.address(), silence);
+        const clients::UpstreamClient client(upstream.address());
         const auto begin = experiment::Clock::now();
         const auto report = client.state(200ms);
         BOOST_TEST_CONTEXT(row.name)
--- a/test/emulator/upstream-test.cc
+++ b/test/emulator/upstream-test.cc
@@ -5,6 +5,8 @@
 #include "applehatch/experiment/process.h"
 #include "applehatch/experiment/socket.h"
 
+#include "clients/one-run.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <future>
@@ -49,7 +51,6 @@
 
 auto runCall(const core::Address &upstream, const core::StartRun &start) -> Result
 {
-    const clients::UpstreamClient client(upstream, silence);
     Result result;
     clients::CallHooks hooks;
     hooks.onHead = [&](int, core::Headers headers, bool warm) {
@@ -61,7 +62,7 @@
         ++result.parts;
     };
     const std::atomic<bool> never{false};
-    result.outcome = client.run(start, hooks, never);
+    result.outcome = clients::runOne(upstream, silence, start, hooks, never);
     return result;
 }
 
@@ -140,7 +141,7 @@
     auto options = quickEngine();
     options.tokensPerSecond = 50;
     emulator::Engine engine(options);
-    const clients::UpstreamClient client(engine.address(), silence);
+    const clients::UpstreamClient client(engine.address());
     auto call = std::async(std::launch::async,
                            [&] { return runCall(engine.address(), startRun(chatBody(100000))); });
     BOOST_REQUIRE(eventually([&] { return engine.record().running() == 1; }));
@@ -165,7 +166,7 @@
         return std::async(std::launch::async,
                           [&engine, start] { return runCall(engine.address(), start); });
     };
-    const clients::UpstreamClient client(engine.address(), silence);
+    const clients::UpstreamClient client(engine.address());
     const auto waiting = [&](std::uint32_t count) {
         return eventually([&] { return client.state(1s).waiting == count; });
     };
@@ -198,7 +199,7 @@
                                               log.path(),
                                               "--control",
                                               R"({"crashMarker":"boom","crashAfterMs":20})"};
-    const clients::UpstreamClient client(address, silence);
+    const clients::UpstreamClient client(address);
     experiment::Process first(command);
     BOOST_REQUIRE(first.waitForLine("ready").has_value());
     const auto before = client.state(1s);
@@ -255,7 +256,7 @@
         auto options = quickEngine();
         options.honoursFence = honours;
         emulator::Engine engine(options);
-        const clients::UpstreamClient client(engine.address(), silence);
+        const clients::UpstreamClient client(engine.address());
         using core::OrderKind;
         BOOST_TEST(client.order({5, OrderKind::LoadModel, "a"}).done);
         BOOST_TEST(client.order({4, OrderKind::LoadModel, "b"}).done == !honours);
@@ -264,7 +265,7 @@
         BOOST_TEST(state.fence == (honours ? 6U : 0U));
         BOOST_TEST((state.models == std::vector<std::string>(honours ? 0U : 1U, "b")));
     }
-    const clients::UpstreamClient nobody({ip, experiment::freePort(ip)}, silence);
+    const clients::UpstreamClient nobody({ip, experiment::freePort(ip)});
     BOOST_TEST(!nobody.order({1, core::OrderKind::LoadModel, "a"}).done);
 }
 
@@ -275,7 +276,7 @@
     options.gapEvery = 3;
     emulator::Engine from(options);
     emulator::Engine to(options);
-    const clients::UpstreamClient client(from.address(), silence);
+    const clients::UpstreamClient client(from.address());
     for (const auto chat : {1U, 2U, 3U}) {
         auto start = startRun(chatBody(1, false), false);
         start.chat = chat;
