Send parts of answers in batches two milliseconds apart

What callers saw: as before, first events late beside many streams on a busy machine; part of what a token costs a sidecar and its router.

Cause: a batch went out with each turn of the loop in which a token was read, so an idle link sent an RPC call, its answer and their allocations for each token.

Mend: batches that hold nothing but chunks are at least 2 ms apart. Whatever else is sent (a head, an end, a refusal, a heartbeat) goes at once and takes along what waits, so a first event waits for nothing; further tokens wait for 2 ms at the most, of the 20 to 50 ms between them.

--- a/src/wire/connection.cc
+++ b/src/wire/connection.cc
@@ -17,6 +17,8 @@
 // The peer's answer to a batch is its sign of life, so a batch must not take a busy peer seconds.
 constexpr std::size_t maxBatchBytes = 64U << 10U;
 constexpr std::size_t maxBatchMessages = 256;
+// Parts of answers go out in batches this far apart: an envelope costs both sides more than a part.
+constexpr core::Duration gatherPeriod = std::chrono::milliseconds(2);
 // Chunks of one answer that wait together become one up to this size.
 constexpr std::size_t maxMergedBytes = 16U << 10U;
 // The RPC system reads no further call of a connection until the last one was answered.
@@ -59,7 +61,7 @@
     auto deliver(DeliverContext context) -> kj::Promise<void> override
     {
         connection_.receive(context.getParams().getBatch());
-        return connection_.hooks_.nextTurn();
+        return connection_.hooks_.after(core::Duration::zero());
     }
 
 private:
@@ -180,6 +182,7 @@
     }
     if (!mergeChunk(message)) {
         queuedBytes_ += bytes;
+        queuedOthers_ += std::holds_alternative<core::Chunk>(message) ? 0 : 1;
         queued_.push_back(std::move(message));
     }
     // A peer that stopped reading, with its kernel still accepting bytes, would otherwise grow this
@@ -216,8 +219,29 @@
 
 auto Connection::flush() -> void
 {
-    while (up_ && !broken_ && !queued_.empty() && outstanding_.size() < maxOutstanding)
+    while (up_ && !broken_ && !queued_.empty() && outstanding_.size() < maxOutstanding) {
+        if (!isDue()) {
+            flushLater();
+            return;
+        }
         sendBatch();
+    }
+}
+
+auto Connection::isDue() const -> bool
+{
+    return queuedOthers_ > 0 || queuedBytes_ >= maxBatchBytes
+        || std::chrono::steady_clock::now() - sentAt_ >= gatherPeriod;
+}
+
+auto Connection::flushLater() -> void
+{
+    if (std::exchange(flushPlanned_, true))
+        return;
+    KJ_ASSERT_NONNULL(tasks_)->add(hooks_.after(gatherPeriod).then([this] {
+        flushPlanned_ = false;
+        flush();
+    }));
 }
 
 auto Connection::sendBatch() -> void
@@ -234,13 +258,15 @@
         write(message, batch[index]);
         if (traffic_.onSent)
             traffic_.onSent(kindName(message), structBytes(batch[index].asReader().totalSize()));
+        queuedOthers_ -= std::holds_alternative<core::Chunk>(message) ? 0 : 1;
         queued_.pop_front();
         ++sentMessages_;
     }
     if (queued_.empty())
         lastChunks_.clear();
     queuedBytes_ -= std::min(bytes, queuedBytes_);
-    outstanding_.push_back(std::chrono::steady_clock::now());
+    sentAt_ = std::chrono::steady_clock::now();
+    outstanding_.push_back(sentAt_);
     KJ_ASSERT_NONNULL(tasks_)->add(request.send().then([this](auto && /*response*/) {
         outstanding_.pop_front();
         responded();
@@ -274,6 +300,7 @@
     if (std::exchange(broken_, true))
         return;
     queued_.clear();
+    queuedOthers_ = 0;
     hooks_.onBroken();
 }
 
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -23,8 +23,8 @@
     std::function<void(core::Message)> onMessage;
     std::function<void()> onResponded; ///< A batch was answered.
     std::function<void()> onBroken;    ///< Closed by the peer, refused, silent or over its cap.
-    /// Ready once every other connection that has something to read had its turn.
-    std::function<kj::Promise<void>()> nextTurn;
+    /// Ready after so long, and once every connection that has something to read had its turn.
+    std::function<kj::Promise<void>(core::Duration)> after;
 };
 
 class Connection
@@ -44,7 +44,8 @@
     /// The peer connected and has not asked for a link.
     [[nodiscard]] auto unannounced() const -> bool { return accepted_ && !up_; }
 
-    /// Queues a message; `flush` sends what is queued.
+    /// Queues a message; `flush` sends what is queued, parts of answers once those of the next
+    /// moment have joined them.
     auto enqueue(core::Message message) -> void;
     auto flush() -> void;
 
@@ -64,6 +65,8 @@
     auto receive(capnp::List<schema::Message>::Reader batch) -> void;
     auto deliver(core::Message message) -> void;
     auto mergeChunk(core::Message &message) -> bool;
+    [[nodiscard]] auto isDue() const -> bool;
+    auto flushLater() -> void;
     auto sendBatch() -> void;
     auto responded() -> void;
     auto breakOff() -> void;
@@ -76,6 +79,7 @@
     bool broken_ = false;
     std::deque<core::Message> queued_;
     std::size_t queuedBytes_ = 0;
+    std::size_t queuedOthers_ = 0;   ///< Messages in `queued_` that are no part of an answer.
     std::uint64_t sentMessages_ = 0; ///< The number of the first message in `queued_`.
     /// The number of each request's last queued chunk, while nothing else was queued after it.
     std::unordered_map<core::RequestId, std::uint64_t> lastChunks_;
@@ -83,6 +87,8 @@
     /// When each batch was sent that is not yet answered.
     std::deque<std::chrono::steady_clock::time_point> outstanding_;
     std::optional<std::chrono::steady_clock::time_point> respondedAt_; ///< Last reported.
+    std::chrono::steady_clock::time_point sentAt_;                     ///< The last batch.
+    bool flushPlanned_ = false;
 
     kj::Own<kj::AsyncIoStream> stream_;
     capnp::TwoPartyVatNetwork network_;
--- a/src/wire/link-loop.cc
+++ b/src/wire/link-loop.cc
@@ -272,7 +272,9 @@
     };
     reports.onBroken = [this, link] { broken(link); };
     // Timers are due only after all sockets were looked at.
-    reports.nextTurn = [this] { return io->provider->getTimer().afterDelay(0 * kj::SECONDS); };
+    reports.after = [this](core::Duration time) {
+        return io->provider->getTimer().afterDelay(time.count() * kj::MICROSECONDS);
+    };
     auto connection =
         kj::heap<Connection>(kj::mv(stream), std::move(reports), traffic, limits, fromPeer);
     auto &added = *connection;
--- a/test/wire/link-loop-test.cc
+++ b/test/wire/link-loop-test.cc
@@ -280,6 +280,36 @@
     BOOST_TEST(far.messages.size() < count / 10);
 }
 
+// Guards against an envelope for each token, which costs both sides more than the token.
+BOOST_AUTO_TEST_CASE(tokens_of_many_streams_travel_in_few_batches)
+{
+    constexpr std::size_t count = 2000;
+    constexpr std::size_t streams = 300;
+    constexpr auto pace = std::chrono::microseconds(250);
+    constexpr auto apart = std::chrono::milliseconds(2);
+    constexpr std::size_t slack = 10;
+    Recorder near;
+    Recorder far;
+    LinkLimits limits;
+    limits.respondedPeriod = core::Duration::zero();
+    LinkLoop server(far.hooks(), {});
+    LinkLoop client(near.hooks(), {}, limits);
+    const auto link = client.open(listenOn(server));
+    BOOST_REQUIRE(near.waitFor([&] { return !near.up.empty(); }));
+    const auto begun = std::chrono::steady_clock::now();
+    for (std::size_t number = 0; number < count; ++number) {
+        const auto offset = number / streams * 4;
+        client.send(link, core::Chunk{std::to_string(number % streams), offset, "data"});
+        std::this_thread::sleep_for(pace);
+    }
+    BOOST_REQUIRE(far.waitFor([&] { return far.messages.size() == count; }));
+    const auto took = std::chrono::steady_clock::now() - begun;
+    const auto batches =
+        near.waitFor([&] { return !near.responded.empty(); }) ? near.responded.size() : count;
+    BOOST_TEST_MESSAGE(batches << " batches for " << count << " tokens");
+    BOOST_TEST(batches <= static_cast<std::size_t>(took / apart) + slack);
+}
+
 // Guards against a link that is closed as over its cap after it has merged chunks for a while.
 BOOST_AUTO_TEST_CASE(merged_chunks_are_no_longer_counted_once_they_are_sent)
 {
