--- a/include/applehatch/clients/upstream-runs.h
+++ b/include/applehatch/clients/upstream-runs.h
@@ -14,6 +14,8 @@
 
 namespace applehatch::clients {
 
+struct ExchangeHead;
+
 /// Carries out runs and reports them as events of the sidecar's node. Belongs to the thread of the
 /// event loop, on which it also reports.
 ///
@@ -50,10 +52,12 @@
     struct Run;
 
     auto carryOut(Run &run) -> kj::Promise<void>;
+    auto takeHead(Run &run, ExchangeHead &head) -> void;
     auto readOn(Run &run) -> kj::Promise<void>;
     auto take(Run &run, std::string_view data) -> void;
     auto reportAll() -> void;
     auto reportData(Run &run) -> void;
+    /// Ends a run whose body ended or whose connection broke.
     auto end(Run &run, bool whole) -> void;
     auto finish(Run &run, core::SidecarEvent outcome) -> void;
     auto sweepOn() -> kj::Promise<void>;
--- a/src/clients/upstream-runs.cc
+++ b/src/clients/upstream-runs.cc
@@ -13,7 +13,8 @@
 
 constexpr core::Duration connectLimit = std::chrono::seconds(2);
 /// An engine that reads a long context for the first time pauses longer than ever between tokens.
-constexpr auto firstByteFactor = 4;
+constexpr int firstByteFactor = 4;
+constexpr int nextByteFactor = 1;
 constexpr auto chatPath = "/v1/chat/completions";
 constexpr core::Duration sweepPeriod = std::chrono::milliseconds(50);
 /// Read of one answer before every other connection had its turn.
@@ -57,6 +58,13 @@
         && headerValue(head.headers, "Content-Type").starts_with("text/event-stream");
 }
 
+/// A plain answer comes in one piece after the whole run, so only a stream's pauses tell that an
+/// upstream went silent; a plain answer may take until its deadline.
+auto longestPause(const core::StartRun &start, core::Duration silence, int factor) -> core::Duration
+{
+    return start.call.stream ? factor * silence : std::max(silence, start.remaining);
+}
+
 /// How a run ended whose connection broke or ended before its answer was whole.
 auto breakAt(ExchangeStage stage) -> core::RunBreak
 {
@@ -138,9 +146,8 @@
         tasks_.add(sweepOn());
     }
     run.allow(connectLimit);
-    run.work = carryOut(run).eagerlyEvaluate([this, &run](kj::Exception && /*broken*/) {
-        finish(run, core::RunBroken{run.start.run, breakAt(run.exchange.stage())});
-    });
+    run.work = carryOut(run).eagerlyEvaluate(
+        [this, &run](kj::Exception && /*broken*/) { end(run, false); });
 }
 
 auto UpstreamRuns::cancel(core::RunId id) -> std::optional<core::RequestId>
@@ -157,36 +164,35 @@
 
 auto UpstreamRuns::carryOut(Run &run) -> kj::Promise<void>
 {
-    // A plain answer comes in one piece after the whole run, so only a stream's pauses tell that an
-    // upstream went silent; a plain answer may take until its deadline.
-    const auto stream = run.start.call.stream;
-    const auto wholeRun = std::max(silence_, run.start.remaining);
     return run.exchange.connect()
-        .then([this, &run, stream, wholeRun] {
-            run.allow(stream ? firstByteFactor * silence_ : wholeRun);
+        .then([this, &run] {
+            run.allow(longestPause(run.start, silence_, firstByteFactor));
             return run.exchange.send(run.request);
         })
-        .then([this, &run, stream,
-               wholeRun](std::optional<ExchangeHead> &&head) -> kj::Promise<void> {
+        .then([this, &run](std::optional<ExchangeHead> &&head) -> kj::Promise<void> {
             if (!head) {
-                finish(run, core::RunBroken{run.start.run, breakAt(run.exchange.stage())});
+                end(run, false);
                 return kj::READY_NOW;
             }
-            run.allow(stream ? silence_ : wholeRun);
-            run.events = isEventStream(*head);
-            run.framed = head->framed;
-            const auto warm = headerValue(head->headers, "X-Cache") == "warm";
-            report_(core::RunHead{run.start.run, head->status, std::move(head->headers), warm});
+            run.allow(longestPause(run.start, silence_, nextByteFactor));
+            takeHead(run, *head);
             return readOn(run);
         });
 }
 
+auto UpstreamRuns::takeHead(Run &run, ExchangeHead &head) -> void
+{
+    run.events = isEventStream(head);
+    run.framed = head.framed;
+    const auto warm = headerValue(head.headers, "X-Cache") == "warm";
+    report_(core::RunHead{run.start.run, head.status, std::move(head.headers), warm});
+}
+
 auto UpstreamRuns::readOn(Run &run) -> kj::Promise<void>
 {
     return run.exchange.read().then([this, &run](std::string_view data) -> kj::Promise<void> {
         if (data.empty()) {
-            const auto whole = run.events ? run.end.reachedAtClose() : run.framed;
-            end(run, whole);
+            end(run, run.events ? run.end.reachedAtClose() : run.framed);
             return kj::READY_NOW;
         }
         take(run, data);
