Log each change of what is believed of a request that crashes upstreams

Each is a line now, with the request, its fingerprint, the upstream and the crashes known; a counter of events each. No decision changes. hexText moves beside LogLine, which two more files need.

--- a/include/applehatch/core/log-line.h
+++ b/include/applehatch/core/log-line.h
@@ -27,4 +27,7 @@
     std::string text_;
 };
 
+/// Returns `value` as 16 hexadecimal digits.
+[[nodiscard]] auto hexText(std::uint64_t value) -> std::string;
+
 } // namespace applehatch::core
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -146,6 +146,8 @@
     auto startSilenceTimer() -> void;
     auto runSilenceTimer(Duration step, int remainingSteps) -> void;
     auto noteOutcome(direct::Outcome outcome) -> void;
+    auto noteServed() -> void;
+    [[nodiscard]] auto crashText() const -> std::string;
     [[nodiscard]] auto timeLeft() const -> Duration;
 
     const ExchangeEnvironment &environment_;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -103,6 +103,7 @@
     auto applyRegistry() -> void;
     auto logUpstreamChanges(const direct::UpstreamList &upstreams) -> void;
     auto onPeerDigest(const PeerDigest &digest) -> void;
+    auto notePeerCrashes(const PeerDigest &digest, Instant now) -> void;
     auto onPeerDelta(const direct::RegistryDelta &delta) -> void;
     auto registryRegained() -> void;
     /// Decides whether this router reads the registry itself, and reports a change of role.
--- a/src/core/log-line.cc
+++ b/src/core/log-line.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cinttypes>
+#include <cstdio>
 
 namespace applehatch::core {
 
@@ -68,4 +70,12 @@
     return add(key, std::string_view(std::to_string(value)));
 }
 
+auto hexText(std::uint64_t value) -> std::string
+{
+    constexpr std::size_t digits = 16;
+    std::array<char, digits + 1> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64, value);
+    return text.data();
+}
+
 } // namespace applehatch::core
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -93,7 +93,7 @@
     }
     attempt_.served = true;
     noteOutcome(Outcome::Served);
-    environment_.dispatcher->suspects().noteServed(demand_.fingerprint);
+    noteServed();
     if (report_.firstByte)
         environment_.pace->noteStream(maxTokens_,
                                       telemetry::steadyNow() - arrivedAt_ - *report_.firstByte);
@@ -123,7 +123,7 @@
     const auto failed = head.status >= firstServerError;
     attempt_.served = !failed;
     noteOutcome(failed ? Outcome::Failed : Outcome::Served);
-    environment_.dispatcher->suspects().noteServed(demand_.fingerprint);
+    noteServed();
     closeAttempt(true);
     mayHaveRun_ = true;
     if (failed && mayRepeat() && retry("status " + std::to_string(head.status)))
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -2,6 +2,7 @@
 
 #include "status.h"
 
+#include "applehatch/core/log-line.h"
 #include "applehatch/telemetry/clock.h"
 
 #include <algorithm>
@@ -273,13 +274,35 @@
     noteOutcome(timedOut ? Outcome::Unreachable : Outcome::Broken);
     if (timedOut)
         environment_.pool->drop(attempt_.choice.upstream.address);
-    if (!attempt_.head)
-        environment_.dispatcher->suspects().noteCrash(demand_.fingerprint, telemetry::steadyNow());
     environment_.note(id_, "upstream-broke", attempt_.choice.upstream.instance + ": " + why);
+    if (!attempt_.head) {
+        environment_.dispatcher->suspects().noteCrash(demand_.fingerprint, telemetry::steadyNow());
+        environment_.note(id_, "crash-counted", crashText());
+    } else {
+        environment_.note(id_, "crash-not-counted", crashText());
+    }
     closeAttempt(false);
     retryOrAnswer({ErrorKind::UpstreamFailed, Run::Unknown, why, {}});
 }
 
+// Describes what is known of crashes under this request, for the log.
+auto Exchange::crashText() const -> std::string
+{
+    const auto &suspects = environment_.dispatcher->suspects();
+    return attempt_.choice.upstream.instance + ": fingerprint " + core::hexText(demand_.fingerprint)
+        + ", crashes "
+        + std::to_string(suspects.crashes(demand_.fingerprint, telemetry::steadyNow()))
+        + (attempt_.head ? ", after the head" : ", before the head");
+}
+
+auto Exchange::noteServed() -> void
+{
+    auto &suspects = environment_.dispatcher->suspects();
+    if (suspects.crashes(demand_.fingerprint, telemetry::steadyNow()) > 0)
+        environment_.note(id_, "crash-cleared", crashText());
+    suspects.noteServed(demand_.fingerprint);
+}
+
 auto Exchange::onSilent() -> void
 {
     if (phase_ == Phase::Ended || !attempt_.sent)
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -5,10 +5,7 @@
 #include "applehatch/telemetry/clock.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
-#include <cinttypes>
-#include <cstdio>
 #include <utility>
 
 namespace applehatch::gateway {
@@ -47,14 +44,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-auto hexText(std::uint64_t value) -> std::string
-{
-    constexpr std::size_t digits = 16;
-    std::array<char, digits + 1> text{};
-    std::snprintf(text.data(), text.size(), "%016" PRIx64, value);
-    return text.data();
-}
-
 auto answerText(const CallerPtr &caller, int status, std::string_view type, std::string_view body)
     -> void
 {
@@ -219,7 +208,7 @@
         .add("sent", report.sent)
         .add("load", report.upstreamLoad)
         .add("usable", report.usable)
-        .add("context", hexText(report.context))
+        .add("context", core::hexText(report.context))
         .add("contextTokens", report.contextTokens)
         .add("heldContext", report.heldContext ? 1 : 0)
         .add("fetchedFrom", report.fetchedFrom)
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -130,12 +130,30 @@
     if (!digest.brief) {
         const auto peer = PeerTable::rankOf(digest.sender);
         dispatcher_.loads().notePeer(peer, digest.loads, now);
-        dispatcher_.suspects().notePeer(peer, digest.crashes, now);
+        notePeerCrashes(digest, now);
         dispatcher_.contexts().notePeer(digest.contexts, now);
     }
     catchUp(now);
 }
 
+auto GatewayHost::notePeerCrashes(const PeerDigest &digest, Instant now) -> void
+{
+    auto &suspects = dispatcher_.suspects();
+    for (const auto &count : digest.crashes) {
+        const auto before = suspects.crashes(count.fingerprint, now);
+        suspects.notePeer(PeerTable::rankOf(digest.sender), {count}, now);
+        const auto crashes = suspects.crashes(count.fingerprint, now);
+        if (crashes == before)
+            continue;
+        metrics_.noteEvent("crash-learned");
+        log(LogLine("crash-learned")
+                .add("fingerprint", core::hexText(count.fingerprint))
+                .add("peer", digest.sender.ip)
+                .add("before", static_cast<std::int64_t>(before))
+                .add("crashes", static_cast<std::int64_t>(crashes)));
+    }
+}
+
 auto GatewayHost::catchUp(Instant now) -> void
 {
     if (mesh_.newestRevision(now) <= replica_.revision()) {
