Count every upstream that ends under a request, and refuse the request after three

Cause: only a break before the head of the answer counted as a crash. The class: evidence taken from the state of the answer, not from the upstream; what an upstream does afterwards was not asked. Three weaknesses of the same count go with it: one crash seen by three gateways counted three times, so bystanders could be refused for one; any answer, also a 500, cleared a request; 16 counts of the newest bystanders crowded others out of the digests, and nobody passed on what a gateway that restarted had seen.

Now a break is known by fingerprint and upstream, before or after the head, and passed on by all gateways with its age. Three upstreams make a suspect. Whether it was a crash is decided by what follows: upstreams keep no identity over a restart, so one that answers a later request did not crash. So broken connections, spoilt answers and lossy links accuse nobody for longer than the next answer takes. A request that was served three times since its last break is not blamed for the next.

--- a/include/applehatch/direct/crash-suspects.h
+++ b/include/applehatch/direct/crash-suspects.h
@@ -1,9 +1,11 @@
-/// Tracks requests that were running when upstreams crashed.
+/// Tracks requests under which upstreams crashed.
 #pragma once
 
 #include "applehatch/core/expiring-map.h"
 #include "applehatch/direct/directory.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -11,48 +13,98 @@
 
 using core::Fingerprint;
 
-/// Number of upstream crashes during which a request was running.
-struct CrashCount
+/// Reports to peers that an upstream broke off while it ran a request.
+struct CrashReport
 {
     Fingerprint fingerprint = 0;
-    std::uint32_t crashes = 0;
+    UpstreamId upstream = 0;
+    Duration age{0}; ///< Time since the break.
+    /// Number of upstreams that broke off this request at the reporting router itself.
+    std::uint32_t ownCrashes = 0;
+
+    auto operator==(const CrashReport &) const -> bool = default;
 };
 
-/// Counts, by fingerprint, the upstream crashes during which a request was running.
+/// Records which upstreams broke off which requests, by fingerprint, as far as the fleet knows.
+///
+/// A request may crash every upstream that begins to run it, before or after the head of its answer
+/// is sent. Its caller sends it again, to any router, and one upstream after another is down for
+/// seconds. After `crashLimit` crashes the request is refused.
 ///
-/// A request may crash every upstream that begins to run it. Its caller sends it again, to any
-/// router, and one upstream after another is down for seconds. After `crashLimit` crashes the
-/// request is refused.
+/// Connections also break without a crash. Upstreams keep no identity over a restart, so one that
+/// answers a later request did not crash, and its breaks before that request do not count.
 class CrashSuspects
 {
 public:
-    /// Number of crashes after which a request is refused. Two may be coincidence when many
-    /// upstreams fail together; three are not.
-    static constexpr std::uint32_t crashLimit = 3;
+    /// Number of crashed upstreams after which a request is refused. Two may be coincidence when
+    /// many upstreams fail together; three are not.
+    static constexpr std::size_t crashLimit = 3;
     static constexpr Duration lifetime = std::chrono::minutes(10);
+    /// Maximum number of requests with one crash, with two, and with more. Those with more crashes
+    /// are not evicted by many with fewer.
     static constexpr std::size_t capacity = 4096;
-    /// Maximum number of counts in a datagram to a peer.
-    static constexpr std::size_t maxReportedCounts = 16;
+    /// Maximum number of breaks stored per request.
+    static constexpr std::size_t maxBreaks = 8;
+    /// Maximum number of reports in a datagram to a peer.
+    static constexpr std::size_t maxReports = 16;
+    /// Maximum number of these about requests with more than one crash.
+    static constexpr std::size_t maxRepeatedReports = 8;
+    /// A request's only crash is reported for this long after it became known; further crashes are
+    /// reported as long as they count.
+    static constexpr Duration reportWindow = std::chrono::seconds(2);
+    /// A request that was served completely this often shared the crash of another. One break uses
+    /// this up.
+    static constexpr std::uint32_t servesToTrust = 3;
 
-    auto noteCrash(Fingerprint fingerprint, Instant now) -> void;
-    /// Clears this router's own count: a request that ran to completion crashes nothing.
-    auto noteServed(Fingerprint fingerprint) -> void;
-    auto notePeer(std::uint64_t peer, const std::vector<CrashCount> &counts, Instant now) -> void;
+    /// Records that `upstream` broke off the request. Returns whether the break counts.
+    auto noteBreak(Fingerprint fingerprint, UpstreamId upstream, Instant now) -> bool;
+    /// Records that the request was answered completely. Earlier crashes still count.
+    auto noteServed(Fingerprint fingerprint, Instant now) -> void;
+    /// Records that `upstream` answered a request that was sent at `sentAt`. Returns whether this
+    /// refutes any break.
+    auto noteAnswered(UpstreamId upstream, Instant sentAt, Instant now) -> bool;
+    /// Records a peer's report. Returns whether the break was not known.
+    auto notePeer(const CrashReport &report, Instant now) -> bool;
 
-    [[nodiscard]] auto crashes(Fingerprint fingerprint, Instant now) const -> std::uint32_t;
+    /// Returns the number of upstreams that crashed under the request.
+    [[nodiscard]] auto crashes(Fingerprint fingerprint, Instant now) const -> std::size_t;
     [[nodiscard]] auto isSuspect(Fingerprint fingerprint, Instant now) const -> bool
     {
         return crashes(fingerprint, now) >= crashLimit;
     }
-    /// Returns this router's own counts to report to peers, newest first.
-    [[nodiscard]] auto ownCounts(Instant now) const -> std::vector<CrashCount>;
+    /// Returns what to report in the next digest, including what peers reported. Calls go through
+    /// all that there is by turns.
+    [[nodiscard]] auto nextReports(Instant now) -> std::vector<CrashReport>;
 
 private:
-    core::ExpiringMap<std::uint32_t> ownCounts_{capacity};
-    core::ExpiringMap<std::uint32_t> peerCounts_{
-        capacity}; // Keyed by a hash of peer and fingerprint.
-    core::ExpiringMap<std::vector<std::uint64_t>> reporters_{
-        capacity}; // Peers that reported a fingerprint.
+    struct Break
+    {
+        UpstreamId upstream = 0;
+        Instant at;
+        Instant learnedAt;
+        bool own = false;
+    };
+    using Breaks = std::vector<Break>; // Oldest first.
+    using BreaksByRequest = core::ExpiringMap<Breaks>;
+
+    [[nodiscard]] auto find(Fingerprint fingerprint, Instant now) const -> const Breaks *;
+    auto add(Fingerprint fingerprint, const Break &added, Instant now) -> void;
+    [[nodiscard]] auto isRefuted(const Break &known, Instant now) const -> bool;
+    [[nodiscard]] auto counts(const Break &known, Instant now) const -> bool;
+    /// Appends reports of the newest breaks that count, at most `crashLimit`.
+    auto appendReports(Fingerprint fingerprint, const Breaks &breaks, Instant now,
+                       std::vector<CrashReport> &reports) const -> void;
+    [[nodiscard]] auto repeatedCrashes(Instant now) const -> std::vector<CrashReport>;
+    [[nodiscard]] auto recentCrashes(Instant now) const -> std::vector<CrashReport>;
+
+    // By the number of breaks: one, two, three or more.
+    std::array<BreaksByRequest, crashLimit> requests_{
+        BreaksByRequest(capacity), BreaksByRequest(capacity), BreaksByRequest(capacity)};
+    core::ExpiringMap<std::uint32_t> served_{capacity};    // Complete answers since the last break.
+    core::ExpiringMap<Instant> unrefutedBreaks_{capacity}; // The latest of each upstream.
+    core::ExpiringMap<Instant> aliveAt_{capacity};         // By upstream, when it was alive still.
+    std::size_t repeatedOffset_ = 0;
+    std::size_t recentOffset_ = 0;
 };
 
 } // namespace applehatch::direct
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -146,7 +146,10 @@
     auto startSilenceTimer() -> void;
     auto runSilenceTimer(Duration step, int remainingSteps) -> void;
     auto noteOutcome(direct::Outcome outcome) -> void;
-    auto noteServed() -> void;
+    /// Records that the upstream broke off the request and may have crashed under it.
+    auto noteBreak() -> void;
+    /// Records that the upstream did not crash before this request was sent to it.
+    auto noteAnswered() -> void;
     [[nodiscard]] auto crashText() const -> std::string;
     [[nodiscard]] auto timeLeft() const -> Duration;
 
--- a/include/applehatch/gateway/peer-digest.h
+++ b/include/applehatch/gateway/peer-digest.h
@@ -32,7 +32,7 @@
     std::vector<direct::ReaderStatus> readers;
     std::vector<Address> members; ///< Some of the routers known to the sender.
     std::vector<direct::PeerLoad> loads;
-    std::vector<direct::CrashCount> crashes;
+    std::vector<direct::CrashReport> crashes;
     std::vector<direct::ContextPlacement> contexts; ///< Recently used contexts.
 };
 
--- a/src/direct/crash-suspects.cc
+++ b/src/direct/crash-suspects.cc
@@ -6,62 +6,154 @@
 
 namespace {
 
-auto pairKey(std::uint64_t peer, Fingerprint fingerprint) -> std::uint64_t
+// Appends up to `room` of `reports`, beginning at `offset`, which it moves on.
+auto appendByTurns(const std::vector<CrashReport> &reports, std::size_t room, std::size_t &offset,
+                   std::vector<CrashReport> &into) -> void
 {
-    // 2^64 / golden ratio; spreads the bits.
-    constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15U;
-    return fingerprint ^ (peer * multiplier);
+    const auto count = std::min(room, reports.size());
+    for (std::size_t i = 0; i < count; ++i)
+        into.push_back(reports[(offset + i) % reports.size()]);
+    offset += count;
 }
 
 } // namespace
 
-auto CrashSuspects::noteCrash(Fingerprint fingerprint, Instant now) -> void
+auto CrashSuspects::noteBreak(Fingerprint fingerprint, UpstreamId upstream, Instant now) -> bool
 {
-    const auto *count = ownCounts_.find(fingerprint, now);
-    ownCounts_.put(fingerprint, (count == nullptr ? 0 : *count) + 1, now + lifetime);
+    const auto *served = served_.find(fingerprint, now);
+    const auto isTrusted = served != nullptr && *served >= servesToTrust;
+    served_.erase(fingerprint);
+    if (isTrusted)
+        return false;
+    add(fingerprint, {upstream, now, now, true}, now);
+    return true;
 }
 
-auto CrashSuspects::noteServed(Fingerprint fingerprint) -> void
+auto CrashSuspects::noteServed(Fingerprint fingerprint, Instant now) -> void
 {
-    ownCounts_.erase(fingerprint);
+    const auto *served = served_.find(fingerprint, now);
+    served_.put(fingerprint, (served == nullptr ? 0 : *served) + 1, now + lifetime);
 }
 
-auto CrashSuspects::notePeer(std::uint64_t peer, const std::vector<CrashCount> &counts, Instant now)
-    -> void
+auto CrashSuspects::noteAnswered(UpstreamId upstream, Instant sentAt, Instant now) -> bool
 {
-    for (const auto &count : counts) {
-        peerCounts_.put(pairKey(peer, count.fingerprint), count.crashes, now + lifetime);
-        const auto *known = reporters_.find(count.fingerprint, now);
-        auto reporters = known == nullptr ? std::vector<std::uint64_t>() : *known;
-        if (std::find(reporters.begin(), reporters.end(), peer) == reporters.end())
-            reporters.push_back(peer);
-        reporters_.put(count.fingerprint, std::move(reporters), now + lifetime);
+    const auto *brokeAt = unrefutedBreaks_.find(upstream, now);
+    if (brokeAt == nullptr || sentAt <= *brokeAt)
+        return false;
+    unrefutedBreaks_.erase(upstream);
+    aliveAt_.put(upstream, sentAt, now + lifetime);
+    return true;
+}
+
+auto CrashSuspects::notePeer(const CrashReport &report, Instant now) -> bool
+{
+    // Routers that count crashes by reporter name no upstream; such a report cannot be refuted.
+    if (report.upstream == 0 || report.age < Duration(0) || report.age >= lifetime)
+        return false;
+    const auto *breaks = find(report.fingerprint, now);
+    const auto isKnown = breaks != nullptr
+        && std::any_of(breaks->begin(), breaks->end(),
+                       [&](const Break &known) { return known.upstream == report.upstream; });
+    if (isKnown)
+        return false;
+    add(report.fingerprint, {report.upstream, now - report.age, now, false}, now);
+    return true;
+}
+
+auto CrashSuspects::find(Fingerprint fingerprint, Instant now) const -> const Breaks *
+{
+    for (const auto &requests : requests_) {
+        if (const auto *breaks = requests.find(fingerprint, now))
+            return breaks;
     }
+    return nullptr;
 }
 
-auto CrashSuspects::crashes(Fingerprint fingerprint, Instant now) const -> std::uint32_t
+auto CrashSuspects::add(Fingerprint fingerprint, const Break &added, Instant now) -> void
 {
-    const auto *own = ownCounts_.find(fingerprint, now);
-    auto total = own == nullptr ? 0 : *own;
-    const auto *reporters = reporters_.find(fingerprint, now);
-    if (reporters == nullptr)
-        return total;
-    for (const auto peer : *reporters) {
-        const auto *reported = peerCounts_.find(pairKey(peer, fingerprint), now);
-        total += reported == nullptr ? 0 : *reported;
+    const auto *known = find(fingerprint, now);
+    auto breaks = known == nullptr ? Breaks() : *known;
+    std::erase_if(breaks, [&](const Break &old) { return old.upstream == added.upstream; });
+    breaks.push_back(added);
+    if (breaks.size() > maxBreaks)
+        breaks.erase(breaks.begin());
+    for (auto &requests : requests_)
+        requests.erase(fingerprint);
+    const auto index = std::min(breaks.size(), crashLimit) - 1;
+    requests_[index].put(fingerprint, std::move(breaks), now + lifetime);
+    const auto *brokeAt = unrefutedBreaks_.find(added.upstream, now);
+    if (!isRefuted(added, now) && (brokeAt == nullptr || *brokeAt < added.at))
+        unrefutedBreaks_.put(added.upstream, added.at, now + lifetime);
+}
+
+auto CrashSuspects::isRefuted(const Break &known, Instant now) const -> bool
+{
+    const auto *alive = aliveAt_.find(known.upstream, now);
+    return alive != nullptr && known.at < *alive;
+}
+
+auto CrashSuspects::counts(const Break &known, Instant now) const -> bool
+{
+    return !isRefuted(known, now) && now - known.at < lifetime;
+}
+
+auto CrashSuspects::crashes(Fingerprint fingerprint, Instant now) const -> std::size_t
+{
+    const auto *breaks = find(fingerprint, now);
+    if (breaks == nullptr)
+        return 0;
+    const auto count = std::count_if(breaks->begin(), breaks->end(),
+                                     [&](const Break &known) { return counts(known, now); });
+    return static_cast<std::size_t>(count);
+}
+
+auto CrashSuspects::appendReports(Fingerprint fingerprint, const Breaks &breaks, Instant now,
+                                  std::vector<CrashReport> &reports) const -> void
+{
+    const auto own = std::count_if(breaks.begin(), breaks.end(), [&](const Break &known) {
+        return known.own && counts(known, now);
+    });
+    std::size_t appended = 0;
+    for (auto known = breaks.rbegin(); known != breaks.rend() && appended < crashLimit; ++known) {
+        if (!counts(*known, now))
+            continue;
+        reports.push_back(
+            {fingerprint, known->upstream, now - known->at, static_cast<std::uint32_t>(own)});
+        ++appended;
+    }
+}
+
+auto CrashSuspects::repeatedCrashes(Instant now) const -> std::vector<CrashReport>
+{
+    std::vector<CrashReport> reports;
+    for (auto requests = requests_.rbegin(); requests + 1 != requests_.rend(); ++requests) {
+        for (const auto fingerprint : requests->newest(capacity)) {
+            if (const auto *breaks = requests->find(fingerprint, now))
+                appendReports(fingerprint, *breaks, now, reports);
+        }
     }
-    return total;
+    return reports;
 }
 
-auto CrashSuspects::ownCounts(Instant now) const -> std::vector<CrashCount>
+auto CrashSuspects::recentCrashes(Instant now) const -> std::vector<CrashReport>
 {
-    std::vector<CrashCount> counts;
-    for (const auto fingerprint : ownCounts_.newest(maxReportedCounts)) {
-        const auto *count = ownCounts_.find(fingerprint, now);
-        if (count != nullptr)
-            counts.push_back({fingerprint, *count});
+    std::vector<CrashReport> reports;
+    const auto &requests = requests_.front();
+    for (const auto fingerprint : requests.newest(capacity)) {
+        const auto *breaks = requests.find(fingerprint, now);
+        if (breaks == nullptr || now - breaks->back().learnedAt >= reportWindow)
+            break;
+        appendReports(fingerprint, *breaks, now, reports);
     }
-    return counts;
+    return reports;
+}
+
+auto CrashSuspects::nextReports(Instant now) -> std::vector<CrashReport>
+{
+    std::vector<CrashReport> reports;
+    appendByTurns(repeatedCrashes(now), maxRepeatedReports, repeatedOffset_, reports);
+    appendByTurns(recentCrashes(now), maxReports - reports.size(), recentOffset_, reports);
+    return reports;
 }
 
 } // namespace applehatch::direct
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -26,6 +26,8 @@
     }
     attempt_.notRun = head.headers.find(vocabulary.notRun) != nullptr || head.status == misdirected;
     attempt_.head = head;
+    if (head.status != misdirected)
+        noteAnswered();
     attempt_.isStream = permit_.route->kind == RouteKind::Stream && isSuccess(head.status)
         && head.headers.find(vocabulary.proof) != nullptr;
     if (attempt_.isStream && phase_ == Phase::AwaitingAnswer)
@@ -93,7 +95,7 @@
     }
     attempt_.served = true;
     noteOutcome(Outcome::Served);
-    noteServed();
+    environment_.dispatcher->suspects().noteServed(demand_.fingerprint, telemetry::steadyNow());
     if (report_.firstByte)
         environment_.pace->noteStream(maxTokens_,
                                       telemetry::steadyNow() - arrivedAt_ - *report_.firstByte);
@@ -123,7 +125,8 @@
     const auto failed = head.status >= firstServerError;
     attempt_.served = !failed;
     noteOutcome(failed ? Outcome::Failed : Outcome::Served);
-    noteServed();
+    if (isSuccess(head.status))
+        environment_.dispatcher->suspects().noteServed(demand_.fingerprint, telemetry::steadyNow());
     closeAttempt(true);
     mayHaveRun_ = true;
     if (failed && mayRepeat() && retry("status " + std::to_string(head.status)))
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -275,12 +275,7 @@
     if (timedOut)
         environment_.pool->drop(attempt_.choice.upstream.address);
     environment_.note(id_, "upstream-broke", attempt_.choice.upstream.instance + ": " + why);
-    if (!attempt_.head) {
-        environment_.dispatcher->suspects().noteCrash(demand_.fingerprint, telemetry::steadyNow());
-        environment_.note(id_, "crash-counted", crashText());
-    } else {
-        environment_.note(id_, "crash-not-counted", crashText());
-    }
+    noteBreak();
     closeAttempt(false);
     retryOrAnswer({ErrorKind::UpstreamFailed, Run::Unknown, why, {}});
 }
@@ -291,16 +286,24 @@
     const auto &suspects = environment_.dispatcher->suspects();
     return attempt_.choice.upstream.instance + ": fingerprint " + core::hexText(demand_.fingerprint)
         + ", crashes "
-        + std::to_string(suspects.crashes(demand_.fingerprint, telemetry::steadyNow()))
-        + (attempt_.head ? ", after the head" : ", before the head");
+        + std::to_string(suspects.crashes(demand_.fingerprint, telemetry::steadyNow()));
+}
+
+// An upstream may crash at any moment of its answer, so a break after the head counts as well.
+auto Exchange::noteBreak() -> void
+{
+    const auto counts = environment_.dispatcher->suspects().noteBreak(
+        demand_.fingerprint, attempt_.choice.upstream.id, telemetry::steadyNow());
+    environment_.note(id_, counts ? "crash-counted" : "crash-not-counted", crashText());
 }
 
-auto Exchange::noteServed() -> void
+auto Exchange::noteAnswered() -> void
 {
-    auto &suspects = environment_.dispatcher->suspects();
-    if (suspects.crashes(demand_.fingerprint, telemetry::steadyNow()) > 0)
-        environment_.note(id_, "crash-cleared", crashText());
-    suspects.noteServed(demand_.fingerprint);
+    const auto &upstream = attempt_.choice.upstream;
+    const auto refutes = environment_.dispatcher->suspects().noteAnswered(
+        upstream.id, attempt_.sentAt, telemetry::steadyNow());
+    if (refutes)
+        environment_.note(id_, "crash-refuted", upstream.instance + ": answered a later request");
 }
 
 auto Exchange::onSilent() -> void
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -254,7 +254,7 @@
     if (digest.brief)
         return;
     digest.loads = dispatcher_.loads().ownLoads();
-    digest.crashes = dispatcher_.suspects().ownCounts(now);
+    digest.crashes = dispatcher_.suspects().nextReports(now);
     // A peer receives a digest only once per round, so the uses of a whole round are included.
     digest.contexts = dispatcher_.contexts().recentUses(
         now, mesh_.table().roundDuration(now) + PeerMesh::digestInterval);
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -139,18 +139,20 @@
 auto GatewayHost::notePeerCrashes(const PeerDigest &digest, Instant now) -> void
 {
     auto &suspects = dispatcher_.suspects();
-    for (const auto &count : digest.crashes) {
-        const auto before = suspects.crashes(count.fingerprint, now);
-        suspects.notePeer(PeerTable::rankOf(digest.sender), {count}, now);
-        const auto crashes = suspects.crashes(count.fingerprint, now);
-        if (crashes == before)
+    for (const auto &report : digest.crashes) {
+        if (!suspects.notePeer(report, now))
             continue;
+        const auto *upstream = dispatcher_.findUpstream(report.upstream);
         metrics_.noteEvent("crash-learned");
         log(LogLine("crash-learned")
-                .add("fingerprint", core::hexText(count.fingerprint))
+                .add("fingerprint", core::hexText(report.fingerprint))
+                .add("upstream",
+                     upstream == nullptr ? core::hexText(report.upstream) : upstream->instance)
                 .add("peer", digest.sender.ip)
-                .add("before", static_cast<std::int64_t>(before))
-                .add("crashes", static_cast<std::int64_t>(crashes)));
+                .add("ageMs",
+                     std::chrono::duration_cast<std::chrono::milliseconds>(report.age).count())
+                .add("crashes",
+                     static_cast<std::int64_t>(suspects.crashes(report.fingerprint, now))));
     }
 }
 
--- a/src/gateway/peer-digest.cc
+++ b/src/gateway/peer-digest.cc
@@ -122,7 +122,8 @@
     for (const auto load : from.getLoads())
         digest.loads.push_back({load.getUpstream(), load.getRunning()});
     for (const auto crash : from.getCrashes())
-        digest.crashes.push_back({crash.getFingerprint(), crash.getCrashes()});
+        digest.crashes.push_back({crash.getFingerprint(), crash.getUpstream(),
+                                  std::chrono::milliseconds(crash.getAgeMs()), crash.getCrashes()});
     for (const auto context : from.getContexts())
         digest.contexts.push_back(
             {context.getContext(), context.getUpstream(), context.getTokens()});
@@ -183,7 +184,9 @@
     auto crashes = root.initCrashes(static_cast<unsigned>(digest.crashes.size()));
     for (unsigned i = 0; i < crashes.size(); ++i) {
         crashes[i].setFingerprint(digest.crashes[i].fingerprint);
-        crashes[i].setCrashes(digest.crashes[i].crashes);
+        crashes[i].setCrashes(digest.crashes[i].ownCrashes);
+        crashes[i].setUpstream(digest.crashes[i].upstream);
+        crashes[i].setAgeMs(ageMs(digest.crashes[i].age));
     }
     auto contexts = root.initContexts(static_cast<unsigned>(digest.contexts.size()));
     for (unsigned i = 0; i < contexts.size(); ++i) {
--- a/src/gateway/peer.capnp
+++ b/src/gateway/peer.capnp
@@ -17,6 +17,8 @@
 struct Crash {
   fingerprint @0 :UInt64;
   crashes @1 :UInt32;
+  upstream @2 :UInt64;
+  ageMs @3 :UInt32;
 }
 
 struct Context {
