Log what upstreams say of themselves: that they leave, or want rest

The logs of the users' second record tell how often an upstream refused, not whether it asked for rest and for how long. Each such answer is now a line and a counter: upstream-leaving, upstream-rest, and upstream-rest-unusable for a value that cannot be read. The names and the values' format stand in platform/; seconds with or without a fraction are read, up to five minutes; zero, negative, empty, dates and all else ask for nothing. No decision changes.

--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -150,6 +150,8 @@
     auto noteBreak() -> void;
     /// Records that the upstream did not crash before this request was sent to it.
     auto noteAnswered() -> void;
+    /// Records what the upstream says of itself: that it leaves, or wants no requests for a time.
+    auto noteAnnouncements(const ResponseHead &head) -> void;
     [[nodiscard]] auto crashText() const -> std::string;
     [[nodiscard]] auto timeLeft() const -> Duration;
 
--- a/include/applehatch/gateway/vocabulary.h
+++ b/include/applehatch/gateway/vocabulary.h
@@ -3,6 +3,7 @@
 
 #include "applehatch/direct/prompt.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -34,6 +35,8 @@
     std::string tokens;         ///< Tokens of the prompt and maximum tokens of the answer.
     std::string fetchFrom;      ///< Engine from which to fetch the prompt's context.
     std::string lastEventId;    ///< Id of the event after which a stream resumes.
+    std::string leaving;        ///< Set by upstreams that are about to exit.
+    std::string restRequest;    ///< On a refusal, how long the upstream wants no requests.
     std::string keyScheme;      ///< Scheme before the key in `Authorization`.
     /// Headers that only routers may set; removed from callers' requests.
     std::vector<std::string> routerOnly;
@@ -42,6 +45,9 @@
 
     std::function<direct::Prompt(std::string_view)> readPrompt;
     std::function<std::optional<LoadReport>(std::string_view)> readLoad;
+    std::function<bool(std::string_view)> readLeaving;
+    /// Returns nothing if no rest is asked for, or if the value is malformed.
+    std::function<std::optional<std::chrono::milliseconds>(std::string_view)> readRestRequest;
     /// Parses the maximum number of tokens of the answer; 0 if unknown.
     std::function<std::uint32_t(std::string_view)> readMaxTokens;
 };
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -26,14 +26,32 @@
     }
     attempt_.notRun = head.headers.find(vocabulary.notRun) != nullptr || head.status == misdirected;
     attempt_.head = head;
-    if (head.status != misdirected)
+    if (head.status != misdirected) {
         noteAnswered();
+        noteAnnouncements(head);
+    }
     attempt_.isStream = permit_.route->kind == RouteKind::Stream && isSuccess(head.status)
         && head.headers.find(vocabulary.proof) != nullptr;
     if (attempt_.isStream && phase_ == Phase::AwaitingAnswer)
         relayHead(head);
 }
 
+auto Exchange::noteAnnouncements(const ResponseHead &head) -> void
+{
+    const auto &vocabulary = *environment_.vocabulary;
+    const auto &upstream = attempt_.choice.upstream;
+    const auto *leaving = head.headers.find(vocabulary.leaving);
+    if (leaving != nullptr && vocabulary.readLeaving(*leaving))
+        environment_.note(id_, "upstream-leaving", upstream.instance);
+    const auto *asked =
+        head.status == unavailable ? head.headers.find(vocabulary.restRequest) : nullptr;
+    if (asked == nullptr)
+        return;
+    const auto rest = vocabulary.readRestRequest(*asked);
+    environment_.note(id_, rest ? "upstream-rest" : "upstream-rest-unusable",
+                      upstream.instance + ": " + *asked);
+}
+
 auto Exchange::relayHead(const ResponseHead &head) -> void
 {
     phase_ = Phase::Relaying;
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -247,6 +247,8 @@
     vocabulary.prompt = "Prompt-Parts";
     vocabulary.fetchFrom = "Fetch-Context";
     vocabulary.lastEventId = "Last-Event-ID";
+    vocabulary.leaving = "Going-Away";
+    vocabulary.restRequest = "Rest-Ms";
     vocabulary.keyScheme = "Bearer";
     vocabulary.routerOnly = {"Reserve", "Fetch-Context"};
     vocabulary.endToEnd = {"Request-Id", "Prompt-Parts"};
@@ -255,6 +257,10 @@
     };
     vocabulary.tokens = "Token-Counts";
     vocabulary.readLoad = [](std::string_view) { return std::nullopt; };
+    vocabulary.readLeaving = [](std::string_view text) { return text == "yes"; };
+    vocabulary.readRestRequest = [](std::string_view text) {
+        return std::chrono::milliseconds(std::stoi(std::string(text)));
+    };
     vocabulary.readMaxTokens = [](std::string_view text) {
         return static_cast<std::uint32_t>(std::stoul(std::string(text)));
     };
--- a/test/platform/decoder-test.cc
+++ b/test/platform/decoder-test.cc
@@ -181,4 +181,25 @@
     BOOST_TEST(!readLoad("a,b,c"));
 }
 
+// Guards against granting a rest that was not asked for, or one without end.
+BOOST_AUTO_TEST_CASE(rest_is_granted_for_positive_seconds_alone)
+{
+    BOOST_TEST((readRestRequest("3") == 3000ms));
+    BOOST_TEST((readRestRequest("0.5") == 500ms));
+    BOOST_TEST((readRestRequest("0.0001") == 1ms));
+    for (const auto *huge : {"301", "99999999999999999999", "1000000000000000000000000000000000"})
+        BOOST_TEST((readRestRequest(huge) == maxRest));
+    for (const auto *none : {"", "0", "0.0", "-0", "-3", "soon", "3s", " 3", "3 ", "+3", "1e3",
+                             "inf", "nan", "0x10", "Wed, 21 Oct 2026 07:28:00 GMT"})
+        BOOST_TEST(!readRestRequest(none), none);
+}
+
+// Guards against avoiding an upstream that does not say that it leaves.
+BOOST_AUTO_TEST_CASE(only_a_one_says_that_an_upstream_leaves)
+{
+    BOOST_TEST(readLeaving("1"));
+    for (const auto *none : {"", "0", "-1", "2", "yes", "1.0", "11", " 1"})
+        BOOST_TEST(!readLeaving(none), none);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
