Send nothing to an upstream until the end of the rest that it asked for

Cause: nothing read the Retry-After of an upstream. A refusal even counted as a sign of health, and as refusing keeps an engine's load low and its contexts known, it was the first choice again. The class: a word of the upstream about itself that is read past, while its effect on what we measure looks like good news.

Now a refusal with 503 that asks for rest takes the upstream out for this gateway until its end; the latest end holds. A request whose connection was being opened then is sent elsewhere. When all upstreams of a service rest, callers are refused at once and told to return when the first rest ends, spread as before.

Ruled out: that all engines rested at once (eight took requests throughout), and that the failure share should have kept them out (a refusal does not raise it).

--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -10,6 +10,7 @@
 #include "applehatch/direct/load-tracker.h"
 #include "applehatch/direct/prompt.h"
 #include "applehatch/direct/retry-budget.h"
+#include "applehatch/direct/upstream-announcements.h"
 #include "applehatch/direct/upstream-health.h"
 
 #include <cstdint>
@@ -85,9 +86,9 @@
     [[nodiscard]] auto findUpstream(UpstreamId id) const -> const Upstream *;
 
     /// Whether a request may still be sent to a chosen upstream. Opening a connection may have
-    /// taken seconds, and an upstream that began to drain in the meantime must not get new
-    /// requests.
-    [[nodiscard]] auto acceptsNewRequests(UpstreamId id) const -> bool;
+    /// taken seconds, and an upstream that began to drain or asked for rest in the meantime must
+    /// not get new requests.
+    [[nodiscard]] auto acceptsNewRequests(UpstreamId id, Instant now) const -> bool;
 
     /// Finds the route, checks the key and draws the target service.
     [[nodiscard]] auto admit(std::string_view host, std::string_view path,
@@ -130,18 +131,23 @@
     /// Returns the delay after which a refused caller should retry, randomized so that callers do
     /// not all return at once.
     [[nodiscard]] auto retryAfter() -> Duration;
-    /// Returns the retry delay for a request refused by admission control; it grows with the number
-    /// of recent refusals.
+    /// Returns the retry delay for a request that no upstream has room for; it grows with the
+    /// number of recent refusals, and includes the time until an upstream of the service takes
+    /// requests.
     [[nodiscard]] auto overloadRetryAfter(const Permit &permit, Instant now) -> Duration;
 
     [[nodiscard]] auto loads() -> LoadTracker & { return loads_; }
     [[nodiscard]] auto contexts() -> ContextMap & { return contexts_; }
     [[nodiscard]] auto suspects() -> CrashSuspects & { return suspects_; }
     [[nodiscard]] auto health() -> UpstreamHealth & { return health_; }
+    [[nodiscard]] auto announcements() -> UpstreamAnnouncements & { return announcements_; }
 
 private:
     [[nodiscard]] auto usableUpstreams(const Permit &permit, const std::vector<UpstreamId> &tried,
                                        Instant now) const -> std::vector<UpstreamView>;
+    [[nodiscard]] auto acceptsNewRequests(const Upstream &upstream, Instant now) const -> bool;
+    /// Returns the time until the first upstream of the service ends its rest; 0 unless all rest.
+    [[nodiscard]] auto restLeft(const std::string &service, Instant now) const -> Duration;
     /// Returns the engine from which `chosen`, which does not hold the context, should fetch it: an
     /// engine known to hold it, or, if none is known, the context's other candidate, which answers
     /// at once if it does not hold it either.
@@ -164,6 +170,7 @@
     LoadBound bound_;
     LoadTracker loads_;
     UpstreamHealth health_;
+    UpstreamAnnouncements announcements_;
     ContextMap contexts_;
     CrashSuspects suspects_;
     RetryBudget budget_;
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -152,6 +152,7 @@
     auto noteAnswered() -> void;
     /// Records what the upstream says of itself: that it leaves, or wants no requests for a time.
     auto noteAnnouncements(const ResponseHead &head) -> void;
+    auto noteRest(Duration rest) -> void;
     [[nodiscard]] auto crashText() const -> std::string;
     [[nodiscard]] auto timeLeft() const -> Duration;
 
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -75,10 +75,33 @@
     return found == indexById_.end() ? nullptr : &upstreams_[found->second];
 }
 
-auto Dispatcher::acceptsNewRequests(UpstreamId id) const -> bool
+auto Dispatcher::acceptsNewRequests(UpstreamId id, Instant now) const -> bool
 {
     const auto *upstream = findUpstream(id);
-    return upstream != nullptr && upstream->state != UpstreamState::Leaving;
+    return upstream != nullptr && acceptsNewRequests(*upstream, now);
+}
+
+auto Dispatcher::acceptsNewRequests(const Upstream &upstream, Instant now) const -> bool
+{
+    return upstream.state != UpstreamState::Leaving && !announcements_.restEnd(upstream.id, now);
+}
+
+auto Dispatcher::restLeft(const std::string &service, Instant now) const -> Duration
+{
+    const auto indexes = indexesByService_.find(service);
+    if (indexes == indexesByService_.end())
+        return Duration(0);
+    std::optional<Instant> first;
+    for (const auto index : indexes->second) {
+        const auto &upstream = upstreams_[index];
+        const auto end = announcements_.restEnd(upstream.id, now);
+        if (upstream.state == UpstreamState::Leaving)
+            continue;
+        if (!end)
+            return Duration(0);
+        first = std::min(*end, first.value_or(*end));
+    }
+    return first ? *first - now : Duration(0);
 }
 
 auto Dispatcher::refusal(ErrorKind kind, std::string detail) -> Failure
@@ -155,7 +178,7 @@
     const auto memory = permit.service == nullptr ? 0 : permit.service->memoryTokens;
     for (const auto index : indexes->second) {
         const auto &upstream = upstreams_[index];
-        if (upstream.state == UpstreamState::Leaving
+        if (!acceptsNewRequests(upstream, now)
             || std::find(tried.begin(), tried.end(), upstream.id) != tried.end())
             continue;
         UpstreamView view;
@@ -183,6 +206,9 @@
     const auto usedLast = holders.empty() ? std::nullopt : std::optional(holders.front());
     const auto *upstream = isModel ? chooseEngine(context, usedLast, usable, bound_)
                                    : chooseService(usable, options_.dataCenter, draw());
+    if (upstream == nullptr && restLeft(permit.serviceName, now) > Duration(0))
+        return Failure{ErrorKind::Overloaded, Run::NotRun, "all upstreams asked for rest",
+                       overloadRetryAfter(permit, now)};
     if (upstream == nullptr)
         return refusal(ErrorKind::NoUpstream, "no upstream of the service is known");
     Choice choice;
@@ -269,8 +295,9 @@
 auto Dispatcher::overloadRetryAfter(const Permit &permit, Instant now) -> Duration
 {
     constexpr auto range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    return admission_.retryAfter(admissionRequestOf(permit), static_cast<double>(draw()) / range,
-                                 now);
+    return restLeft(permit.serviceName, now)
+        + admission_.retryAfter(admissionRequestOf(permit), static_cast<double>(draw()) / range,
+                                now);
 }
 
 auto Dispatcher::retryAfter() -> Duration
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -6,6 +6,10 @@
 
 #include "applehatch/telemetry/clock.h"
 
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
 #include <utility>
 
 namespace applehatch::gateway {
@@ -15,6 +19,28 @@
 using direct::Outcome;
 using direct::RouteKind;
 
+namespace {
+
+// Returns the time of day in UTC after `wait`.
+auto utcText(Duration wait) -> std::string
+{
+    const auto at = std::chrono::system_clock::now()
+        + std::chrono::duration_cast<std::chrono::system_clock::duration>(wait);
+    const auto seconds = std::chrono::system_clock::to_time_t(at);
+    const auto sinceEpoch = at.time_since_epoch();
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch % std::chrono::seconds(1));
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> text{};
+    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text.data() + length, text.size() - length, ".%03dZ",
+                  static_cast<int>(milliseconds.count()));
+    return text.data();
+}
+
+} // namespace
+
 auto Exchange::onHead(ResponseHead &head) -> void
 {
     const auto &vocabulary = *environment_.vocabulary;
@@ -47,9 +73,18 @@
         head.status == unavailable ? head.headers.find(vocabulary.restRequest) : nullptr;
     if (asked == nullptr)
         return;
-    const auto rest = vocabulary.readRestRequest(*asked);
-    environment_.note(id_, rest ? "upstream-rest" : "upstream-rest-unusable",
-                      upstream.instance + ": " + *asked);
+    if (const auto rest = vocabulary.readRestRequest(*asked))
+        return noteRest(*rest);
+    environment_.note(id_, "upstream-rest-unusable", upstream.instance + ": " + *asked);
+}
+
+auto Exchange::noteRest(Duration rest) -> void
+{
+    const auto now = telemetry::steadyNow();
+    const auto &upstream = attempt_.choice.upstream;
+    if (environment_.dispatcher->announcements().noteRest(upstream.id, now + rest, now))
+        environment_.note(id_, "upstream-rest",
+                          upstream.instance + ": no requests until " + utcText(rest));
 }
 
 auto Exchange::relayHead(const ResponseHead &head) -> void
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -184,12 +184,15 @@
             environment_.pool->release(attempt_.choice.upstream.address, connection);
         return;
     }
-    if (connection && environment_.dispatcher->acceptsNewRequests(attempt_.choice.upstream.id)) {
+    if (connection
+        && environment_.dispatcher->acceptsNewRequests(attempt_.choice.upstream.id,
+                                                       telemetry::steadyNow())) {
         attempt_.connection = connection;
         return sendRequest();
     }
     if (connection) {
-        // The upstream was removed while the connection was being opened. Nothing was sent yet.
+        // The upstream was removed, or asked for rest, while the connection was being opened.
+        // Nothing was sent yet.
         environment_.pool->release(attempt_.choice.upstream.address, connection);
         environment_.note(id_, "upstream-left", attempt_.choice.upstream.instance);
         if (!startAttempt())
