Send nothing new to an upstream that says in its answers that it leaves

From today an upstream that leaves says so in each answer, some of them before their entry changes or without any change of it.

It is remembered by its identity for ten minutes after the last such answer, and so also when its entry lapses while the registry is away and is written again. It holds for the gateway that was told: each upstream tells each gateway, and the rule is about that one.

--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -146,6 +146,8 @@
     [[nodiscard]] auto usableUpstreams(const Permit &permit, const std::vector<UpstreamId> &tried,
                                        Instant now) const -> std::vector<UpstreamView>;
     [[nodiscard]] auto acceptsNewRequests(const Upstream &upstream, Instant now) const -> bool;
+    /// Whether the upstream leaves, by its registry entry or its own answers.
+    [[nodiscard]] auto isLeaving(const Upstream &upstream, Instant now) const -> bool;
     /// Returns the time until the first upstream of the service ends its rest; 0 unless all rest.
     [[nodiscard]] auto restLeft(const std::string &service, Instant now) const -> Duration;
     /// Returns the engine from which `chosen`, which does not hold the context, should fetch it: an
--- a/include/applehatch/direct/upstream-announcements.h
+++ b/include/applehatch/direct/upstream-announcements.h
@@ -9,10 +9,12 @@
 
 namespace applehatch::direct {
 
-/// The times for which upstreams want no requests from this router.
+/// The upstreams that want no requests from this router: for a time, or because they leave.
 ///
 /// An upstream that refuses a request may ask for rest. Refusals keep its load low, which makes it
-/// look attractive: without this, it would get more requests than the others.
+/// look attractive: without this, it would get more requests than the others. An upstream that
+/// leaves says so in its answers, at times before its registry entry does, or only there; it is
+/// remembered although its entry may lapse and be written again.
 class UpstreamAnnouncements
 {
 public:
@@ -23,9 +25,16 @@
     auto noteRest(UpstreamId upstream, Instant until, Instant now) -> bool;
     /// Returns when the rest of `upstream` ends; none if it takes requests.
     [[nodiscard]] auto restEnd(UpstreamId upstream, Instant now) const -> std::optional<Instant>;
+    /// Records that `upstream` leaves. Returns whether that was not known.
+    auto noteLeaving(UpstreamId upstream, Instant now) -> bool;
+    [[nodiscard]] auto isLeaving(UpstreamId upstream, Instant now) const -> bool;
 
 private:
+    /// Far longer than an upstream takes to exit after it announced that.
+    static constexpr Duration leavingLifetime = std::chrono::minutes(10);
+
     core::ExpiringMap<Instant> restEnds_{capacity};
+    core::ExpiringMap<Instant> leavingSince_{capacity};
 };
 
 } // namespace applehatch::direct
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -83,7 +83,12 @@
 
 auto Dispatcher::acceptsNewRequests(const Upstream &upstream, Instant now) const -> bool
 {
-    return upstream.state != UpstreamState::Leaving && !announcements_.restEnd(upstream.id, now);
+    return !isLeaving(upstream, now) && !announcements_.restEnd(upstream.id, now);
+}
+
+auto Dispatcher::isLeaving(const Upstream &upstream, Instant now) const -> bool
+{
+    return upstream.state == UpstreamState::Leaving || announcements_.isLeaving(upstream.id, now);
 }
 
 auto Dispatcher::restLeft(const std::string &service, Instant now) const -> Duration
@@ -94,9 +99,9 @@
     std::optional<Instant> first;
     for (const auto index : indexes->second) {
         const auto &upstream = upstreams_[index];
-        const auto end = announcements_.restEnd(upstream.id, now);
-        if (upstream.state == UpstreamState::Leaving)
+        if (isLeaving(upstream, now))
             continue;
+        const auto end = announcements_.restEnd(upstream.id, now);
         if (!end)
             return Duration(0);
         first = std::min(*end, first.value_or(*end));
--- a/src/direct/upstream-announcements.cc
+++ b/src/direct/upstream-announcements.cc
@@ -18,4 +18,16 @@
     return end == nullptr ? std::nullopt : std::optional(*end);
 }
 
+auto UpstreamAnnouncements::noteLeaving(UpstreamId upstream, Instant now) -> bool
+{
+    const auto isNew = !isLeaving(upstream, now);
+    leavingSince_.put(upstream, now, now + leavingLifetime);
+    return isNew;
+}
+
+auto UpstreamAnnouncements::isLeaving(UpstreamId upstream, Instant now) const -> bool
+{
+    return leavingSince_.find(upstream, now) != nullptr;
+}
+
 } // namespace applehatch::direct
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -67,8 +67,11 @@
     const auto &vocabulary = *environment_.vocabulary;
     const auto &upstream = attempt_.choice.upstream;
     const auto *leaving = head.headers.find(vocabulary.leaving);
-    if (leaving != nullptr && vocabulary.readLeaving(*leaving))
-        environment_.note(id_, "upstream-leaving", upstream.instance);
+    const auto isNews = leaving != nullptr && vocabulary.readLeaving(*leaving)
+        && environment_.dispatcher->announcements().noteLeaving(upstream.id,
+                                                                telemetry::steadyNow());
+    if (isNews)
+        environment_.note(id_, "upstream-leaving", upstream.instance + ": no requests any more");
     const auto *asked =
         head.status == unavailable ? head.headers.find(vocabulary.restRequest) : nullptr;
     if (asked == nullptr)
--- a/test/direct/upstream-announcements-test.cc
+++ b/test/direct/upstream-announcements-test.cc
@@ -26,4 +26,16 @@
     BOOST_TEST(!announcements.restEnd(2, start));
 }
 
+// Guards against forgetting that an upstream leaves while it takes long to do so.
+BOOST_AUTO_TEST_CASE(an_upstream_leaves_as_long_as_it_says_so)
+{
+    UpstreamAnnouncements announcements;
+    BOOST_TEST(!announcements.isLeaving(1, start));
+    BOOST_TEST(announcements.noteLeaving(1, start));
+    for (auto now = start; now < start + 30min; now += 5min)
+        BOOST_TEST(!announcements.noteLeaving(1, now));
+    BOOST_TEST(announcements.isLeaving(1, start + 30min));
+    BOOST_TEST(!announcements.isLeaving(2, start + 30min));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/gateway-rest/rest-test.cc
+++ b/test/gateway/announcements-test.cc
@@ -1,4 +1,4 @@
-#include "gateway/gateway-fixture.h"
+#include "gateway-fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -53,7 +53,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(gateway_rest)
+BOOST_AUTO_TEST_SUITE(gateway_announcements)
 
 // Guards against pressing an upstream that refused a request and asked for rest.
 BOOST_AUTO_TEST_CASE(an_upstream_at_rest_gets_no_request)
@@ -91,4 +91,42 @@
     BOOST_TEST(world.first.requests().size() == 1U);
 }
 
+// Guards against sending requests to an upstream that said that it leaves before, or without, any
+// change of its registry entry.
+BOOST_AUTO_TEST_CASE(an_upstream_that_says_it_leaves_gets_nothing_new)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream first(loop, "first",
+                           [](ScriptedConnection &connection, const std::string &request) {
+                               auto text = plainAnswer(request, "served");
+                               text.insert(text.find("\r\n"), "\r\nGoing-Away: yes");
+                               connection.send(text);
+                           });
+    ScriptedUpstream second(loop, "second",
+                            [](ScriptedConnection &connection, const std::string &request) {
+                                connection.send(plainAnswer(request, "served"));
+                            });
+    Gateway gateway(loop);
+    const direct::UpstreamList both{first.entry("pool"), second.entry("pool")};
+    gateway.applyRegistry(testConfiguration(), both);
+    const auto ask = [&](int number) {
+        auto caller = gateway.caller();
+        caller.send(testing::requestText("/safe/a", "r" + std::to_string(number)));
+        BOOST_TEST(caller.receives("served"));
+    };
+    for (int i = 0; i < requestCount; ++i) {
+        ask(i);
+        // Its entry lapses and is written again while the registry is away.
+        if (i == requestCount / 2) {
+            gateway.applyRegistry(testConfiguration(2), {second.entry("pool")});
+            gateway.applyRegistry(testConfiguration(3), both);
+        }
+    }
+    BOOST_TEST(first.requests().size() == 1U);
+    gateway.applyRegistry(testConfiguration(4), {first.entry("pool")});
+    auto caller = gateway.caller();
+    caller.send(testing::requestText("/safe/a", "last"));
+    BOOST_TEST(caller.receives("HTTP/1.1 503"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/gateway-crashes/crashes-test.cc
+++ b/test/gateway/crashes-test.cc
@@ -1,4 +1,4 @@
-#include "gateway/gateway-fixture.h"
+#include "gateway-fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
