Send on no request whose caller closed its connection behind it

Now the connection is looked at once more, without consuming anything, before a request is begun; one that its caller has left ends as caller-left and is sent nowhere. It costs one system call a request.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -55,6 +55,9 @@
 
     /// Whether too much of the answer is still unsent because the caller reads slowly.
     [[nodiscard]] auto isCongested() const -> bool;
+    /// Whether the caller closed the connection behind the current request, which `onDisconnected`
+    /// reports only once the event loop comes to read it.
+    [[nodiscard]] auto hasLeft() const -> bool { return channel_->isClosedByPeer(); }
     /// Whether a request is being answered and the caller is still connected.
     [[nodiscard]] auto isAwaitingAnswer() const -> bool { return state_ == State::Answering; }
     [[nodiscard]] auto isIdle() const -> bool { return state_ == State::Reading && !requestBegun_; }
--- a/include/applehatch/gateway/channel.h
+++ b/include/applehatch/gateway/channel.h
@@ -56,6 +56,9 @@
     auto write(std::string_view bytes) -> void;
     /// Whether received bytes are still unread; closing now would lose them.
     [[nodiscard]] auto hasUnread() const -> bool;
+    /// Whether the peer has closed the connection and all that it sent has been read. Known before
+    /// the next read, at the cost of a system call.
+    [[nodiscard]] auto isClosedByPeer() -> bool;
     /// Bytes written but not yet handed to the kernel.
     [[nodiscard]] auto unsent() const -> std::size_t { return out_.size(); }
     /// Stops or resumes reading, so that a slow receiver slows down a fast sender.
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -137,6 +137,16 @@
     return state_ != State::Closed && socket_.available(error) > 0 && !error;
 }
 
+auto Channel::isClosedByPeer() -> bool
+{
+    if (state_ == State::Closed)
+        return true;
+    std::array<char, 1> byte{};
+    error_code error;
+    socket_.receive(asio::buffer(byte), Socket::message_peek, error);
+    return error && error != asio::error::would_block && error != asio::error::try_again;
+}
+
 auto Channel::setPaused(bool paused) -> void
 {
     paused_ = paused;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -66,6 +66,9 @@
     const auto *id = request_.headers.find(environment_.vocabulary->requestId);
     id_ = id == nullptr ? std::string() : *id;
     caller_->onDisconnected([self = shared_from_this()] { self->onCallerDisconnected(); });
+    // After a stall many requests are read at once whose callers gave up meanwhile.
+    if (caller_->hasLeft())
+        return finish("caller-left", "connection closed before the request was read");
     std::optional<std::string> key;
     if (const auto *credentials = request_.headers.find("Authorization")) {
         const auto scheme = environment_.vocabulary->keyScheme + ' ';
