Know a crashing request by its customer, not by the key it came with

The fingerprint held the key, so each key began its own count: in the new test, with two keys by turns, 6 upstreams ended (3 allowed), now 3. Requests of routes without a customer are told apart by their credentials as before.

--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -111,6 +111,8 @@
     };
 
     auto readRequestOptions() -> void;
+    /// Returns the same value for each copy of a request, whichever router it comes to.
+    [[nodiscard]] auto fingerprint() const -> core::Fingerprint;
     [[nodiscard]] auto cannotFinishBeforeStop() const -> bool;
     /// Starts an attempt at the best upstream. Returns false and sets `refusal_` when there is
     /// none.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -115,17 +115,23 @@
     }
     if (const auto *tokens = request_.headers.find(environment_.vocabulary->tokens))
         maxTokens_ = environment_.vocabulary->readMaxTokens(*tokens);
-    const auto *credentials = request_.headers.find("Authorization");
-    auto fingerprintText = request_.method + ' ' + request_.target + '\n';
-    fingerprintText += credentials == nullptr ? std::string() : *credentials;
-    fingerprintText += '\n' + request_.body;
-    demand_.fingerprint = core::stableHash(fingerprintText);
+    demand_.fingerprint = fingerprint();
     report_.route = permit_.route->name;
     report_.service = permit_.serviceName;
     report_.customer = permit_.customer;
     report_.configurationVersion = permit_.configuration->version;
 }
 
+auto Exchange::fingerprint() const -> core::Fingerprint
+{
+    // The customer, since a caller may come back with another of its keys.
+    auto text = request_.method + ' ' + request_.target + '\n' + permit_.customer + '\n';
+    const auto *credentials = request_.headers.find("Authorization");
+    if (permit_.customer.empty() && credentials != nullptr)
+        text += *credentials;
+    return core::stableHash(text + '\n' + request_.body);
+}
+
 auto Exchange::timeLeft() const -> Duration
 {
     return std::max(Duration(0), deadline_ - telemetry::steadyNow());
--- a/test/gateway/crashes-test.cc
+++ b/test/gateway/crashes-test.cc
@@ -32,15 +32,19 @@
                 [this, i](auto &connection, const auto &text) { answer(connection, text, i); });
             entries.push_back(upstream.entry("pool"));
         }
-        gateway.applyRegistry(testConfiguration(), entries);
+        auto configuration = testConfiguration();
+        configuration->add({"acme", std::nullopt}, {"key-2"});
+        gateway.applyRegistry(configuration, entries);
     }
 
-    /// Sends one request and waits for the end of its answer.
-    auto ask(const std::string &body) -> std::string
+    /// Sends one request with a key of the customer's and waits for the end of its answer.
+    auto ask(const std::string &body, const std::string &key = "key-1") -> std::string
     {
         auto caller = gateway.caller();
-        caller.send(testing::requestText("/stream/a", "r" + std::to_string(++asked_),
-                                         "Connection: close\r\n", body));
+        auto text = testing::requestText("/stream/a", "r" + std::to_string(++asked_),
+                                         "Connection: close\r\n", body);
+        text.replace(text.find("key-1"), key.size(), key);
+        caller.send(text);
         BOOST_TEST(caller.seesClose());
         return caller.received;
     }
@@ -88,4 +92,13 @@
     }
 }
 
+// Guards against losing sight of a crashing request when its caller uses another key.
+BOOST_AUTO_TEST_CASE(a_request_stays_the_same_under_another_key_of_its_customer)
+{
+    CrashingUpstreams world(CrashPoint::AfterHead);
+    for (int i = 0; i < upstreamCount; ++i)
+        world.ask("crash", i % 2 == 0 ? "key-1" : "key-2");
+    BOOST_TEST(world.crashes == crashLimit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
