--- a/test/direct/choice-test.cc
+++ b/test/direct/choice-test.cc
@@ -1,3 +1,5 @@
+#include "engine-pool.h"
+
 #include "applehatch/direct/choice.h"
 #include "applehatch/direct/dispatcher.h"
 
@@ -14,26 +16,11 @@
 namespace {
 
 using namespace applehatch::direct;
+using namespace applehatch::direct::testing;
 using namespace std::chrono_literals;
 
 constexpr auto start = Instant(100s);
 
-auto engines(std::size_t count) -> UpstreamList
-{
-    UpstreamList list;
-    for (std::size_t i = 0; i < count; ++i) {
-        Upstream upstream;
-        upstream.instance = "engine-" + std::to_string(i);
-        upstream.id = applehatch::core::stableHash(upstream.instance);
-        upstream.service = "pool";
-        upstream.slots = 64;
-        upstream.dataCenter = i % 2 == 0 ? "here" : "there";
-        upstream.address = {"10.0.0." + std::to_string(i + 1), 80};
-        list.push_back(upstream);
-    }
-    return list;
-}
-
 auto viewsOf(const UpstreamList &list) -> std::vector<UpstreamView>
 {
     std::vector<UpstreamView> views;
@@ -42,24 +29,6 @@
     return views;
 }
 
-auto poolConfiguration() -> std::shared_ptr<Configuration>
-{
-    auto configuration = std::make_shared<Configuration>();
-    configuration->version = 1;
-    Route route;
-    route.host = "a";
-    route.prefix = "/";
-    route.kind = RouteKind::Stream;
-    route.targets = {{"pool", 1}};
-    configuration->add(route);
-    Service service;
-    service.name = "pool";
-    service.isModel = true;
-    service.sharesContexts = true;
-    configuration->services["pool"] = service;
-    return configuration;
-}
-
 /// Results of a simulated minute.
 struct Results
 {
--- a/test/direct/memory-test.cc
+++ b/test/direct/memory-test.cc
@@ -1,4 +1,6 @@
 // Tests the distribution of contexts over engines with little memory.
+#include "engine-pool.h"
+
 #include "applehatch/direct/dispatcher.h"
 
 #include <boost/test/unit_test.hpp>
@@ -13,9 +15,12 @@
 namespace {
 
 using namespace applehatch::direct;
+using namespace applehatch::direct::testing;
 using namespace std::chrono_literals;
 
 constexpr auto start = Instant(100s);
+constexpr std::size_t engineCount = 12;
+constexpr std::uint32_t engineSlots = 128;
 
 /// An LRU cache of prompts with a capacity in tokens.
 class PromptMemory
@@ -53,41 +58,6 @@
     std::unordered_map<std::uint64_t, Order::iterator> cached_;
 };
 
-auto engines() -> UpstreamList
-{
-    constexpr std::size_t count = 12;
-    UpstreamList list;
-    for (std::size_t i = 0; i < count; ++i) {
-        Upstream upstream;
-        upstream.instance = "engine-" + std::to_string(i);
-        upstream.id = applehatch::core::stableHash(upstream.instance);
-        upstream.service = "pool";
-        upstream.slots = 128;
-        upstream.address = {"10.0.0." + std::to_string(i + 1), 80};
-        list.push_back(upstream);
-    }
-    return list;
-}
-
-auto configurationOf(std::uint32_t memoryTokens) -> ConfigurationPtr
-{
-    auto configuration = std::make_shared<Configuration>();
-    configuration->version = 1;
-    Route route;
-    route.host = "a";
-    route.prefix = "/";
-    route.kind = RouteKind::Stream;
-    route.targets = {{"pool", 1}};
-    configuration->add(route);
-    Service service;
-    service.name = "pool";
-    service.isModel = true;
-    service.sharesContexts = true;
-    service.memoryTokens = memoryTokens;
-    configuration->services["pool"] = service;
-    return configuration;
-}
-
 struct TokensRead
 {
     std::uint64_t byPool = 0;
@@ -101,11 +71,11 @@
 {
     constexpr std::size_t routers = 5;
     constexpr std::uint32_t ownTokens = 500;
-    const auto list = engines();
+    const auto list = engines(engineCount, engineSlots);
     std::vector<Dispatcher> fleet;
     for (std::size_t i = 0; i < routers; ++i) {
         fleet.emplace_back(DispatcherOptions{"here", i + 1}, RetryLimits{}, start);
-        fleet.back().setConfiguration(configurationOf(memoryTokens));
+        fleet.back().setConfiguration(poolConfiguration(memoryTokens));
         fleet.back().setUpstreams(list);
     }
     std::mt19937_64 random(20261203);
