--- a/test/gateway/announcements-test.cc
+++ b/test/gateway/announcements-test.cc
@@ -16,7 +16,7 @@
 class RestingUpstream
 {
 public:
-    explicit RestingUpstream(std::string rest)
+    explicit RestingUpstream(const std::string &rest)
         : first(loop, "first",
                 [rest](ScriptedConnection &connection, const std::string &request) {
                     connection.send(
