Send nothing to evacuated data centres, and to cold upstreams no more than they bear

Cause, EVAC: keys op/evacuate/ZONE arrive with the watch and nothing read them. Now each names a data centre whose upstreams get no attempt: no first one, no repeat, no resumed stream, none that waited for a connection (asked again when the connection is there), and no context is fetched from there. The key counts whatever its value. With all data centres evacuated callers are refused at once. The removal of a key that has no owner counts at once also while this router lost the registry; only entries that their owners renew may lapse. Cause, FAILBACK: an upstream that just started is the least loaded one at every router. Now an entry's remaining cold time, and the end of an evacuation, make an upstream count as cold; it is used where no warm one has room, by the routers of the highest rendezvous hashes, one request each in 1.1 s, in all half of what it bears. A newcomer's set is now part of the one it has later, and a process is quiet for its first window.

--- a/include/applehatch/direct/choice.h
+++ b/include/applehatch/direct/choice.h
@@ -19,6 +19,7 @@
     /// Ratio of its mean time to first event to the mean of all upstreams; 1 is usual.
     double slowness = 1;
     bool paused = false; ///< Was unreachable recently and gets no requests for the time being.
+    bool cold = false;   ///< Bears few requests for the time being.
     /// Share of its memory taken by contexts whose next request is expected there.
     double memoryShare = 0;
 };
@@ -40,7 +41,8 @@
 /// memory of one engine only; copies would evict other contexts where memory is short. Returns null
 /// if no upstream is usable.
 [[nodiscard]] auto chooseEngine(std::uint64_t context, std::optional<UpstreamId> holder,
-                                const std::vector<UpstreamView> &usable, LoadBound bound)
+                                const std::vector<UpstreamView> &usable, LoadBound bound,
+                                std::optional<double> serviceMean = std::nullopt)
     -> const Upstream *;
 
 /// Number of candidate engines among which the first use of a context chooses. Two keep the load
--- a/include/applehatch/direct/directory.h
+++ b/include/applehatch/direct/directory.h
@@ -60,6 +60,10 @@
     /// Memory of one engine for requests and contexts, in tokens; 0 if not known.
     std::uint32_t memoryTokens = 0;
     bool sharesContexts = false; ///< An engine can fetch a context from another.
+    /// How long an upstream is cold after it starts.
+    Duration coldTime{0};
+    /// Requests a second that a cold upstream bears from all callers; 0 for no limit.
+    double coldRequestsPerSecond = 0;
 };
 
 struct Customer
@@ -128,6 +132,10 @@
     std::string dataCenter;
     std::uint32_t slots = 1;
     UpstreamState state = UpstreamState::Ready;
+    /// How much longer it is cold, as of the time when its entry was written; none if the entry
+    /// does not tell.
+    std::optional<Duration> coldLeft;
+    std::uint64_t entryRevision = 0; ///< Registry revision of its entry.
 };
 
 /// The upstreams of all services.
--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -4,6 +4,8 @@
 #include "applehatch/core/error.h"
 #include "applehatch/direct/admission.h"
 #include "applehatch/direct/choice.h"
+#include "applehatch/direct/cold-share.h"
+#include "applehatch/direct/cold-upstreams.h"
 #include "applehatch/direct/context-map.h"
 #include "applehatch/direct/crash-suspects.h"
 #include "applehatch/direct/directory.h"
@@ -17,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -58,13 +61,32 @@
     std::optional<Address> fetchFrom;
 };
 
-/// The router's data centre and the seed of its random numbers.
+/// The router's data centre, the seed of its random numbers and its identity in the fleet.
 struct DispatcherOptions
 {
     std::string dataCenter;
     std::uint64_t seed = 0;
+    RouterId router = 0;
 };
 
+/// How far more than its own rate a cold upstream may be asked.
+struct ColdTolerance
+{
+    double overrun = 1; ///< Factor on the requests a second of its service.
+    double extra = 0;   ///< Requests beyond that.
+};
+
+/// An upstream that turned cold, for the log.
+struct TurnedCold
+{
+    std::string instance;
+    Duration left{0};
+    bool wasEvacuated = false; ///< Assumed, as its data centre was just taken back.
+};
+
+/// Data centres.
+using DataCenters = std::set<std::string, std::less<>>;
+
 /// Matches requests to routes, selects upstreams and keeps the state that these decisions depend
 /// on. Not thread-safe.
 class Dispatcher
@@ -75,7 +97,14 @@
     /// Installs a configuration. Returns false and changes nothing unless its version is newer than
     /// the current one.
     auto setConfiguration(ConfigurationPtr configuration) -> bool;
-    auto setUpstreams(UpstreamList upstreams) -> void;
+    /// Replaces the upstreams; returns those that turned cold.
+    auto setUpstreams(UpstreamList upstreams, Instant now) -> std::vector<TurnedCold>;
+    /// Replaces the data centres that get no new requests. Upstreams of one that is taken back
+    /// count as cold, since they may have become so just before; these are returned.
+    auto setEvacuated(DataCenters evacuated, Instant now) -> std::vector<TurnedCold>;
+    [[nodiscard]] auto evacuated() const -> const DataCenters & { return evacuated_; }
+    auto setColdTolerance(ColdTolerance tolerance) -> void { coldTolerance_ = tolerance; }
+    auto setFleet(FleetView fleet) -> void { coldShare_.setFleet(std::move(fleet)); }
     auto setLoadBound(LoadBound bound) -> void { bound_ = bound; }
     auto setRetryLimits(RetryLimits limits) -> void { budget_.setLimits(limits); }
     auto setRouters(std::size_t routers) -> void { routers_ = routers; }
@@ -86,8 +115,8 @@
     [[nodiscard]] auto findUpstream(UpstreamId id) const -> const Upstream *;
 
     /// Whether a request may still be sent to a chosen upstream. Opening a connection may have
-    /// taken seconds, and an upstream that began to drain or asked for rest in the meantime must
-    /// not get new requests.
+    /// taken seconds; an upstream that meanwhile began to drain, asked for rest, was evacuated or
+    /// turned cold must not get it.
     [[nodiscard]] auto acceptsNewRequests(UpstreamId id, Instant now) const -> bool;
 
     /// Finds the route, checks the key and draws the target service.
@@ -143,9 +172,41 @@
     [[nodiscard]] auto announcements() -> UpstreamAnnouncements & { return announcements_; }
 
 private:
+    /// An upstream selected for a request, and whether the request is admitted there.
+    struct Selection
+    {
+        const Upstream *upstream = nullptr;
+        std::uint32_t load = 0;
+        AdmissionDecision admission;
+    };
+
     [[nodiscard]] auto usableUpstreams(const Permit &permit, const std::vector<UpstreamId> &tried,
                                        Instant now) const -> std::vector<UpstreamView>;
     [[nodiscard]] auto acceptsNewRequests(const Upstream &upstream, Instant now) const -> bool;
+    [[nodiscard]] auto isEvacuated(const Upstream &upstream) const -> bool;
+    /// Whether the upstream is warm, or cold with some of this router's share left.
+    [[nodiscard]] auto hasColdShareLeft(const Upstream &upstream, Instant now) const -> bool;
+    /// Requests a second that a cold upstream bears; none without a limit.
+    [[nodiscard]] auto coldBound(const Upstream &upstream) const -> std::optional<double>;
+    [[nodiscard]] auto findService(const std::string &name) const -> const Service *;
+    /// Takes over what a new registry entry tells. One that tells nothing counts as cold if the
+    /// upstream just registered.
+    auto noteColdReport(const Upstream &upstream, bool justRegistered, Instant now)
+        -> std::optional<TurnedCold>;
+    /// Selects the upstream for a request among `usable` and decides on its admission.
+    [[nodiscard]] auto select(const Permit &permit, const RoutingInput &input,
+                              const std::vector<UpstreamView> &usable, Instant now)
+        -> std::optional<Selection>;
+    /// Selects a warm upstream with room, else a cold one, else one that does not answer.
+    [[nodiscard]] auto selectByTurns(const Permit &permit, const RoutingInput &input,
+                                     const std::vector<UpstreamView> &usable, Instant now)
+        -> std::optional<Selection>;
+    /// Why no upstream can be selected, and when to return.
+    [[nodiscard]] auto noUpstream(const Permit &permit, Instant now) -> core::Failure;
+    /// Returns the time until a cold upstream of the service takes a request of this router; none
+    /// if there is no such upstream.
+    [[nodiscard]] auto coldShareWait(const std::string &service, Instant now) const
+        -> std::optional<Duration>;
     /// Whether the upstream leaves, by its registry entry or its own answers.
     [[nodiscard]] auto isLeaving(const Upstream &upstream, Instant now) const -> bool;
     /// Returns the time until the first upstream of the service ends its rest; 0 unless all rest.
@@ -177,6 +238,10 @@
     CrashSuspects suspects_;
     RetryBudget budget_;
     Admission admission_;
+    DataCenters evacuated_;
+    ColdUpstreams coldUpstreams_;
+    ColdShare coldShare_;
+    ColdTolerance coldTolerance_;
     std::size_t routers_ = 1;
 };
 
--- a/include/applehatch/direct/registry-replica.h
+++ b/include/applehatch/direct/registry-replica.h
@@ -6,9 +6,12 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace applehatch::direct {
@@ -65,6 +68,13 @@
     /// The platform guarantees that live entries are restored about two seconds after its return.
     static constexpr Duration settleTime = std::chrono::milliseconds(1950);
 
+    using IsLeased = std::function<bool(std::string_view key)>;
+
+    /// Only leased entries lapse while the registry is away; without a function, all may.
+    explicit RegistryReplica(IsLeased isLeased = {})
+        : isLeased_(std::move(isLeased))
+    { }
+
     /// Records that the registry did not answer this process.
     auto noteLost() -> void;
     /// Records that the registry answers again.
@@ -105,6 +115,7 @@
     auto remove(const std::string &key, Instant now) -> bool;
     auto noteRemoved(const std::string &key, std::uint64_t revision) -> void;
 
+    IsLeased isLeased_;
     bool reachable_ = true;
     Instant settledAt_; ///< Until then a missing entry may be written again shortly.
     std::uint64_t revision_ = 0;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -39,6 +39,7 @@
     Duration stopTimeout = std::chrono::seconds(8); ///< From the stop request to process exit.
     /// Maximum time from a change in the registry until it is in force on every router.
     Duration maxPropagationTime = std::chrono::seconds(2);
+    direct::ColdTolerance coldTolerance;
 };
 
 /// Registry contents decoded into routing types.
@@ -46,6 +47,7 @@
 {
     direct::ConfigurationPtr configuration; ///< Null if the registry has none.
     direct::UpstreamList upstreams;
+    direct::DataCenters evacuated;     ///< Data centres whose upstreams get no new requests.
     std::vector<std::string> problems; ///< Entries that could not be decoded, each with its reason.
 };
 
@@ -102,6 +104,10 @@
     [[nodiscard]] auto deltaSince(std::uint64_t peerRevision) -> const std::string &;
     auto applyRegistry() -> void;
     auto logUpstreamChanges(const direct::UpstreamList &upstreams) -> void;
+    auto applyEvacuations(direct::DataCenters evacuated, Instant now) -> void;
+    auto noteTurnedCold(const std::vector<direct::TurnedCold> &upstreams) -> void;
+    /// What is known of the routers that share cold upstreams with this one.
+    [[nodiscard]] auto fleetView(Instant now) const -> direct::FleetView;
     auto onPeerDigest(const PeerDigest &digest) -> void;
     auto notePeerCrashes(const PeerDigest &digest, Instant now) -> void;
     auto onPeerDelta(const direct::RegistryDelta &delta) -> void;
--- a/include/applehatch/gateway/peer-table.h
+++ b/include/applehatch/gateway/peer-table.h
@@ -59,6 +59,8 @@
     /// Routers heard within this time count towards sharing the retry budget: a router that is
     /// partitioned from this one still spends its share.
     static constexpr Duration budgetShareLifetime = std::chrono::seconds(60);
+    /// A router that heard of nobody new for this long knows nearly all others.
+    static constexpr Duration learningTime = std::chrono::seconds(5);
 
     /// A digest is sent every `digestInterval`. `incarnation` must increase with each process at
     /// this address.
@@ -92,6 +94,11 @@
     /// Number of routers that share the retry budget, including this one; at least the number of
     /// seeds.
     [[nodiscard]] auto routers(Instant now) const -> std::size_t;
+    /// Other routers that were heard within `budgetShareLifetime`, by rank in ascending order.
+    [[nodiscard]] auto others(Instant now) const -> std::vector<std::uint64_t>;
+    /// Whether the known routers are likely all of the fleet: each seed was heard, of which there
+    /// is one in each data centre, and nobody new for `learningTime`.
+    [[nodiscard]] auto isComplete(Instant now) const -> bool;
     /// Time in which every known router is sent a digest once.
     [[nodiscard]] auto roundDuration(Instant now) const -> Duration;
     /// How long a router counts as alive after its last digest, given the size of the fleet.
@@ -113,6 +120,7 @@
     Address self_;
     Duration digestInterval_;
     std::vector<Address> seeds_;
+    Instant newestHeardAt_; // When a router was heard for the first time, or this one started.
     mutable core::StallAwareClock listening_; ///< Started by its first reading.
     std::map<std::string, PeerRow> peers_;
     std::map<std::string, AdvertisedPeer> advertised_; // Advertised by others, not heard yet.
--- a/include/applehatch/gateway/vocabulary.h
+++ b/include/applehatch/gateway/vocabulary.h
@@ -43,6 +43,9 @@
     /// Headers that decide how a request runs; never removed, even if listed in `Connection`.
     std::vector<std::string> endToEnd;
 
+    /// Whether a registry entry is kept alive by its owner, so that it may lapse without its
+    /// owner's doing while the registry is away. Without this function all are.
+    std::function<bool(std::string_view key)> isLeased;
     std::function<direct::Prompt(std::string_view)> readPrompt;
     std::function<std::optional<LoadReport>(std::string_view)> readLoad;
     std::function<bool(std::string_view)> readLeaving;
--- a/src/direct/choice.cc
+++ b/src/direct/choice.cc
@@ -142,10 +142,11 @@
 } // namespace
 
 auto chooseEngine(std::uint64_t context, std::optional<UpstreamId> holder,
-                  const std::vector<UpstreamView> &usable, LoadBound bound) -> const Upstream *
+                  const std::vector<UpstreamView> &usable, LoadBound bound,
+                  std::optional<double> serviceMean) -> const Upstream *
 {
     const auto views = bestTier(usable);
-    const auto mean = meanLoad(usable);
+    const auto mean = serviceMean ? *serviceMean : meanLoad(usable);
     const auto hasRoom = [&](const UpstreamView &view) { return isBelowBound(view, mean, bound); };
     const auto *holderView = holder ? findHolder(views, *holder) : nullptr;
     if (holderView != nullptr && hasRoom(*holderView))
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "applehatch/direct/dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -19,6 +20,8 @@
 // An engine with a higher failure share is not asked for a context; two failures in a row exceed
 // it.
 constexpr double trustedFailureShare = 0.25;
+// Shortest retry delay while every data centre of a service is evacuated, which lasts seconds.
+constexpr Duration evacuatedRetryDelay = std::chrono::seconds(1);
 
 auto millisecondsText(Duration duration) -> std::string
 {
@@ -41,6 +44,7 @@
     : options_(std::move(options))
     , randomState_(options_.seed)
     , budget_(retryLimits, startedAt)
+    , coldShare_(options_.router, startedAt)
 { }
 
 auto Dispatcher::setConfiguration(ConfigurationPtr configuration) -> bool
@@ -52,11 +56,11 @@
     return true;
 }
 
-auto Dispatcher::setUpstreams(UpstreamList upstreams) -> void
+auto Dispatcher::setUpstreams(UpstreamList upstreams, Instant now) -> std::vector<TurnedCold>
 {
     const auto before = std::exchange(upstreams_, std::move(upstreams));
+    const auto indexBefore = std::exchange(indexById_, {});
     indexesByService_.clear();
-    indexById_.clear();
     for (std::size_t i = 0; i < upstreams_.size(); ++i) {
         indexesByService_[upstreams_[i].service].push_back(i);
         indexById_[upstreams_[i].id] = i;
@@ -66,7 +70,78 @@
             continue;
         health_.forget(upstream.id);
         loads_.forget(upstream.id);
+        coldUpstreams_.forget(upstream.id);
+        coldShare_.forget(upstream.id);
     }
+    std::vector<TurnedCold> turnedCold;
+    for (const auto &upstream : upstreams_) {
+        const auto known = indexBefore.find(upstream.id);
+        const auto isNewInService = known == indexBefore.end() && !before.empty();
+        const auto isNews = known == indexBefore.end()
+            || before[known->second].entryRevision < upstream.entryRevision;
+        if (!isNews)
+            continue;
+        if (auto turned = noteColdReport(upstream, isNewInService, now))
+            turnedCold.push_back(std::move(*turned));
+    }
+    return turnedCold;
+}
+
+auto Dispatcher::noteColdReport(const Upstream &upstream, bool justRegistered, Instant now)
+    -> std::optional<TurnedCold>
+{
+    const auto service = findService(upstream.service);
+    if (service == nullptr || service->coldRequestsPerSecond <= 0)
+        return std::nullopt;
+    const auto assumed = justRegistered ? service->coldTime : Duration(0);
+    const auto left = upstream.coldLeft.value_or(assumed);
+    if (!coldUpstreams_.note(upstream.id, now + std::min(left, ColdUpstreams::maxTime), now))
+        return std::nullopt;
+    return TurnedCold{upstream.instance, coldUpstreams_.warmAt(upstream.id, now) - now, false};
+}
+
+auto Dispatcher::setEvacuated(DataCenters evacuated, Instant now) -> std::vector<TurnedCold>
+{
+    const auto before = std::exchange(evacuated_, std::move(evacuated));
+    std::vector<TurnedCold> turnedCold;
+    for (const auto &upstream : upstreams_) {
+        const auto isTakenBack = before.contains(upstream.dataCenter) && !isEvacuated(upstream);
+        const auto *service = findService(upstream.service);
+        if (!isTakenBack || service == nullptr || service->coldRequestsPerSecond <= 0)
+            continue;
+        if (coldUpstreams_.note(upstream.id, now + service->coldTime, now))
+            turnedCold.push_back({upstream.instance, service->coldTime, true});
+    }
+    return turnedCold;
+}
+
+auto Dispatcher::findService(const std::string &name) const -> const Service *
+{
+    if (configuration_ == nullptr)
+        return nullptr;
+    const auto found = configuration_->services.find(name);
+    return found == configuration_->services.end() ? nullptr : &found->second;
+}
+
+auto Dispatcher::isEvacuated(const Upstream &upstream) const -> bool
+{
+    return evacuated_.contains(upstream.dataCenter);
+}
+
+auto Dispatcher::coldBound(const Upstream &upstream) const -> std::optional<double>
+{
+    const auto *service = findService(upstream.service);
+    if (service == nullptr || service->coldRequestsPerSecond <= 0)
+        return std::nullopt;
+    return service->coldRequestsPerSecond * coldTolerance_.overrun + coldTolerance_.extra;
+}
+
+auto Dispatcher::hasColdShareLeft(const Upstream &upstream, Instant now) const -> bool
+{
+    if (!coldUpstreams_.isCold(upstream.id, now))
+        return true;
+    const auto bound = coldBound(upstream);
+    return !bound || coldShare_.hasLeft(upstream.id, *bound, now);
 }
 
 auto Dispatcher::findUpstream(UpstreamId id) const -> const Upstream *
@@ -83,7 +158,8 @@
 
 auto Dispatcher::acceptsNewRequests(const Upstream &upstream, Instant now) const -> bool
 {
-    return !isLeaving(upstream, now) && !announcements_.restEnd(upstream.id, now);
+    return !isLeaving(upstream, now) && !isEvacuated(upstream)
+        && !announcements_.restEnd(upstream.id, now) && hasColdShareLeft(upstream, now);
 }
 
 auto Dispatcher::isLeaving(const Upstream &upstream, Instant now) const -> bool
@@ -99,7 +175,7 @@
     std::optional<Instant> first;
     for (const auto index : indexes->second) {
         const auto &upstream = upstreams_[index];
-        if (isLeaving(upstream, now))
+        if (isLeaving(upstream, now) || isEvacuated(upstream))
             continue;
         const auto end = announcements_.restEnd(upstream.id, now);
         if (!end)
@@ -192,6 +268,7 @@
         view.failureShare = health_.failureShare(upstream.id, now);
         view.slowness = health_.slowness(upstream.id);
         view.paused = health_.isPaused(upstream.id, now);
+        view.cold = coldUpstreams_.isCold(upstream.id, now) && coldBound(upstream);
         if (memory > 0)
             view.memoryShare = static_cast<double>(contexts_.tokensAt(upstream.id)) / memory;
         usable.push_back(view);
@@ -205,34 +282,111 @@
     if (suspects_.isSuspect(input.fingerprint, now))
         return refusal(ErrorKind::CrashSuspect, "crashed upstreams before");
     const auto usable = usableUpstreams(permit, input.tried, now);
-    const auto isModel = !input.prompt.empty();
-    const auto context = sharedContext(input.prompt).hash;
-    const auto holders = isModel ? contexts_.upstreamsOf(context, now) : std::vector<UpstreamId>();
-    const auto usedLast = holders.empty() ? std::nullopt : std::optional(holders.front());
-    const auto *upstream = isModel ? chooseEngine(context, usedLast, usable, bound_)
-                                   : chooseService(usable, options_.dataCenter, draw());
-    if (upstream == nullptr && restLeft(permit.serviceName, now) > Duration(0))
-        return Failure{ErrorKind::Overloaded, Run::NotRun, "all upstreams asked for rest",
-                       overloadRetryAfter(permit, now)};
-    if (upstream == nullptr)
-        return refusal(ErrorKind::NoUpstream, "no upstream of the service is known");
+    const auto selection = selectByTurns(permit, input, usable, now);
+    if (!selection)
+        return noUpstream(permit, now);
     Choice choice;
-    choice.upstream = *upstream;
-    choice.load = loads_.fleetLoad(upstream->id, now);
-    const auto decision =
-        admission_.decide(admissionRequestOf(permit), {choice.load, upstream->slots});
-    choice.expectedWait = decision.expectedWait;
-    if (!decision.admitted && input.tried.empty())
-        return Failure{ErrorKind::Overloaded, Run::NotRun, overloadText(choice, decision),
-                       overloadRetryAfter(permit, now)};
+    choice.upstream = *selection->upstream;
+    choice.load = selection->load;
+    choice.expectedWait = selection->admission.expectedWait;
+    if (!selection->admission.admitted && input.tried.empty())
+        return Failure{ErrorKind::Overloaded, Run::NotRun,
+                       overloadText(choice, selection->admission), overloadRetryAfter(permit, now)};
     choice.usable = static_cast<std::uint32_t>(usable.size());
-    choice.holdsContext = std::find(holders.begin(), holders.end(), upstream->id) != holders.end();
+    if (input.prompt.empty())
+        return choice;
+    const auto context = sharedContext(input.prompt).hash;
+    const auto holders = contexts_.upstreamsOf(context, now);
+    choice.holdsContext =
+        std::find(holders.begin(), holders.end(), choice.upstream.id) != holders.end();
     const auto mayFetch = permit.service != nullptr && permit.service->sharesContexts;
-    if (mayFetch && isModel && !choice.holdsContext)
-        choice.fetchFrom = fetchSource(context, upstream->id, usable, now);
+    if (mayFetch && !choice.holdsContext)
+        choice.fetchFrom = fetchSource(context, choice.upstream.id, usable, now);
     return choice;
 }
 
+auto Dispatcher::selectByTurns(const Permit &permit, const RoutingInput &input,
+                               const std::vector<UpstreamView> &usable, Instant now)
+    -> std::optional<Selection>
+{
+    const auto isWarm = [](const UpstreamView &view) { return !view.paused && !view.cold; };
+    const auto isCold = [](const UpstreamView &view) { return !view.paused && view.cold; };
+    const auto isPaused = [](const UpstreamView &view) { return view.paused; };
+    std::optional<Selection> first;
+    for (const auto &belongs : {std::function<bool(const UpstreamView &)>(isWarm),
+                                std::function<bool(const UpstreamView &)>(isCold),
+                                std::function<bool(const UpstreamView &)>(isPaused)}) {
+        std::vector<UpstreamView> group;
+        std::copy_if(usable.begin(), usable.end(), std::back_inserter(group), belongs);
+        const auto selection = select(permit, input, group, now);
+        if (selection && selection->admission.admitted)
+            return selection;
+        if (!first)
+            first = selection;
+    }
+    return first;
+}
+
+auto Dispatcher::select(const Permit &permit, const RoutingInput &input,
+                        const std::vector<UpstreamView> &usable, Instant now)
+    -> std::optional<Selection>
+{
+    const Upstream *upstream = nullptr;
+    if (input.prompt.empty()) {
+        upstream = chooseService(usable, options_.dataCenter, draw());
+    } else {
+        const auto context = sharedContext(input.prompt).hash;
+        const auto holders = contexts_.upstreamsOf(context, now);
+        const auto usedLast = holders.empty() ? std::nullopt : std::optional(holders.front());
+        upstream = chooseEngine(context, usedLast, usable, bound_);
+    }
+    if (upstream == nullptr)
+        return std::nullopt;
+    Selection selection{upstream, loads_.fleetLoad(upstream->id, now), {}};
+    selection.admission =
+        admission_.decide(admissionRequestOf(permit), {selection.load, upstream->slots});
+    return selection;
+}
+
+auto Dispatcher::noUpstream(const Permit &permit, Instant now) -> Failure
+{
+    if (restLeft(permit.serviceName, now) > Duration(0))
+        return {ErrorKind::Overloaded, Run::NotRun, "all upstreams asked for rest",
+                overloadRetryAfter(permit, now)};
+    if (const auto wait = coldShareWait(permit.serviceName, now))
+        return {ErrorKind::Overloaded, Run::NotRun, "all upstreams are cold, and get no more now",
+                *wait + retryAfter()};
+    const auto indexes = indexesByService_.find(permit.serviceName);
+    const auto isAllEvacuated = indexes != indexesByService_.end()
+        && std::all_of(indexes->second.begin(), indexes->second.end(),
+                       [this](std::size_t index) { return isEvacuated(upstreams_[index]); });
+    if (isAllEvacuated)
+        return {ErrorKind::NoUpstream, Run::NotRun, "all data centres are evacuated",
+                evacuatedRetryDelay + retryAfter()};
+    return refusal(ErrorKind::NoUpstream, "no upstream of the service is known");
+}
+
+auto Dispatcher::coldShareWait(const std::string &service, Instant now) const
+    -> std::optional<Duration>
+{
+    const auto indexes = indexesByService_.find(service);
+    if (indexes == indexesByService_.end())
+        return std::nullopt;
+    std::optional<Duration> least;
+    for (const auto index : indexes->second) {
+        const auto &upstream = upstreams_[index];
+        const auto bound = coldBound(upstream);
+        if (!bound || !coldUpstreams_.isCold(upstream.id, now) || isLeaving(upstream, now)
+            || isEvacuated(upstream))
+            continue;
+        const auto warmAt = coldUpstreams_.warmAt(upstream.id, now);
+        const auto next = coldShare_.nextAt(upstream.id, *bound, now).value_or(warmAt);
+        const auto wait = std::min(next, warmAt) - now;
+        least = std::min(wait, least.value_or(wait));
+    }
+    return least;
+}
+
 auto Dispatcher::fetchSource(std::uint64_t context, UpstreamId chosen,
                              const std::vector<UpstreamView> &usable, Instant now) const
     -> std::optional<Address>
@@ -253,7 +407,8 @@
         // A draining engine still serves the contexts that it holds.
         const auto *holder = findUpstream(id);
         const auto trusted = holder != nullptr && holder->state != UpstreamState::Doubtful
-            && !health_.isPaused(id, now) && health_.failureShare(id, now) < trustedFailureShare;
+            && !isEvacuated(*holder) && !health_.isPaused(id, now)
+            && health_.failureShare(id, now) < trustedFailureShare;
         if (trusted)
             return holder->address;
     }
@@ -270,6 +425,8 @@
 auto Dispatcher::noteSent(UpstreamId upstream, const RoutingInput &input, Instant now) -> void
 {
     loads_.noteSent(upstream);
+    if (coldUpstreams_.isCold(upstream, now))
+        coldShare_.noteSent(upstream, now);
     if (input.prompt.empty())
         return;
     const auto context = sharedContext(input.prompt);
--- a/src/direct/registry-replica.cc
+++ b/src/direct/registry-replica.cc
@@ -92,7 +92,8 @@
     const auto found = items_.find(key);
     if (found == items_.end())
         return false;
-    const auto maybeBack = !reachable_ || now < settledAt_;
+    const auto mayLapse = !isLeased_ || isLeased_(key);
+    const auto maybeBack = mayLapse && (!reachable_ || now < settledAt_);
     if (!maybeBack) {
         items_.erase(found);
         return true;
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -61,9 +61,11 @@
     , settings_(std::move(settings))
     , vocabulary_(std::move(vocabulary))
     , decoder_(std::move(decoder))
-    , dispatcher_(
-          {settings_.dataCenter, core::stableHash(settings_.name, telemetry::wallMicroseconds())},
-          settings_.retries, steadyNow())
+    , dispatcher_({settings_.dataCenter,
+                   core::stableHash(settings_.name, telemetry::wallMicroseconds()),
+                   PeerTable::rankOf(settings_.peers)},
+                  settings_.retries, steadyNow())
+    , replica_(vocabulary_.isLeased)
     , readers_(PeerTable::rankOf(settings_.peers), steadyNow())
     , pool_(loop)
     , mesh_(loop, pool_, settings_.peers,
@@ -77,6 +79,7 @@
     , tick_(loop.get_executor())
 {
     dispatcher_.setLoadBound(settings_.loadBound);
+    dispatcher_.setColdTolerance(settings_.coldTolerance);
     mesh_.setSeeds(settings_.seeds);
     exchangeEnvironment_.loop = &loop_;
     exchangeEnvironment_.dispatcher = &dispatcher_;
@@ -152,6 +155,8 @@
     settings_.stopTimeout = settings.stopTimeout;
     settings_.maxPropagationTime = settings.maxPropagationTime;
     settings_.loadBound = settings.loadBound;
+    settings_.coldTolerance = settings.coldTolerance;
+    dispatcher_.setColdTolerance(settings_.coldTolerance);
     mesh_.setSeeds(settings_.seeds);
     dispatcher_.setRetryLimits(settings_.retries);
     dispatcher_.setLoadBound(settings_.loadBound);
@@ -270,6 +275,7 @@
     dispatcher_.loads().expire(now);
     dispatcher_.contexts().expire(now);
     dispatcher_.setRouters(mesh_.table().routers(now));
+    dispatcher_.setFleet(fleetView(now));
     pool_.expire(now);
     // After a stall the peers' digests are still unread, so becoming a reader is decided at the
     // next tick. Ceasing to be a reader is decided at once, as reading may be the cause of the
@@ -286,6 +292,15 @@
     tick_.start(tickInterval, [this] { tick(); });
 }
 
+auto GatewayHost::fleetView(Instant now) const -> direct::FleetView
+{
+    const auto &table = mesh_.table();
+    direct::FleetView fleet{table.others(now), table.isComplete(now), 1};
+    // Deployments run at most about as many routers as upstreams.
+    fleet.assumedRouters = std::max(table.routers(now), dispatcher_.upstreams().size());
+    return fleet;
+}
+
 auto GatewayHost::noteStall(Instant now) -> bool
 {
     const auto late = now - tickDueAt_.value_or(now);
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -5,6 +5,7 @@
 
 #include "applehatch/telemetry/clock.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -92,12 +93,54 @@
                 .add("revision", static_cast<std::int64_t>(replica_.revision())));
     }
     logUpstreamChanges(decoded.upstreams);
-    dispatcher_.setUpstreams(std::move(decoded.upstreams));
+    const auto now = steadyNow();
+    noteTurnedCold(dispatcher_.setUpstreams(std::move(decoded.upstreams), now));
+    if (decoded.evacuated != dispatcher_.evacuated())
+        applyEvacuations(std::move(decoded.evacuated), now);
     if (isActiveReader() && !readers_.isRedundant())
         mesh_.advertiseToAll();
     releaseEarly(steadyNow());
 }
 
+auto GatewayHost::applyEvacuations(direct::DataCenters evacuated, Instant now) -> void
+{
+    const auto before = dispatcher_.evacuated();
+    const auto note = [this](const char *event, const std::string &dataCenter) {
+        const auto &upstreams = dispatcher_.upstreams();
+        const auto affected =
+            std::count_if(upstreams.begin(), upstreams.end(),
+                          [&](const auto &upstream) { return upstream.dataCenter == dataCenter; });
+        metrics_.noteEvent(event);
+        log(LogLine(event)
+                .add("dataCenter", dataCenter)
+                .add("upstreams", affected)
+                .add("revision", static_cast<std::int64_t>(replica_.revision()))
+                .add("sinceAnswerMs", sinceAnswerMs(steadyNow())));
+    };
+    for (const auto &dataCenter : evacuated) {
+        if (!before.contains(dataCenter))
+            note("evacuated", dataCenter);
+    }
+    for (const auto &dataCenter : before) {
+        if (!evacuated.contains(dataCenter))
+            note("evacuation-over", dataCenter);
+    }
+    noteTurnedCold(dispatcher_.setEvacuated(std::move(evacuated), now));
+}
+
+auto GatewayHost::noteTurnedCold(const std::vector<direct::TurnedCold> &upstreams) -> void
+{
+    for (const auto &upstream : upstreams) {
+        metrics_.noteEvent("upstream-cold");
+        log(LogLine("upstream-cold")
+                .add("upstream", upstream.instance)
+                .add("forMs",
+                     std::chrono::duration_cast<std::chrono::milliseconds>(upstream.left).count())
+                .add("why", upstream.wasEvacuated ? "was evacuated" : "its entry")
+                .add("revision", static_cast<std::int64_t>(replica_.revision())));
+    }
+}
+
 auto GatewayHost::logUpstreamChanges(const direct::UpstreamList &upstreams) -> void
 {
     std::map<direct::UpstreamId, direct::Upstream> before;
--- a/src/gateway/peer-table.cc
+++ b/src/gateway/peer-table.cc
@@ -63,6 +63,8 @@
     const auto isOld = digest.incarnation == row.incarnation && digest.sequence <= row.sequence;
     if (isFromEarlierIncarnation || isOld)
         return false;
+    if (row.heardAt == Instant())
+        newestHeardAt_ = now;
     row = {digest.sender, digest.incarnation, digest.sequence, digest.revision, digest.leaving,
            now,           listening_.at(now)};
     advertised_.erase(keyOf(digest.sender));
@@ -119,6 +121,8 @@
 auto PeerTable::nextTargets(Instant now) -> std::vector<Address>
 {
     listening_.recordPoll(now);
+    if (newestHeardAt_ == Instant())
+        newestHeardAt_ = now;
     return takeRoundRobin(targets(now), fanout, targetOffset_);
 }
 
@@ -153,6 +157,28 @@
     return std::max(counted, seeds_.size());
 }
 
+auto PeerTable::others(Instant now) const -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> ranks;
+    for (const auto &[key, row] : peers_) {
+        if (wasHeardWithin(row, budgetShareLifetime, now))
+            ranks.push_back(rankOf(row.address));
+    }
+    std::sort(ranks.begin(), ranks.end());
+    return ranks;
+}
+
+auto PeerTable::isComplete(Instant now) const -> bool
+{
+    if (newestHeardAt_ == Instant() || now - newestHeardAt_ < learningTime)
+        return false;
+    return std::all_of(seeds_.begin(), seeds_.end(), [&](const Address &seed) {
+        const auto row = peers_.find(keyOf(seed));
+        return seed == self_
+            || (row != peers_.end() && wasHeardWithin(row->second, budgetShareLifetime, now));
+    });
+}
+
 auto PeerTable::roundDuration(Instant now) const -> Duration
 {
     std::size_t others = 0;
--- a/test/direct/choice-test.cc
+++ b/test/direct/choice-test.cc
@@ -49,7 +49,7 @@
     for (std::size_t i = 0; i < routers; ++i) {
         fleet.emplace_back(DispatcherOptions{"here", i + 1}, RetryLimits{}, now);
         fleet.back().setConfiguration(poolConfiguration());
-        fleet.back().setUpstreams(list);
+        fleet.back().setUpstreams(list, now);
     }
     return fleet;
 }
--- a/test/direct/memory-test.cc
+++ b/test/direct/memory-test.cc
@@ -76,7 +76,7 @@
     for (std::size_t i = 0; i < routers; ++i) {
         fleet.emplace_back(DispatcherOptions{"here", i + 1}, RetryLimits{}, start);
         fleet.back().setConfiguration(poolConfiguration(memoryTokens));
-        fleet.back().setUpstreams(list);
+        fleet.back().setUpstreams(list, start);
     }
     std::mt19937_64 random(20261203);
     std::lognormal_distribution<double> size(std::log(2500), 1.0);
--- a/test/direct/upstream-announcements-test.cc
+++ b/test/direct/upstream-announcements-test.cc
@@ -49,7 +49,7 @@
     Dispatcher dispatcher({"here", 1}, {}, start);
     const auto list = engines(engineCount);
     dispatcher.setConfiguration(poolConfiguration());
-    dispatcher.setUpstreams(list);
+    dispatcher.setUpstreams(list, start);
     const auto permit = std::get<Permit>(dispatcher.admit("a", "/x", std::nullopt));
     RoutingInput input;
     input.prompt = {{1, 100}, {2, 10}};
