Count evacuated and cold upstreams towards the mean load of their service

Ruled out: old views of loads; the engines' loads were known. Before: the_load_bound_counts_evacuated_engines failed, 15 requests where 11 were allowed. After: green.

--- a/include/applehatch/direct/choice.h
+++ b/include/applehatch/direct/choice.h
@@ -39,7 +39,8 @@
 /// tokens of all requests that run beside it. Rendezvous hashing gives every router the same
 /// candidates without communication. A context that is always sent to the same engine takes the
 /// memory of one engine only; copies would evict other contexts where memory is short. Returns null
-/// if no upstream is usable.
+/// if no upstream is usable. `serviceMean` is the mean load of the service, that of `usable` by
+/// default; upstreams that may not be used now count towards it.
 [[nodiscard]] auto chooseEngine(std::uint64_t context, std::optional<UpstreamId> holder,
                                 const std::vector<UpstreamView> &usable, LoadBound bound,
                                 std::optional<double> serviceMean = std::nullopt)
--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -201,6 +201,8 @@
     [[nodiscard]] auto selectByTurns(const Permit &permit, const RoutingInput &input,
                                      const std::vector<UpstreamView> &usable, Instant now)
         -> std::optional<Selection>;
+    /// Returns the mean load of the service's upstreams that do not leave, usable or not.
+    [[nodiscard]] auto meanLoad(const std::string &service, Instant now) const -> double;
     /// Why no upstream can be selected, and when to return.
     [[nodiscard]] auto noUpstream(const Permit &permit, Instant now) -> core::Failure;
     /// Returns the time until a cold upstream of the service takes a request of this router; none
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -338,7 +338,8 @@
         const auto context = sharedContext(input.prompt).hash;
         const auto holders = contexts_.upstreamsOf(context, now);
         const auto usedLast = holders.empty() ? std::nullopt : std::optional(holders.front());
-        upstream = chooseEngine(context, usedLast, usable, bound_);
+        upstream =
+            chooseEngine(context, usedLast, usable, bound_, meanLoad(permit.serviceName, now));
     }
     if (upstream == nullptr)
         return std::nullopt;
@@ -348,6 +349,23 @@
     return selection;
 }
 
+auto Dispatcher::meanLoad(const std::string &service, Instant now) const -> double
+{
+    const auto indexes = indexesByService_.find(service);
+    if (indexes == indexesByService_.end())
+        return 0;
+    auto total = 0.0;
+    std::size_t counted = 0;
+    for (const auto index : indexes->second) {
+        const auto &upstream = upstreams_[index];
+        if (isLeaving(upstream, now))
+            continue;
+        total += loads_.fleetLoad(upstream.id, now);
+        ++counted;
+    }
+    return counted == 0 ? 0 : total / static_cast<double>(counted);
+}
+
 auto Dispatcher::noUpstream(const Permit &permit, Instant now) -> Failure
 {
     if (restLeft(permit.serviceName, now) > Duration(0))
