Choose cold upstreams like warm ones, within their share

Hypothesis: as each router sends a cold upstream no more than its share, nothing is gained by keeping that share for the time when no warm one has room; contexts are read again later instead.

--- a/include/applehatch/direct/choice.h
+++ b/include/applehatch/direct/choice.h
@@ -19,7 +19,6 @@
     /// Ratio of its mean time to first event to the mean of all upstreams; 1 is usual.
     double slowness = 1;
     bool paused = false; ///< Was unreachable recently and gets no requests for the time being.
-    bool cold = false;   ///< Bears few requests for the time being.
     /// Share of its memory taken by contexts whose next request is expected there.
     double memoryShare = 0;
 };
--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -197,10 +197,6 @@
     [[nodiscard]] auto select(const Permit &permit, const RoutingInput &input,
                               const std::vector<UpstreamView> &usable, Instant now)
         -> std::optional<Selection>;
-    /// Selects a warm upstream with room, else a cold one, else one that does not answer.
-    [[nodiscard]] auto selectByTurns(const Permit &permit, const RoutingInput &input,
-                                     const std::vector<UpstreamView> &usable, Instant now)
-        -> std::optional<Selection>;
     /// Returns the mean load of the service's upstreams that do not leave, usable or not.
     [[nodiscard]] auto meanLoad(const std::string &service, Instant now) const -> double;
     /// Why no upstream can be selected, and when to return.
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -1,7 +1,6 @@
 #include "applehatch/direct/dispatcher.h"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -268,7 +267,6 @@
         view.failureShare = health_.failureShare(upstream.id, now);
         view.slowness = health_.slowness(upstream.id);
         view.paused = health_.isPaused(upstream.id, now);
-        view.cold = coldUpstreams_.isCold(upstream.id, now) && coldBound(upstream);
         if (memory > 0)
             view.memoryShare = static_cast<double>(contexts_.tokensAt(upstream.id)) / memory;
         usable.push_back(view);
@@ -282,7 +280,7 @@
     if (suspects_.isSuspect(input.fingerprint, now))
         return refusal(ErrorKind::CrashSuspect, "crashed upstreams before");
     const auto usable = usableUpstreams(permit, input.tried, now);
-    const auto selection = selectByTurns(permit, input, usable, now);
+    const auto selection = select(permit, input, usable, now);
     if (!selection)
         return noUpstream(permit, now);
     Choice choice;
@@ -305,28 +303,6 @@
     return choice;
 }
 
-auto Dispatcher::selectByTurns(const Permit &permit, const RoutingInput &input,
-                               const std::vector<UpstreamView> &usable, Instant now)
-    -> std::optional<Selection>
-{
-    const auto isWarm = [](const UpstreamView &view) { return !view.paused && !view.cold; };
-    const auto isCold = [](const UpstreamView &view) { return !view.paused && view.cold; };
-    const auto isPaused = [](const UpstreamView &view) { return view.paused; };
-    std::optional<Selection> first;
-    for (const auto &belongs : {std::function<bool(const UpstreamView &)>(isWarm),
-                                std::function<bool(const UpstreamView &)>(isCold),
-                                std::function<bool(const UpstreamView &)>(isPaused)}) {
-        std::vector<UpstreamView> group;
-        std::copy_if(usable.begin(), usable.end(), std::back_inserter(group), belongs);
-        const auto selection = select(permit, input, group, now);
-        if (selection && selection->admission.admitted)
-            return selection;
-        if (!first)
-            first = selection;
-    }
-    return first;
-}
-
 auto Dispatcher::select(const Permit &permit, const RoutingInput &input,
                         const std::vector<UpstreamView> &usable, Instant now)
     -> std::optional<Selection>
