Let a request wait for a slot as long as it would still be answered in time

Hypothesis: dash-app refuses callers whom it would serve in time: a request runs for 60 ms of an objective of 300, and the longest wait was 0.4 of the objective, 120 ms. Test: a_clump_that_is_served_in_time_is_admitted fails without the change.

--- a/include/applehatch/direct/admission.h
+++ b/include/applehatch/direct/admission.h
@@ -47,9 +47,10 @@
 class Admission
 {
 public:
-    /// Share of the objective that a request may spend waiting for a slot. The rest covers reading
-    /// the prompt (90 ms of 300 ms) and requests that peers sent in the meantime and that are not
-    /// known here yet.
+    /// Share of the objective that a request may at least spend waiting for a slot. The rest covers
+    /// reading the prompt (90 ms of 300 ms) and requests that peers sent in the meantime and that
+    /// are not known here yet. Where a request is done sooner, it may wait up to the objective less
+    /// the service time.
     static constexpr double maxWaitShare = 0.4;
     /// Highest priority step; lower urgency is treated like this step.
     static constexpr int maxPrioritySteps = 2;
--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -48,7 +48,10 @@
         if (priority <= request.priority)
             minObjective = std::min(minObjective, objective);
     }
-    return scaled(minObjective, maxWaitShare);
+    // A request that is done soon after it got a slot may wait longer and still be answered in
+    // time.
+    const auto untilLate = service.serviceTime ? minObjective - *service.serviceTime : Duration(0);
+    return std::max(scaled(minObjective, maxWaitShare), untilLate);
 }
 
 auto Admission::decide(const AdmissionRequest &request, UpstreamOccupancy occupancy)
--- a/test/direct/admission-test.cc
+++ b/test/direct/admission-test.cc
@@ -137,6 +137,44 @@
     BOOST_TEST(late < after.asked / 20, "hardly any request is admitted and then late");
 }
 
+// Guards against refusing callers of a plain service, for which requests come in clumps, although
+// they would be answered in time: its slots are few and soon free again.
+BOOST_AUTO_TEST_CASE(a_clump_that_is_served_in_time_is_admitted)
+{
+    constexpr std::uint32_t slots = 6;
+    constexpr std::size_t clump = 22;
+    constexpr auto clumpInterval = 250ms; // 88 a second, where the slots bear 100.
+    const AdmissionRequest request{"plain", {}, 0, 0, 300ms};
+    Admission admission;
+    std::vector<Instant> slotsFreeAt(slots, start);
+    std::multimap<Instant, Duration> running; // Service times by end.
+    for (auto now = start; now < start + 10s; now += clumpInterval) {
+        for (; !running.empty() && running.begin()->first <= now; running.erase(running.begin()))
+            admission.noteDone(request, running.begin()->second, now);
+        for (std::size_t i = 0; i < clump; ++i) {
+            const auto load = static_cast<std::uint32_t>(running.size());
+            BOOST_TEST(admission.decide(request, {load, slots}).admitted);
+            const auto serviceTime = Duration(50ms + (i % 3) * 10ms);
+            auto &slot = *std::min_element(slotsFreeAt.begin(), slotsFreeAt.end());
+            slot = std::max(slot, now) + serviceTime;
+            BOOST_TEST((slot - now <= request.objective));
+            admission.noteSent(request);
+            running.emplace(slot, serviceTime);
+        }
+    }
+}
+
+// Guards against admitting what would surely be late.
+BOOST_AUTO_TEST_CASE(a_request_that_would_be_late_is_refused)
+{
+    const AdmissionRequest request{"plain", {}, 0, 0, 300ms};
+    Admission admission;
+    admission.noteSent(request);
+    admission.noteDone(request, 60ms, start);
+    BOOST_TEST(admission.decide(request, {29, 6}).admitted); // Waits 240 ms and runs for 60 ms.
+    BOOST_TEST(!admission.decide(request, {30, 6}).admitted);
+}
+
 // No request is refused as long as there are free slots.
 BOOST_AUTO_TEST_CASE(a_load_within_capacity_is_fully_admitted)
 {
