--- a/test/direct/registry-replica-test.cc
+++ b/test/direct/registry-replica-test.cc
@@ -44,6 +44,18 @@
     BOOST_TEST(!replica.items().contains("upstream"));
 }
 
+// Guards against keeping what the operator removed during an outage: its entries have no owner that
+// renews them, so that they do not lapse.
+BOOST_AUTO_TEST_CASE(an_entry_that_cannot_lapse_is_gone_at_once_after_an_outage)
+{
+    RegistryReplica replica([](std::string_view key) { return key == "upstream"; });
+    replica.apply(twoEntries(), start);
+    replica.noteLost();
+    replica.apply({{{"config", "", 11}, true}, {{"upstream", "", 12}, true}}, 12, start);
+    BOOST_TEST(!replica.items().contains("config"));
+    BOOST_TEST(replica.items().contains("upstream"));
+}
+
 // After such an outage the owner writes its entry in time: the entry stays in force without a gap.
 BOOST_AUTO_TEST_CASE(a_restored_entry_is_no_longer_doubtful)
 {
--- a/test/platform/decoder-test.cc
+++ b/test/platform/decoder-test.cc
@@ -139,6 +139,63 @@
     BOOST_TEST(decoded.problems.size() == 1);
 }
 
+// Guards against taking a cold upstream for a warm one, or for one that bears nothing for good,
+// over a number that makes no sense.
+BOOST_AUTO_TEST_CASE(cold_times_are_read_within_limits)
+{
+    struct Reading
+    {
+        std::string text;
+        std::optional<direct::Duration> left;
+        bool isNamed = false; ///< Reported as a problem.
+    };
+    const std::vector<Reading> readings{
+        {"0", 0s},
+        {"2500", 2500ms},
+        {"0.5", 500us},
+        {"1e300", 60s},
+        {"-1", std::nullopt, true},
+        {"\"3000\"", std::nullopt, true},
+        {"null", std::nullopt, true},
+        {"[]", std::nullopt, true},
+    };
+    for (const auto &reading : readings) {
+        auto text = upstreamText;
+        text.replace(text.find("\"cold-left-ms\":0"), 16, "\"cold-left-ms\":" + reading.text);
+        const auto decoded = DirectoryDecoder()({{"servers/a", heldItem(text, 1)}});
+        BOOST_REQUIRE(decoded.upstreams.size() == 1);
+        BOOST_TEST((decoded.upstreams.front().coldLeft == reading.left), reading.text);
+        BOOST_TEST(decoded.problems.empty() != reading.isNamed, reading.text);
+    }
+    auto text = upstreamText;
+    text.erase(text.find("\"cold-left-ms\":0,"), 17);
+    const auto silent = DirectoryDecoder()({{"servers/a", heldItem(text, 1)}});
+    BOOST_TEST(!silent.upstreams.at(0).coldLeft);
+    BOOST_TEST(silent.problems.empty());
+}
+
+// Guards against a configuration that is not applied over a limit on cold upstreams.
+BOOST_AUTO_TEST_CASE(limits_on_cold_upstreams_are_read)
+{
+    const auto decode = [](const std::string &fields, std::string &problem) {
+        return decodeConfiguration(R"({"version":1,"routes":[],"services":[{"name":"pool")" + fields
+                                       + "}]}",
+                                   problem)
+            ->services.at("pool");
+    };
+    std::string problem;
+    const auto usual = decode(R"(,"cold-s":3.0,"cold-per-s":13.0)", problem);
+    BOOST_TEST((usual.coldTime == 3s));
+    BOOST_TEST(usual.coldRequestsPerSecond == 13);
+    BOOST_TEST((decode("", problem).coldTime == 0s));
+    BOOST_TEST((decode(R"(,"cold-s":1e300)", problem).coldTime == 60s));
+    BOOST_TEST(problem.empty());
+    BOOST_TEST(decode(R"(,"cold-per-s":-4)", problem).coldRequestsPerSecond == 0);
+    BOOST_TEST(problem.find("cold-per-s") != std::string::npos);
+    BOOST_TEST((decode(R"(,"cold-s":"3")", problem).coldTime == 0s));
+    BOOST_TEST(problem.find("cold-s") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(settings_are_decoded)
 {
     std::string problem;
@@ -149,6 +206,16 @@
     BOOST_TEST(settings->gateway.seeds.size() == 2);
     BOOST_TEST(settings->gateway.retries.extra == 52);
     BOOST_TEST((settings->gateway.maxPropagationTime == 4s));
+    BOOST_TEST(settings->gateway.coldTolerance.overrun == 1);
+    BOOST_TEST(settings->gateway.coldTolerance.extra == 0);
+    auto text = settingsText;
+    text.replace(text.find("4000"), 4,
+                 R"(9000, "evacuate-ms": 5000, "cold-overrun": 1.5, "cold-extra": 5)");
+    const auto grown = parseSettings(text, problem);
+    BOOST_REQUIRE_MESSAGE(grown, problem);
+    BOOST_TEST((grown->gateway.maxPropagationTime == 5s));
+    BOOST_TEST(grown->gateway.coldTolerance.overrun == 1.5);
+    BOOST_TEST(grown->gateway.coldTolerance.extra == 5);
     BOOST_TEST(settings->registry.ip == "10.9.0.1");
 }
 
@@ -166,6 +233,12 @@
     text.replace(text.find("4000"), 4, "0");
     BOOST_TEST(!parseSettings(text, problem));
     BOOST_TEST(problem.find("/bounds/config-ms") != std::string::npos);
+    for (const auto *bad : {R"(4000, "evacuate-ms": 0)", R"(4000, "cold-overrun": -1)",
+                            R"(4000, "cold-extra": -5)"}) {
+        text = settingsText;
+        text.replace(text.find("4000"), 4, bad);
+        BOOST_TEST(!parseSettings(text, problem), bad);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(prompts_and_loads_are_read)
