Take no plain request that a stopping process may not finish

A process gets SIGTERM at 1.0 s; all are stopped in turn, callers keep coming, and it ends with its grace at 8.68 s with two requests in flight, one of which it had read at 8.638 s. Streams that would be cut were refused, plain requests not. Now a plain request is refused, not run, when less than a second and less than its own time is left. Before: a_process_that_ends_breaks_off_no_plain_request fails for the last six requests. After: green.

--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -58,6 +58,8 @@
     /// Time left for streams that begin now; none unless the process is stopping and only accepts
     /// streams that can still finish.
     std::function<std::optional<Duration>()> streamTimeLeft;
+    /// Time until the process ends; none unless it is stopping.
+    std::function<std::optional<Duration>()> exitTimeLeft;
 };
 
 /// Sends a request to an upstream, retries on others as its route allows, and relays the answer.
@@ -79,6 +81,9 @@
     /// to read all sockets.
     static constexpr int silenceSteps = 4;
     static constexpr Duration finalSilenceStep = std::chrono::milliseconds(20);
+    /// A stopping process takes a plain request only if this much time is left, or all the time
+    /// that the request has.
+    static constexpr Duration minPlainTime = std::chrono::seconds(1);
     /// Answers of plain services up to this size are buffered until complete, so that a truncated
     /// one can be requested again from another upstream.
     static constexpr std::size_t maxBufferedBytes = 262144;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -126,6 +126,8 @@
     auto noteStall(Instant now) -> bool;
     auto continueStop(Instant now) -> void;
     [[nodiscard]] auto streamTimeLeft() const -> std::optional<Duration>;
+    /// Time until a stopping process ends, whatever is still running.
+    [[nodiscard]] auto exitTimeLeft(Instant now) const -> std::optional<Duration>;
     [[nodiscard]] auto hasReadyPeer(Instant now) const -> bool;
     auto catchUp(Instant now) -> void;
     [[nodiscard]] auto callerLimits() const -> direct::CallerLimits;
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -75,12 +75,12 @@
     std::vector<TurnedCold> turnedCold;
     for (const auto &upstream : upstreams_) {
         const auto known = indexBefore.find(upstream.id);
-        const auto isNewInService = known == indexBefore.end() && !before.empty();
+        const auto justRegistered = known == indexBefore.end() && !before.empty();
         const auto isNews = known == indexBefore.end()
             || before[known->second].entryRevision < upstream.entryRevision;
         if (!isNews)
             continue;
-        if (auto turned = noteColdReport(upstream, isNewInService, now))
+        if (auto turned = noteColdReport(upstream, justRegistered, now))
             turnedCold.push_back(std::move(*turned));
     }
     return turnedCold;
@@ -89,7 +89,7 @@
 auto Dispatcher::noteColdReport(const Upstream &upstream, bool justRegistered, Instant now)
     -> std::optional<TurnedCold>
 {
-    const auto service = findService(upstream.service);
+    const auto *service = findService(upstream.service);
     if (service == nullptr || service->coldRequestsPerSecond <= 0)
         return std::nullopt;
     const auto assumed = justRegistered ? service->coldTime : Duration(0);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -94,9 +94,12 @@
 
 auto Exchange::cannotFinishBeforeStop() const -> bool
 {
+    if (permit_.route->kind != RouteKind::Stream) {
+        const auto exitTimeLeft = environment_.exitTimeLeft();
+        return exitTimeLeft && *exitTimeLeft < std::min(timeLeft(), minPlainTime);
+    }
     const auto streamTimeLeft = environment_.streamTimeLeft();
-    return streamTimeLeft && permit_.route->kind == RouteKind::Stream
-        && !environment_.pace->endsWithin(maxTokens_, *streamTimeLeft);
+    return streamTimeLeft && !environment_.pace->endsWithin(maxTokens_, *streamTimeLeft);
 }
 
 auto Exchange::readRequestOptions() -> void
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -93,6 +93,7 @@
     exchangeEnvironment_.ended = [this](const ExchangeReport &report) { exchangeEnded(report); };
     exchangeEnvironment_.pace = &pace_;
     exchangeEnvironment_.streamTimeLeft = [this] { return streamTimeLeft(); };
+    exchangeEnvironment_.exitTimeLeft = [this] { return exitTimeLeft(steadyNow()); };
     metrics_.setGauges(
         {[this] { return static_cast<double>(inFlight_); },
          [this] { return callers_ == nullptr ? 0 : static_cast<double>(callers_->connections()); },
@@ -331,6 +332,13 @@
     // another router is ready they accept none, so as to exit sooner.
     if (hasReadyPeer(now))
         return Duration(0);
+    return exitTimeLeft(now);
+}
+
+auto GatewayHost::exitTimeLeft(Instant now) const -> std::optional<Duration>
+{
+    if (!stopRequestedAt_)
+        return std::nullopt;
     return *stopRequestedAt_ + settings_.stopTimeout - killMargin - now;
 }
 
@@ -346,7 +354,7 @@
     if (since >= idleCloseDelay)
         callers_->retire(true);
     const auto idle = inFlight_ == 0 && since >= minStopTime;
-    const auto outOfTime = since >= settings_.stopTimeout - killMargin;
+    const auto outOfTime = *exitTimeLeft(now) <= Duration(0);
     if (!idle && !outOfTime)
         return;
     log(LogLine("stopped").add("inFlight", static_cast<std::int64_t>(inFlight_)));
--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <list>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -269,6 +270,45 @@
     BOOST_TEST(upstream.requests().size() == 1);
 }
 
+// Guards against a plain request that a stopping process takes and breaks off when it ends, since
+// callers keep coming until then.
+BOOST_AUTO_TEST_CASE(a_process_that_ends_breaks_off_no_plain_request)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream upstream(
+        loop, "one", [&loop](ScriptedConnection &connection, const std::string &request) {
+            const auto timer = std::make_shared<asio::steady_timer>(loop, 300ms);
+            timer->async_wait([timer, request, self = connection.shared_from_this()](auto) {
+                self->send(plainAnswer(request, "served"));
+            });
+        });
+    Gateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    gateway.settings.stopTimeout = 4500ms;
+    gateway.host.reload(gateway.settings);
+    gateway.host.stop();
+    std::list<Caller> callers;
+    const auto hasEnded = [&] { return loop.stopped(); };
+    while (!runUntil(loop, hasEnded, 20ms)) {
+        callers.emplace_back(loop, gateway.settings.callers);
+        callers.back().send(testing::requestText("/once/a", "r" + std::to_string(callers.size()),
+                                                 "Connection: close\r\n"));
+    }
+    std::size_t number = 0;
+    std::size_t answered = 0;
+    for (const auto &caller : callers) {
+        const auto id = "Request-Id: r" + std::to_string(++number) + "\r\n";
+        const auto reached = std::any_of(
+            upstream.connections.begin(), upstream.connections.end(), [&](const auto &connection) {
+                return !connection->requests.empty()
+                    && connection->requests.back().find(id) != std::string::npos;
+            });
+        answered += caller.received.starts_with("HTTP/1.1 200") ? 1 : 0;
+        BOOST_TEST((!reached || !caller.received.empty()), id);
+    }
+    BOOST_TEST(answered > callers.size() / 2);
+}
+
 // Connecting to an upstream takes a second on a congested link. Meanwhile the upstream starts to
 // drain and would cut the request when it exits. Nothing was sent yet, so another upstream gets it.
 BOOST_AUTO_TEST_CASE(an_upstream_that_left_while_connecting_gets_nothing)
