One place for what is known of cold upstreams, and one for when an upstream is available

The dispatcher kept the belief, the share and the bound apart and asked for the service's limit in four places; ColdLimiter now answers when an upstream takes the next request. The wait for the first rest and that for the first cold share were two loops, the second of which also told callers of a cold upstream that they had tried that all were cold; one remains. How many routers are ahead at a cold upstream is kept until the fleet changes, in place of 285,000 hashes a choice while 730 are cold before 390 routers.

--- a/include/applehatch/direct/cold-share.h
+++ b/include/applehatch/direct/cold-share.h
@@ -22,6 +22,8 @@
     bool isComplete = false;
     /// Number of routers to assume while `others` are not all.
     std::size_t assumedRouters = 1;
+
+    auto operator==(const FleetView &other) const -> bool = default;
 };
 
 /// Divides the requests that a cold upstream bears among the routers of the fleet, without a
@@ -60,14 +62,18 @@
     [[nodiscard]] auto nextAt(UpstreamId upstream, double bound, Instant now) const
         -> std::optional<Instant>;
     auto noteSent(UpstreamId upstream, Instant now) -> void;
-    auto forget(UpstreamId upstream) -> void { sent_.erase(upstream); }
+    auto forget(UpstreamId upstream) -> void;
 
 private:
-    [[nodiscard]] auto isAmongFirst(UpstreamId upstream, std::uint32_t count) const -> bool;
+    /// Number of other routers whose hash for the upstream is higher.
+    [[nodiscard]] auto routersAhead(UpstreamId upstream) const -> std::size_t;
 
     RouterId self_;
     Instant quietUntil_;
     FleetView fleet_;
+    // By upstream, until the fleet changes: counting them for each cold upstream at each choice
+    // would take 390 x 730 hashes.
+    mutable std::unordered_map<UpstreamId, std::size_t> routersAhead_;
     std::unordered_map<UpstreamId, std::deque<Instant>> sent_; // Within the last window.
 };
 
--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -4,8 +4,7 @@
 #include "applehatch/core/error.h"
 #include "applehatch/direct/admission.h"
 #include "applehatch/direct/choice.h"
-#include "applehatch/direct/cold-share.h"
-#include "applehatch/direct/cold-upstreams.h"
+#include "applehatch/direct/cold-limiter.h"
 #include "applehatch/direct/context-map.h"
 #include "applehatch/direct/crash-suspects.h"
 #include "applehatch/direct/directory.h"
@@ -69,21 +68,6 @@
     RouterId router = 0;
 };
 
-/// How far more than its own rate a cold upstream may be asked.
-struct ColdTolerance
-{
-    double overrun = 1; ///< Factor on the requests a second of its service.
-    double extra = 0;   ///< Requests beyond that.
-};
-
-/// An upstream that turned cold, for the log.
-struct TurnedCold
-{
-    std::string instance;
-    Duration left{0};
-    bool wasEvacuated = false; ///< Assumed, as its data centre was just taken back.
-};
-
 /// Data centres.
 using DataCenters = std::set<std::string, std::less<>>;
 
@@ -103,8 +87,8 @@
     /// count as cold, since they may have become so just before; these are returned.
     auto setEvacuated(DataCenters evacuated, Instant now) -> std::vector<TurnedCold>;
     [[nodiscard]] auto evacuated() const -> const DataCenters & { return evacuated_; }
-    auto setColdTolerance(ColdTolerance tolerance) -> void { coldTolerance_ = tolerance; }
-    auto setFleet(FleetView fleet) -> void { coldShare_.setFleet(std::move(fleet)); }
+    auto setColdTolerance(ColdTolerance tolerance) -> void { cold_.setTolerance(tolerance); }
+    auto setFleet(FleetView fleet) -> void { cold_.setFleet(std::move(fleet)); }
     auto setLoadBound(LoadBound bound) -> void { bound_ = bound; }
     auto setRetryLimits(RetryLimits limits) -> void { budget_.setLimits(limits); }
     auto setRouters(std::size_t routers) -> void { routers_ = routers; }
@@ -184,15 +168,7 @@
                                        Instant now) const -> std::vector<UpstreamView>;
     [[nodiscard]] auto acceptsNewRequests(const Upstream &upstream, Instant now) const -> bool;
     [[nodiscard]] auto isEvacuated(const Upstream &upstream) const -> bool;
-    /// Whether the upstream is warm, or cold with some of this router's share left.
-    [[nodiscard]] auto hasColdShareLeft(const Upstream &upstream, Instant now) const -> bool;
-    /// Requests a second that a cold upstream bears; none without a limit.
-    [[nodiscard]] auto coldBound(const Upstream &upstream) const -> std::optional<double>;
     [[nodiscard]] auto findService(const std::string &name) const -> const Service *;
-    /// Takes over what a new registry entry tells. One that tells nothing counts as cold if the
-    /// upstream just registered.
-    auto noteColdReport(const Upstream &upstream, bool justRegistered, Instant now)
-        -> std::optional<TurnedCold>;
     /// Selects the upstream for a request among `usable` and decides on its admission.
     [[nodiscard]] auto select(const Permit &permit, const RoutingInput &input,
                               const std::vector<UpstreamView> &usable, Instant now)
@@ -201,14 +177,13 @@
     [[nodiscard]] auto meanLoad(const std::string &service, Instant now) const -> double;
     /// Why no upstream can be selected, and when to return.
     [[nodiscard]] auto noUpstream(const Permit &permit, Instant now) -> core::Failure;
-    /// Returns the time until a cold upstream of the service takes a request of this router; none
-    /// if there is no such upstream.
-    [[nodiscard]] auto coldShareWait(const std::string &service, Instant now) const
-        -> std::optional<Duration>;
     /// Whether the upstream leaves, by its registry entry or its own answers.
     [[nodiscard]] auto isLeaving(const Upstream &upstream, Instant now) const -> bool;
-    /// Returns the time until the first upstream of the service ends its rest; 0 unless all rest.
-    [[nodiscard]] auto restLeft(const std::string &service, Instant now) const -> Duration;
+    /// When the upstream may get the next request, as far as its rest and its being cold go.
+    [[nodiscard]] auto availableAt(const Upstream &upstream, Instant now) const -> Instant;
+    /// Returns the time until the first upstream of the service is available; 0 if one is, or if
+    /// there is none.
+    [[nodiscard]] auto waitForAvailable(const std::string &service, Instant now) const -> Duration;
     /// Returns the engine from which `chosen`, which does not hold the context, should fetch it: an
     /// engine known to hold it, or, if none is known, the context's other candidate, which answers
     /// at once if it does not hold it either.
@@ -237,9 +212,7 @@
     RetryBudget budget_;
     Admission admission_;
     DataCenters evacuated_;
-    ColdUpstreams coldUpstreams_;
-    ColdShare coldShare_;
-    ColdTolerance coldTolerance_;
+    ColdLimiter cold_;
     std::size_t routers_ = 1;
 };
 
--- a/src/direct/cold-share.cc
+++ b/src/direct/cold-share.cc
@@ -32,7 +32,10 @@
 
 auto ColdShare::setFleet(FleetView fleet) -> void
 {
+    if (fleet == fleet_)
+        return;
     fleet_ = std::move(fleet);
+    routersAhead_.clear();
 }
 
 auto ColdShare::perWindow(UpstreamId upstream, double bound) const -> std::uint32_t
@@ -45,16 +48,25 @@
     const auto isHigh = fleet_.isComplete
         || hashShare(upstream, self_)
             >= 1 - static_cast<double>(allowance) / static_cast<double>(routers);
-    return isHigh && isAmongFirst(upstream, allowance) ? 1 : 0;
+    return isHigh && routersAhead(upstream) < allowance ? 1 : 0;
 }
 
-auto ColdShare::isAmongFirst(UpstreamId upstream, std::uint32_t count) const -> bool
+auto ColdShare::routersAhead(UpstreamId upstream) const -> std::size_t
 {
+    const auto known = routersAhead_.find(upstream);
+    if (known != routersAhead_.end())
+        return known->second;
     const auto own = core::rendezvousHash(upstream, self_);
     const auto ahead =
         std::count_if(fleet_.others.begin(), fleet_.others.end(),
                       [&](RouterId other) { return core::rendezvousHash(upstream, other) > own; });
-    return ahead < static_cast<std::ptrdiff_t>(count);
+    return routersAhead_[upstream] = static_cast<std::size_t>(ahead);
+}
+
+auto ColdShare::forget(UpstreamId upstream) -> void
+{
+    sent_.erase(upstream);
+    routersAhead_.erase(upstream);
 }
 
 auto ColdShare::hasLeft(UpstreamId upstream, double bound, Instant now) const -> bool
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -43,7 +43,7 @@
     : options_(std::move(options))
     , randomState_(options_.seed)
     , budget_(retryLimits, startedAt)
-    , coldShare_(options_.router, startedAt)
+    , cold_(options_.router, startedAt)
 { }
 
 auto Dispatcher::setConfiguration(ConfigurationPtr configuration) -> bool
@@ -69,8 +69,7 @@
             continue;
         health_.forget(upstream.id);
         loads_.forget(upstream.id);
-        coldUpstreams_.forget(upstream.id);
-        coldShare_.forget(upstream.id);
+        cold_.forget(upstream.id);
     }
     std::vector<TurnedCold> turnedCold;
     for (const auto &upstream : upstreams_) {
@@ -80,36 +79,23 @@
             || before[known->second].entryRevision < upstream.entryRevision;
         if (!isNews)
             continue;
-        if (auto turned = noteColdReport(upstream, justRegistered, now))
+        if (auto turned =
+                cold_.noteEntry(upstream, findService(upstream.service), justRegistered, now))
             turnedCold.push_back(std::move(*turned));
     }
     return turnedCold;
 }
 
-auto Dispatcher::noteColdReport(const Upstream &upstream, bool justRegistered, Instant now)
-    -> std::optional<TurnedCold>
-{
-    const auto *service = findService(upstream.service);
-    if (service == nullptr || service->coldRequestsPerSecond <= 0)
-        return std::nullopt;
-    const auto assumed = justRegistered ? service->coldTime : Duration(0);
-    const auto left = upstream.coldLeft.value_or(assumed);
-    if (!coldUpstreams_.note(upstream.id, now + std::min(left, ColdUpstreams::maxTime), now))
-        return std::nullopt;
-    return TurnedCold{upstream.instance, coldUpstreams_.warmAt(upstream.id, now) - now, false};
-}
-
 auto Dispatcher::setEvacuated(DataCenters evacuated, Instant now) -> std::vector<TurnedCold>
 {
     const auto before = std::exchange(evacuated_, std::move(evacuated));
     std::vector<TurnedCold> turnedCold;
     for (const auto &upstream : upstreams_) {
         const auto isTakenBack = before.contains(upstream.dataCenter) && !isEvacuated(upstream);
-        const auto *service = findService(upstream.service);
-        if (!isTakenBack || service == nullptr || service->coldRequestsPerSecond <= 0)
+        if (!isTakenBack)
             continue;
-        if (coldUpstreams_.note(upstream.id, now + service->coldTime, now))
-            turnedCold.push_back({upstream.instance, service->coldTime, true});
+        if (auto turned = cold_.noteTakenBack(upstream, findService(upstream.service), now))
+            turnedCold.push_back(std::move(*turned));
     }
     return turnedCold;
 }
@@ -127,22 +113,6 @@
     return evacuated_.contains(upstream.dataCenter);
 }
 
-auto Dispatcher::coldBound(const Upstream &upstream) const -> std::optional<double>
-{
-    const auto *service = findService(upstream.service);
-    if (service == nullptr || service->coldRequestsPerSecond <= 0)
-        return std::nullopt;
-    return service->coldRequestsPerSecond * coldTolerance_.overrun + coldTolerance_.extra;
-}
-
-auto Dispatcher::hasColdShareLeft(const Upstream &upstream, Instant now) const -> bool
-{
-    if (!coldUpstreams_.isCold(upstream.id, now))
-        return true;
-    const auto bound = coldBound(upstream);
-    return !bound || coldShare_.hasLeft(upstream.id, *bound, now);
-}
-
 auto Dispatcher::findUpstream(UpstreamId id) const -> const Upstream *
 {
     const auto found = indexById_.find(id);
@@ -157,8 +127,7 @@
 
 auto Dispatcher::acceptsNewRequests(const Upstream &upstream, Instant now) const -> bool
 {
-    return !isLeaving(upstream, now) && !isEvacuated(upstream)
-        && !announcements_.restEnd(upstream.id, now) && hasColdShareLeft(upstream, now);
+    return !isLeaving(upstream, now) && !isEvacuated(upstream) && availableAt(upstream, now) <= now;
 }
 
 auto Dispatcher::isLeaving(const Upstream &upstream, Instant now) const -> bool
@@ -166,7 +135,13 @@
     return upstream.state == UpstreamState::Leaving || announcements_.isLeaving(upstream.id, now);
 }
 
-auto Dispatcher::restLeft(const std::string &service, Instant now) const -> Duration
+auto Dispatcher::availableAt(const Upstream &upstream, Instant now) const -> Instant
+{
+    const auto restEnd = announcements_.restEnd(upstream.id, now).value_or(now);
+    return std::max(restEnd, cold_.nextAt(upstream.id, findService(upstream.service), now));
+}
+
+auto Dispatcher::waitForAvailable(const std::string &service, Instant now) const -> Duration
 {
     const auto indexes = indexesByService_.find(service);
     if (indexes == indexesByService_.end())
@@ -176,10 +151,8 @@
         const auto &upstream = upstreams_[index];
         if (isLeaving(upstream, now) || isEvacuated(upstream))
             continue;
-        const auto end = announcements_.restEnd(upstream.id, now);
-        if (!end)
-            return Duration(0);
-        first = std::min(*end, first.value_or(*end));
+        const auto at = availableAt(upstream, now);
+        first = std::min(at, first.value_or(at));
     }
     return first ? *first - now : Duration(0);
 }
@@ -344,12 +317,9 @@
 
 auto Dispatcher::noUpstream(const Permit &permit, Instant now) -> Failure
 {
-    if (restLeft(permit.serviceName, now) > Duration(0))
-        return {ErrorKind::Overloaded, Run::NotRun, "all upstreams asked for rest",
+    if (waitForAvailable(permit.serviceName, now) > Duration(0))
+        return {ErrorKind::Overloaded, Run::NotRun, "all upstreams asked for rest or are cold",
                 overloadRetryAfter(permit, now)};
-    if (const auto wait = coldShareWait(permit.serviceName, now))
-        return {ErrorKind::Overloaded, Run::NotRun, "all upstreams are cold, and get no more now",
-                *wait + retryAfter()};
     const auto indexes = indexesByService_.find(permit.serviceName);
     const auto isAllEvacuated = indexes != indexesByService_.end()
         && std::all_of(indexes->second.begin(), indexes->second.end(),
@@ -360,27 +330,6 @@
     return refusal(ErrorKind::NoUpstream, "no upstream of the service is known");
 }
 
-auto Dispatcher::coldShareWait(const std::string &service, Instant now) const
-    -> std::optional<Duration>
-{
-    const auto indexes = indexesByService_.find(service);
-    if (indexes == indexesByService_.end())
-        return std::nullopt;
-    std::optional<Duration> least;
-    for (const auto index : indexes->second) {
-        const auto &upstream = upstreams_[index];
-        const auto bound = coldBound(upstream);
-        if (!bound || !coldUpstreams_.isCold(upstream.id, now) || isLeaving(upstream, now)
-            || isEvacuated(upstream))
-            continue;
-        const auto warmAt = coldUpstreams_.warmAt(upstream.id, now);
-        const auto next = coldShare_.nextAt(upstream.id, *bound, now).value_or(warmAt);
-        const auto wait = std::min(next, warmAt) - now;
-        least = std::min(wait, least.value_or(wait));
-    }
-    return least;
-}
-
 auto Dispatcher::fetchSource(std::uint64_t context, UpstreamId chosen,
                              const std::vector<UpstreamView> &usable, Instant now) const
     -> std::optional<Address>
@@ -419,8 +368,7 @@
 auto Dispatcher::noteSent(UpstreamId upstream, const RoutingInput &input, Instant now) -> void
 {
     loads_.noteSent(upstream);
-    if (coldUpstreams_.isCold(upstream, now))
-        coldShare_.noteSent(upstream, now);
+    cold_.noteSent(upstream, now);
     if (input.prompt.empty())
         return;
     const auto context = sharedContext(input.prompt);
@@ -451,7 +399,7 @@
 auto Dispatcher::overloadRetryAfter(const Permit &permit, Instant now) -> Duration
 {
     constexpr auto range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    return restLeft(permit.serviceName, now)
+    return waitForAvailable(permit.serviceName, now)
         + admission_.retryAfter(admissionRequestOf(permit), static_cast<double>(draw()) / range,
                                 now);
 }
--- a/test/direct/cold-upstreams-test.cc
+++ b/test/direct/cold-upstreams-test.cc
@@ -1,15 +1,13 @@
 #include "applehatch/direct/cold-upstreams.h"
 
-#include "applehatch/direct/cold-share.h"
-
 #include "engine-pool.h"
 
+#include "applehatch/direct/cold-share.h"
+
 #include "applehatch/direct/dispatcher.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <set>
-
 namespace {
 
 using namespace applehatch::direct;
@@ -29,15 +27,6 @@
     return share;
 }
 
-/// Engines that bear 13 requests a second while they are cold for 3 s.
-auto coldPool(double perSecond = 13) -> std::shared_ptr<Configuration>
-{
-    auto configuration = poolConfiguration();
-    configuration->services["pool"].coldTime = 3s;
-    configuration->services["pool"].coldRequestsPerSecond = perSecond;
-    return configuration;
-}
-
 auto withColdLeft(UpstreamList list, std::optional<Duration> left, std::uint64_t revision)
     -> UpstreamList
 {
@@ -125,7 +114,7 @@
     constexpr std::size_t engineCount = 4;
     constexpr auto share = engineCount * 12;
     Dispatcher dispatcher({"here", 1}, {}, start);
-    dispatcher.setConfiguration(coldPool());
+    dispatcher.setConfiguration(coldPoolConfiguration());
     dispatcher.setColdTolerance({1.5, 5});
     dispatcher.setFleet({{}, true, 1});
     const auto list = engines(engineCount);
@@ -145,7 +134,7 @@
 BOOST_AUTO_TEST_CASE(an_engine_that_just_registered_counts_as_cold)
 {
     Dispatcher dispatcher({"here", 1}, {}, start);
-    dispatcher.setConfiguration(coldPool());
+    dispatcher.setConfiguration(coldPoolConfiguration());
     auto list = engines(3);
     BOOST_TEST(dispatcher.setUpstreams(withColdLeft(list, std::nullopt, 1), later).empty());
     list = engines(4);
@@ -159,7 +148,7 @@
 BOOST_AUTO_TEST_CASE(a_service_without_a_limit_is_not_held_back)
 {
     Dispatcher dispatcher({"here", 1}, {}, start);
-    dispatcher.setConfiguration(coldPool(0));
+    dispatcher.setConfiguration(coldPoolConfiguration(0));
     BOOST_TEST(dispatcher.setUpstreams(withColdLeft(engines(2), 3s, 1), later).empty());
     BOOST_TEST(sendUntilRefused(dispatcher, later, 100) == 100U);
 }
@@ -168,7 +157,7 @@
 BOOST_AUTO_TEST_CASE(callers_come_back_when_a_cold_engine_takes_requests)
 {
     Dispatcher dispatcher({"here", 1}, {}, start);
-    dispatcher.setConfiguration(coldPool());
+    dispatcher.setConfiguration(coldPoolConfiguration());
     dispatcher.setFleet({{}, true, 1});
     dispatcher.setUpstreams(withColdLeft(engines(1), 10s, 1), later);
     BOOST_TEST(sendUntilRefused(dispatcher, later, 100) == 6U);
--- a/test/direct/engine-pool.h
+++ b/test/direct/engine-pool.h
@@ -46,4 +46,13 @@
     return configuration;
 }
 
+/// The same with engines that bear `perSecond` requests a second while they are cold for 3 s.
+inline auto coldPoolConfiguration(double perSecond = 13) -> std::shared_ptr<Configuration>
+{
+    auto configuration = poolConfiguration();
+    configuration->services["pool"].coldTime = std::chrono::seconds(3);
+    configuration->services["pool"].coldRequestsPerSecond = perSecond;
+    return configuration;
+}
+
 } // namespace applehatch::direct::testing
--- a/test/direct/evacuation-test.cc
+++ b/test/direct/evacuation-test.cc
@@ -16,16 +16,6 @@
 
 constexpr auto start = Instant(100s);
 constexpr std::size_t engineCount = 12;
-constexpr auto coldTime = 3s;
-
-/// Engines that bear 13 requests a second while they are cold.
-auto coldPoolConfiguration() -> std::shared_ptr<Configuration>
-{
-    auto configuration = poolConfiguration();
-    configuration->services["pool"].coldTime = coldTime;
-    configuration->services["pool"].coldRequestsPerSecond = 13;
-    return configuration;
-}
 
 /// One router before engines in the data centres `here` and `there`.
 class Pool
