--- a/test/gateway-cold-fleet/cold-fleet-test.cc
+++ b/test/gateway-cold-fleet/cold-fleet-test.cc
@@ -9,18 +9,19 @@
 #include <algorithm>
 #include <array>
 #include <deque>
-#include <map>
+#include <functional>
 #include <memory>
 #include <random>
 #include <vector>
 
 namespace {
 
-using namespace applehatch;
 using namespace applehatch::gateway;
 using namespace applehatch::gateway::testing;
+namespace direct = applehatch::direct;
 using namespace std::chrono_literals;
 
+/// A deployment's routers and upstreams.
 struct FleetSize
 {
     std::size_t routers;
@@ -33,6 +34,8 @@
 constexpr double bound = 24.5;
 constexpr std::size_t coldUpstreams = 20;
 constexpr std::size_t seedCount = 3;
+/// Share of the datagrams that are lost.
+constexpr double usualLoss = 0.05;
 
 /// Routers that discover each other from seeds, and send each cold upstream what their share
 /// allows.
@@ -176,12 +179,16 @@
     std::minstd_rand random_{20261203};
 };
 
-/// Checks the bound, with the size for the log.
-auto checkBound(const ColdFleet &fleet, FleetSize size) -> void
+/// Plays a fleet of each size and checks that no cold upstream got more than it bears.
+auto checkFleets(double lossRate, const std::function<void(ColdFleet &, FleetSize)> &play) -> void
 {
-    BOOST_TEST_MESSAGE(size.routers << " routers: at most " << fleet.greatest()
-                                    << " requests in a second");
-    BOOST_TEST(static_cast<double>(fleet.greatest()) <= bound);
+    for (const auto size : fleets) {
+        ColdFleet fleet(size, lossRate);
+        play(fleet, size);
+        BOOST_TEST_MESSAGE(size.routers << " routers: at most " << fleet.greatest()
+                                        << " requests in a second");
+        BOOST_TEST(static_cast<double>(fleet.greatest()) <= bound);
+    }
 }
 
 } // namespace
@@ -191,59 +198,51 @@
 // Guards against a fleet that overruns a cold upstream although its routers know each other.
 BOOST_AUTO_TEST_CASE(routers_that_know_each_other_share_a_cold_upstream)
 {
-    for (const auto size : fleets) {
-        ColdFleet fleet(size, 0.05);
+    checkFleets(usualLoss, [](ColdFleet &fleet, FleetSize size) {
         // The largest fleet needs longer until each router has heard from all others.
         fleet.runFor(size.routers > 100 ? 60s : 15s, false);
         fleet.runFor(5s, true);
-        checkBound(fleet, size);
         // An upstream that bears 13 a second gets at least 9 a second.
         BOOST_TEST(fleet.meanRequests() >= 45);
-    }
+    });
 }
 
 // Guards against a fleet that overruns cold upstreams while all its routers start and know nobody.
 BOOST_AUTO_TEST_CASE(routers_that_start_together_share_a_cold_upstream)
 {
-    for (const auto size : fleets) {
-        ColdFleet fleet(size, 0.2);
+    constexpr double heavyLoss = 0.2;
+    checkFleets(heavyLoss, [](ColdFleet &fleet, FleetSize) {
         fleet.runFor(10s, true);
-        checkBound(fleet, size);
         BOOST_TEST(fleet.meanRequests() > 10);
-    }
+    });
 }
 
 // Guards against counting only the routers on this side of a partition.
 BOOST_AUTO_TEST_CASE(parts_of_a_fleet_share_a_cold_upstream)
 {
-    for (const auto size : fleets) {
-        ColdFleet fleet(size, 0.05);
+    checkFleets(usualLoss, [](ColdFleet &fleet, FleetSize) {
         fleet.runFor(10s, false);
         fleet.partition(3);
         fleet.runFor(6s, true);
-        checkBound(fleet, size);
-    }
+    });
 }
 
 // Guards against routers that start during a partition, and take their part of the fleet for all.
 BOOST_AUTO_TEST_CASE(routers_started_in_a_partition_share_a_cold_upstream)
 {
-    for (const auto size : fleets) {
-        ColdFleet fleet(size, 0.05);
+    checkFleets(usualLoss, [](ColdFleet &fleet, FleetSize) {
         fleet.partition(3);
         fleet.runFor(10s, true);
         fleet.partition(1);
         fleet.runFor(10s, true);
-        checkBound(fleet, size);
-    }
+    });
 }
 
 // Guards against a restarted router that sends its share once more, beside routers that still count
 // it.
 BOOST_AUTO_TEST_CASE(restarted_routers_share_a_cold_upstream)
 {
-    for (const auto size : fleets) {
-        ColdFleet fleet(size, 0.05);
+    checkFleets(usualLoss, [](ColdFleet &fleet, FleetSize size) {
         fleet.runFor(10s, false);
         for (std::size_t i = 0; i < size.routers; ++i) {
             if (i % 5 < 3)
@@ -252,21 +251,18 @@
                 fleet.runFor(100ms, true);
         }
         fleet.runFor(2s, true);
-        checkBound(fleet, size);
-    }
+    });
 }
 
 // Guards against a fleet killed at once right after it spent its share.
 BOOST_AUTO_TEST_CASE(a_fleet_killed_at_once_shares_a_cold_upstream)
 {
-    for (const auto size : fleets) {
-        ColdFleet fleet(size, 0.05);
+    checkFleets(usualLoss, [](ColdFleet &fleet, FleetSize) {
         fleet.runFor(10s, false);
         fleet.runFor(1s, true);
         fleet.restartAll();
         fleet.runFor(3s, true);
-        checkBound(fleet, size);
-    }
+    });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -364,6 +364,15 @@
     return scraper.received;
 }
 
+/// Returns the status that the load balancer sees.
+inline auto readinessStatus(asio::io_context &loop, const Gateway &gateway) -> std::string
+{
+    Caller probe(loop, gateway.settings.readiness);
+    probe.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    probe.receives("\r\n\r\n");
+    return probe.received.substr(9, 3);
+}
+
 /// A request of a caller with a valid key.
 inline auto requestText(const std::string &path, const std::string &id,
                         const std::string &extraHeaders = {}, const std::string &body = "hello")
--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -6,7 +6,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <list>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -21,14 +20,6 @@
     connection.send(plainAnswer(request, "served"));
 };
 
-auto readinessStatus(asio::io_context &loop, const Gateway &gateway) -> std::string
-{
-    Caller probe(loop, gateway.settings.readiness);
-    probe.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
-    probe.receives("\r\n\r\n");
-    return probe.received.substr(9, 3);
-}
-
 /// Runs the loop one handler at a time until `condition` holds, so that no handler runs after that.
 template <typename Condition>
 auto runHandlersUntil(asio::io_context &loop, Condition condition) -> bool
@@ -217,98 +208,6 @@
     BOOST_TEST(upstream.requests().empty());
 }
 
-// The process is asked to stop while a stream runs. The stream completes, idle connections are
-// closed, the load balancer sees 503 and sends no more callers, and then the loop ends by itself.
-BOOST_AUTO_TEST_CASE(a_stop_cuts_nothing)
-{
-    asio::io_context loop(1);
-    std::vector<std::shared_ptr<ScriptedConnection>> running;
-    ScriptedUpstream upstream(loop, "one",
-                              [&](ScriptedConnection &connection, const std::string &request) {
-                                  connection.send(streamHead(request) + eventChunk(1));
-                                  running.push_back(connection.shared_from_this());
-                              });
-    Gateway gateway(loop);
-    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
-    auto caller = gateway.caller();
-    auto idle = gateway.caller();
-    caller.send(testing::requestText("/stream/a", "r1"));
-    BOOST_TEST(caller.receives("piece-1"));
-    gateway.host.stop();
-    BOOST_TEST(readinessStatus(loop, gateway) == "503");
-    BOOST_TEST(idle.seesClose());
-    BOOST_TEST(!caller.ended);
-    running.at(0)->send(eventChunk(2) + std::string(lastChunk));
-    BOOST_TEST(caller.receives("piece-2"));
-    BOOST_TEST(caller.seesClose());
-    BOOST_TEST(caller.received.ends_with(lastChunk));
-    BOOST_TEST(runUntil(loop, [&] { return loop.stopped(); }));
-}
-
-// All routers are stopped in turn, faster than they restart. The load balancer finds none ready and
-// sends callers to routers that are stopping. A short stream is served there; one that would be cut
-// when the process ends is refused at once, and its caller is told that it did not run.
-BOOST_AUTO_TEST_CASE(the_last_router_takes_what_it_can_finish)
-{
-    asio::io_context loop(1);
-    ScriptedUpstream upstream(
-        loop, "one", [](ScriptedConnection &connection, const std::string &request) {
-            connection.send(streamHead(request) + eventChunk(1) + std::string(lastChunk));
-        });
-    Gateway gateway(loop);
-    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
-    gateway.host.stop();
-    runUntil(
-        loop, [] { return false; }, 2600ms);
-    auto shortStream = gateway.caller();
-    shortStream.send(testing::requestText("/stream/a", "r1", "Token-Counts: 20\r\n"));
-    BOOST_TEST(shortStream.receives("piece-1"));
-    auto longStream = gateway.caller();
-    longStream.send(testing::requestText("/stream/a", "r2", "Token-Counts: 2000\r\n"));
-    BOOST_TEST(longStream.receives("HTTP/1.1 503"));
-    BOOST_TEST(!headerOf(longStream.received, "Retry-After").empty());
-    BOOST_TEST(upstream.requests().size() == 1);
-}
-
-// Guards against a plain request that a stopping process takes and breaks off when it ends, since
-// callers keep coming until then.
-BOOST_AUTO_TEST_CASE(a_process_that_ends_breaks_off_no_plain_request)
-{
-    asio::io_context loop(1);
-    ScriptedUpstream upstream(
-        loop, "one", [&loop](ScriptedConnection &connection, const std::string &request) {
-            const auto timer = std::make_shared<asio::steady_timer>(loop, 300ms);
-            timer->async_wait([timer, request, self = connection.shared_from_this()](auto) {
-                self->send(plainAnswer(request, "served"));
-            });
-        });
-    Gateway gateway(loop);
-    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
-    gateway.settings.stopTimeout = 4500ms;
-    gateway.host.reload(gateway.settings);
-    gateway.host.stop();
-    std::list<Caller> callers;
-    const auto hasEnded = [&] { return loop.stopped(); };
-    while (!runUntil(loop, hasEnded, 20ms)) {
-        callers.emplace_back(loop, gateway.settings.callers);
-        callers.back().send(testing::requestText("/once/a", "r" + std::to_string(callers.size()),
-                                                 "Connection: close\r\n"));
-    }
-    std::size_t number = 0;
-    std::size_t answered = 0;
-    for (const auto &caller : callers) {
-        const auto id = "Request-Id: r" + std::to_string(++number) + "\r\n";
-        const auto reached = std::any_of(
-            upstream.connections.begin(), upstream.connections.end(), [&](const auto &connection) {
-                return !connection->requests.empty()
-                    && connection->requests.back().find(id) != std::string::npos;
-            });
-        answered += caller.received.starts_with("HTTP/1.1 200") ? 1 : 0;
-        BOOST_TEST((!reached || !caller.received.empty()), id);
-    }
-    BOOST_TEST(answered > callers.size() / 2);
-}
-
 // Connecting to an upstream takes a second on a congested link. Meanwhile the upstream starts to
 // drain and would cut the request when it exits. Nothing was sent yet, so another upstream gets it.
 BOOST_AUTO_TEST_CASE(an_upstream_that_left_while_connecting_gets_nothing)
