Three hundred streams: measured in processor time, and under way until they may end

Cause: the plain run of the tests failed once in `gateway`, with one test of 80; which case is not on record. Thirty runs of its cases beside one another, ten at a time on two cores, failed in one case alone: three_hundred_streams_delay_no_new_stream_and_survive_a_stop, 19 of 30 times, "inProgress > 150" with 29 to 150 and "times.back() < 1000" with 2,767 and 3,006 ms. Its streams end 6 s after their start whether or not the stop has come, and its time is that of a clock, so that other processes count. The new tests of cold fleets run beside it and take a core. Ruled out: the product, which did not change there; all other cases of the program (30 runs beside one another and 7 whole runs, none red).

Now streams end only when they may: all 320 are under way at the stop (before: more than 150). An opening is bounded by the processor time of the process, 500 ms; 300 streams take half a second of it each second (3.25 s in 6.3 s), so it is as strict as 1 s of the clock where nothing else runs.

Tried and reverted: upstreams that do not catch up; ten at a time then took six minutes.

--- a/test/gateway/streams-test.cc
+++ b/test/gateway-streams/streams-test.cc
@@ -1,10 +1,12 @@
-#include "gateway-fixture.h"
+// Many streams at once through one gateway: new ones beside them, a stop, a hold-up.
+#include "gateway/gateway-fixture.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <ctime>
 #include <functional>
 #include <list>
 #include <memory>
@@ -23,8 +25,12 @@
 
 constexpr std::size_t streams = 300;
 constexpr std::size_t openings = 20;
-constexpr int events = 240; // 6 s per stream.
+/// Processor time that 300 streams take in one second, and thus bounds each opening to one.
+constexpr auto maxOpeningTime = 500ms;
 constexpr auto eventInterval = 25ms;
+constexpr auto minStreamTime = 6s;
+/// Number of the event that ends a stream.
+constexpr int lastEvent = 1000000;
 
 /// Runs a loop until it is destroyed.
 class LoopThread
@@ -43,7 +49,8 @@
     std::jthread thread_;
 };
 
-/// An engine that answers each request with a stream of one event every 25 ms.
+/// An engine that answers each request with a stream of one event every 25 ms. Streams last at
+/// least 6 s, and until they may end.
 class StreamingUpstream
 {
 public:
@@ -58,6 +65,9 @@
         tick();
     }
 
+    /// Lets streams end once they have lasted long enough. Runs on the upstream's loop.
+    auto letStreamsEnd() -> void { mayEnd_ = true; }
+
     [[nodiscard]] auto entry() const -> direct::Upstream
     {
         auto entry = upstream_.entry("pool");
@@ -77,7 +87,7 @@
     {
         for (auto &stream : running_)
             sendDue(stream);
-        running_.remove_if([](const Running &stream) { return stream.sent == events; });
+        running_.remove_if([](const Running &stream) { return stream.sent == lastEvent; });
         timer_.expires_after(5ms);
         timer_.async_wait([this](boost::system::error_code error) {
             if (!error)
@@ -85,16 +95,16 @@
         });
     }
 
-    static auto sendDue(Running &stream) -> void
+    auto sendDue(Running &stream) -> void
     {
-        const auto due = 1 + static_cast<int>((Clock::now() - stream.begun) / eventInterval);
+        const auto lasted = Clock::now() - stream.begun;
         std::string text;
-        while (stream.sent < std::min(due, events)) {
-            ++stream.sent;
-            text += eventChunk(stream.sent);
+        while (stream.sent <= lasted / eventInterval)
+            text += eventChunk(++stream.sent);
+        if (mayEnd_ && lasted >= minStreamTime) {
+            stream.sent = lastEvent;
+            text += eventChunk(lastEvent) + std::string(lastChunk);
         }
-        if (stream.sent == events)
-            text += lastChunk;
         if (!text.empty())
             stream.connection->send(std::move(text));
     }
@@ -102,6 +112,7 @@
     ScriptedUpstream upstream_;
     std::list<Running> running_;
     asio::steady_timer timer_;
+    bool mayEnd_ = false;
 };
 
 auto streamConfiguration(Duration eventPause) -> std::shared_ptr<direct::Configuration>
@@ -124,6 +135,14 @@
     return configuration;
 }
 
+/// Returns how long the threads of this process ran, together. While streams run it advances with
+/// their events, and other processes that are busy do not advance it.
+auto processorTime() -> Duration
+{
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(static_cast<double>(std::clock()) / CLOCKS_PER_SEC));
+}
+
 auto isInProgress(const std::unique_ptr<Caller> &caller) -> bool
 {
     return !caller->received.ends_with(lastChunk) && !caller->ended;
@@ -145,13 +164,13 @@
         gatewayThread_.emplace(gatewayLoop_);
     }
 
-    /// Opens a stream and returns the time until its first event.
+    /// Opens a stream and returns the processor time that the process took until its first event.
     auto open() -> milliseconds
     {
-        const auto begun = Clock::now();
+        const auto begun = processorTime();
         request();
         BOOST_TEST(callers.back()->receives("piece-1\n"));
-        return std::chrono::duration_cast<milliseconds>(Clock::now() - begun);
+        return std::chrono::duration_cast<milliseconds>(processorTime() - begun);
     }
 
     /// Opens `count` streams together and waits for the first event of each.
@@ -168,6 +187,14 @@
         asio::post(gatewayLoop_, std::move(task));
     }
 
+    auto letStreamsEnd() -> void
+    {
+        asio::post(upstreamLoop_, [this] {
+            first_.letStreamsEnd();
+            second_.letStreamsEnd();
+        });
+    }
+
     /// Returns the metrics as an operator scrapes them.
     auto metrics() -> std::string { return scrape(loop_, gateway); }
 
@@ -176,13 +203,14 @@
         return std::count_if(callers.begin(), callers.end(), isInProgress);
     }
 
-    /// Reads each stream to its end and checks that it is complete.
+    /// Lets the streams end, reads each to its end and checks that it is complete.
     auto expectComplete() -> void
     {
+        letStreamsEnd();
         std::size_t cut = 0;
         for (const auto &caller : callers) {
             runUntil(loop_, [&] { return !isInProgress(caller); });
-            const auto last = "piece-" + std::to_string(events) + '\n';
+            const auto last = "piece-" + std::to_string(lastEvent) + '\n';
             const auto whole = caller->received.find(last) != std::string::npos
                 && caller->received.ends_with(lastChunk);
             cut += whole ? 0 : 1;
@@ -229,11 +257,12 @@
     std::sort(times.begin(), times.end());
     world.onGateway([&] { world.gateway.host.stop(); });
     const auto inProgress = world.inProgress();
-    BOOST_TEST_MESSAGE("first event after " << times[openings / 2].count() << " ms, at most "
+    BOOST_TEST_MESSAGE("first event after " << times[openings / 2].count()
+                                            << " ms of processor time, at most "
                                             << times.back().count() << " ms; " << inProgress
                                             << " under way at the stop");
-    BOOST_TEST(times.back().count() < 1000);
-    BOOST_TEST(inProgress > static_cast<std::ptrdiff_t>(streams / 2));
+    BOOST_TEST(times.back().count() < maxOpeningTime.count());
+    BOOST_TEST(inProgress == static_cast<std::ptrdiff_t>(streams + openings));
     world.expectComplete();
 }
 
@@ -243,6 +272,7 @@
     for (const auto stall : {1s, 4s}) {
         StreamWorld world(100ms);
         world.openTogether(streams);
+        world.letStreamsEnd();
         world.onGateway([stall] { std::this_thread::sleep_for(stall); });
         world.expectComplete();
         BOOST_TEST(world.metrics().find("event=\"upstream-silent\"") == std::string::npos);
