--- a/test/gateway-streams/streams-test.cc
+++ b/test/gateway-streams/streams-test.cc
@@ -25,7 +25,7 @@
 
 constexpr std::size_t streams = 300;
 constexpr std::size_t openings = 20;
-/// Processor time that 300 streams take in one second, and thus bounds each opening to one.
+/// What 300 streams take of the processor in one second.
 constexpr auto maxOpeningTime = 500ms;
 constexpr auto eventInterval = 25ms;
 constexpr auto minStreamTime = 6s;
