One request to a peer in a class of its own

PeerMesh kept the timer, the connection and the pending flag of its one kind of request. What a gateway asks of another when it starts needs the same, so PeerFetch holds them once.

--- a/include/applehatch/gateway/peer-mesh.h
+++ b/include/applehatch/gateway/peer-mesh.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "applehatch/gateway/caller-connection.h"
+#include "applehatch/gateway/peer-fetch.h"
 #include "applehatch/gateway/peer-table.h"
 #include "applehatch/gateway/timer.h"
 #include "applehatch/gateway/upstream-pool.h"
@@ -12,6 +13,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -66,15 +68,14 @@
     auto send(bool brief, const std::vector<Address> &targets) -> void;
     [[nodiscard]] auto newestPeer(std::uint64_t revision) -> std::optional<Address>;
     auto noteLiveness(Instant now) -> void;
-    auto request(const Address &peer, std::uint64_t revision,
-                 const UpstreamConnectionPtr &connection) -> void;
-    /// Marks the pending fetch as finished and returns its connection.
-    auto finishFetch() -> UpstreamConnectionPtr;
+    auto takeDelta(const Address &peer, const std::optional<std::string> &body,
+                   const std::string &why) -> void;
 
     /// Timeout for fetching a delta from a peer, which usually takes milliseconds.
     static constexpr Duration fetchTimeout = std::chrono::milliseconds(800);
     static constexpr std::size_t maxDatagramBytes = 65536;
 
+    boost::asio::io_context &loop_;
     UpstreamPool &pool_;
     Address self_;
     PeerMeshHooks hooks_;
@@ -84,10 +85,8 @@
     boost::asio::ip::udp::socket socket_;
     boost::asio::ip::udp::endpoint from_;
     Timer timer_;
-    Timer fetchTimer_;
     std::array<char, maxDatagramBytes> buffer_{};
-    UpstreamConnectionPtr fetching_;
-    bool fetchPending_ = false;
+    std::shared_ptr<PeerFetch> fetching_;
     std::vector<std::string> lastAlive_;
     std::minstd_rand random_;
 };
@@ -95,5 +94,7 @@
 /// Path at which a router serves registry deltas to its peers; the requesting peer's revision
 /// follows.
 inline constexpr std::string_view deltaPath = "/registry?after=";
+/// Path at which a router serves its memory of crashes to peers that have just started.
+inline constexpr std::string_view crashMemoryPath = "/crashes";
 
 } // namespace applehatch::gateway
--- a/src/gateway/peer-mesh.cc
+++ b/src/gateway/peer-mesh.cc
@@ -30,21 +30,21 @@
 } // namespace
 
 PeerMesh::PeerMesh(asio::io_context &loop, UpstreamPool &pool, Address self, PeerMeshHooks hooks)
-    : pool_(pool)
+    : loop_(loop)
+    , pool_(pool)
     , self_(std::move(self))
     , hooks_(std::move(hooks))
     , incarnation_(telemetry::wallMicroseconds())
     , table_(self_, digestInterval, incarnation_)
     , socket_(loop)
     , timer_(loop.get_executor())
-    , fetchTimer_(loop.get_executor())
     , random_(static_cast<std::uint32_t>(core::stableHash(keyOf(self_), incarnation_)))
 { }
 
 PeerMesh::~PeerMesh()
 {
     if (fetching_)
-        fetching_->abort();
+        fetching_->cancel();
 }
 
 auto PeerMesh::start() -> void
@@ -167,56 +167,27 @@
 
 auto PeerMesh::fetchNewer(std::uint64_t revision) -> void
 {
-    if (fetchPending_)
+    if (fetching_)
         return;
     const auto peer = newestPeer(revision);
     if (!peer)
         return;
-    fetchPending_ = true;
-    fetchTimer_.start(fetchTimeout, [this] {
-        if (const auto connection = finishFetch())
-            connection->abort();
-    });
-    pool_.acquire(*peer, [this, peer, revision](const UpstreamConnectionPtr &connection, bool) {
-        if (connection)
-            return request(*peer, revision, connection);
-        finishFetch();
-        hooks_.note("peer-fetch-failed", keyOf(*peer) + " could not connect");
-    });
-}
-
-auto PeerMesh::finishFetch() -> UpstreamConnectionPtr
-{
-    fetchPending_ = false;
-    fetchTimer_.stop();
-    return std::exchange(fetching_, nullptr);
-}
-
-auto PeerMesh::request(const Address &peer, std::uint64_t revision,
-                       const UpstreamConnectionPtr &connection) -> void
-{
-    if (!fetchPending_)
-        return connection->abort();
-    fetching_ = connection;
-    const auto body = std::make_shared<std::string>();
-    AnswerHooks hooks;
-    hooks.head = [](ResponseHead &) {};
-    hooks.body = [body](std::string_view bytes) { body->append(bytes); };
-    hooks.failed = [this, peer](const std::string &why) {
-        finishFetch();
-        hooks_.note("peer-fetch-failed", keyOf(peer) + ' ' + why);
-    };
-    hooks.done = [this, peer, body] {
-        if (const auto whole = finishFetch())
-            pool_.release(peer, whole);
-        if (const auto delta = decodeDelta(*body))
-            return hooks_.deltaReceived(*delta);
-        hooks_.note("peer-fetch-failed", keyOf(peer) + " invalid response");
-    };
-    WireRequest wire;
-    wire.text = "GET " + std::string(deltaPath) + std::to_string(revision)
-        + " HTTP/1.1\r\nHost: " + peer.ip + "\r\n\r\n";
-    connection->send(std::move(wire), std::move(hooks));
+    fetching_ = PeerFetch::start(
+        loop_, pool_, *peer, std::string(deltaPath) + std::to_string(revision), fetchTimeout,
+        [this, peer](const std::optional<std::string> &body, const std::string &why) {
+            fetching_ = nullptr;
+            takeDelta(*peer, body, why);
+        });
+}
+
+auto PeerMesh::takeDelta(const Address &peer, const std::optional<std::string> &body,
+                         const std::string &why) -> void
+{
+    if (!body)
+        return hooks_.note("peer-fetch-failed", keyOf(peer) + ' ' + why);
+    if (const auto delta = decodeDelta(*body))
+        return hooks_.deltaReceived(*delta);
+    hooks_.note("peer-fetch-failed", keyOf(peer) + " invalid response");
 }
 
 } // namespace applehatch::gateway
