Refuse after two crashes while the memory of crashes is new, and ask a peer for its memory

Cause: what is known of crashes lives in gateways alone, nothing of theirs lasts, and a gateway that has forgotten took its empty table for knowledge. The class: absence of news read as good news.

Where nobody remembers, two crashes within the first 30 s refuse a request, not three; callers of what was refused before are back within that time. Copies of a request that has crashed one upstream run one at a time at a gateway: three ran at one upstream at once. A refused request names its fingerprint, so that its crashes are found by it. gateway-crashes keeps its bound of three for a gateway that forgot nothing; the bound of two for one that did is a test of its own.

--- a/include/applehatch/direct/crash-suspects.h
+++ b/include/applehatch/direct/crash-suspects.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace applehatch::direct {
@@ -25,6 +26,14 @@
     auto operator==(const CrashReport &) const -> bool = default;
 };
 
+/// All that a router knows of crashes, for a peer that has just started.
+struct CrashMemory
+{
+    /// How far back it reaches: breaks before that were not noticed.
+    Duration age{0};
+    std::vector<CrashReport> reports;
+};
+
 /// Records which upstreams broke off which requests, by fingerprint, as far as the fleet knows.
 ///
 /// A request may crash every upstream that begins to run it, before or after the head of its answer
@@ -33,18 +42,28 @@
 ///
 /// Connections also break without a crash. Upstreams keep no identity over a restart, so one that
 /// answers a later request did not crash, and its breaks before that request do not count.
+///
+/// Nothing of this outlives the routers. When all of them end, requests that were refused are
+/// unknown, and their callers soon send them again. So routers whose memory begins at a start are
+/// careful for a while: fewer crashes make a request refused.
 class CrashSuspects
 {
 public:
     /// Number of crashed upstreams after which a request is refused. Two may be coincidence when
     /// many upstreams fail together; three are not.
     static constexpr std::size_t crashLimit = 3;
+    /// The same for crashes while the memory of crashes is new.
+    static constexpr std::size_t carefulCrashLimit = 2;
+    /// Callers of requests that were known before come back within their deadlines.
+    static constexpr Duration carefulTime = std::chrono::seconds(30);
     static constexpr Duration lifetime = std::chrono::minutes(10);
     /// Maximum number of requests with one crash, with two, and with more. Those with more crashes
     /// are not evicted by many with fewer.
     static constexpr std::size_t capacity = 4096;
     /// Maximum number of breaks stored per request.
     static constexpr std::size_t maxBreaks = 8;
+    /// Maximum number of reports given to a peer that has just started, 20 bytes each.
+    static constexpr std::size_t maxMemoryReports = 4096;
     /// Maximum number of reports in a datagram to a peer.
     static constexpr std::size_t maxReports = 16;
     /// Maximum number of these about requests with more than one crash.
@@ -56,6 +75,11 @@
     /// this up.
     static constexpr std::uint32_t servesToTrust = 3;
 
+    /// The memory of crashes begins at `startedAt`; by default it is complete.
+    explicit CrashSuspects(std::optional<Instant> startedAt = std::nullopt)
+        : memoryBegan_(startedAt)
+    { }
+
     /// Records that `upstream` broke off the request. Returns whether the break counts.
     auto noteBreak(Fingerprint fingerprint, UpstreamId upstream, Instant now) -> bool;
     /// Records that the request was answered completely. Earlier crashes still count.
@@ -68,10 +92,16 @@
 
     /// Returns the number of upstreams that crashed under the request.
     [[nodiscard]] auto crashes(Fingerprint fingerprint, Instant now) const -> std::size_t;
-    [[nodiscard]] auto isSuspect(Fingerprint fingerprint, Instant now) const -> bool
-    {
-        return crashes(fingerprint, now) >= crashLimit;
-    }
+    /// Whether the request is refused.
+    [[nodiscard]] auto isSuspect(Fingerprint fingerprint, Instant now) const -> bool;
+    /// Returns how far back the memory of crashes reaches, at most `lifetime`.
+    [[nodiscard]] auto memoryAge(Instant now) const -> Duration;
+    /// Whether so little is remembered that a peer's memory is worth asking for.
+    [[nodiscard]] auto isNew(Instant now) const -> bool { return memoryAge(now) < carefulTime; }
+    /// Returns what a peer that has just started should know, requests with most crashes first.
+    [[nodiscard]] auto memory(Instant now) const -> CrashMemory;
+    /// Adds a peer's memory to this one, which then reaches back as far.
+    auto adopt(const CrashMemory &memory, Instant now) -> void;
     /// Returns what to report in the next digest, including what peers reported. Calls go through
     /// all that there is by turns.
     [[nodiscard]] auto nextReports(Instant now) -> std::vector<CrashReport>;
@@ -91,6 +121,8 @@
     auto add(Fingerprint fingerprint, const Break &added, Instant now) -> void;
     [[nodiscard]] auto isRefuted(const Break &known, Instant now) const -> bool;
     [[nodiscard]] auto counts(const Break &known, Instant now) const -> bool;
+    /// Whether the break happened while this router was careful.
+    [[nodiscard]] auto isInCarefulTime(const Break &known) const -> bool;
     /// Appends reports of the newest breaks that count, at most `crashLimit`.
     auto appendReports(Fingerprint fingerprint, const Breaks &breaks, Instant now,
                        std::vector<CrashReport> &reports) const -> void;
@@ -103,6 +135,7 @@
     core::ExpiringMap<std::uint32_t> served_{capacity};    // Complete answers since the last break.
     core::ExpiringMap<Instant> unrefutedBreaks_{capacity}; // The latest of each upstream.
     core::ExpiringMap<Instant> aliveAt_{capacity};         // By upstream, when it was alive still.
+    std::optional<Instant> memoryBegan_;                   // None if nothing was forgotten.
     std::size_t repeatedOffset_ = 0;
     std::size_t recentOffset_ = 0;
 };
--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -43,7 +43,7 @@
 struct RoutingInput
 {
     Prompt prompt;
-    Fingerprint fingerprint = 0;
+    Fingerprint fingerprint = 0;   ///< The same for all copies of a request.
     std::vector<UpstreamId> tried; ///< Upstreams that were tried already and are excluded.
 };
 
@@ -108,6 +108,11 @@
                              const std::optional<std::string> &key)
         -> std::variant<Permit, core::Failure>;
 
+    /// Why the request is not sent to any upstream at present: it crashed upstreams, or crashed one
+    /// and a copy of it is running. None if it may be sent.
+    [[nodiscard]] auto crashRefusal(const RoutingInput &input, Instant now)
+        -> std::optional<core::Failure>;
+
     /// Counts the request towards the retry budget of its service.
     auto noteRequest(const Permit &permit, Instant now) -> void;
 
@@ -122,7 +127,7 @@
 
     auto noteSent(UpstreamId upstream, const RoutingInput &input, Instant now) -> void;
     /// Records that the request left `upstream`, with any outcome.
-    auto noteDone(UpstreamId upstream) -> void { loads_.noteDone(upstream); }
+    auto noteDone(UpstreamId upstream, const RoutingInput &input) -> void;
     /// Counts the request for admission control from when it is sent until it leaves its upstream.
     /// `serviceTime` is how long it occupied a slot, if it was served.
     auto noteAdmissionStart(const Permit &permit) -> void
@@ -209,6 +214,7 @@
     UpstreamAnnouncements announcements_;
     ContextMap contexts_;
     CrashSuspects suspects_;
+    std::unordered_map<Fingerprint, std::uint32_t> running_; // Copies of each request.
     RetryBudget budget_;
     Admission admission_;
     DataCenters evacuated_;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -59,6 +59,9 @@
 public:
     GatewayHost(boost::asio::io_context &loop, GatewaySettings settings, Vocabulary vocabulary,
                 RegistryDecoder decoder);
+    ~GatewayHost();
+    GatewayHost(const GatewayHost &) = delete;
+    auto operator=(const GatewayHost &) -> GatewayHost & = delete;
 
     /// Opens all listeners. Returns the error of the first required listener that cannot be opened.
     [[nodiscard]] auto start() -> boost::system::error_code;
@@ -110,6 +113,10 @@
     [[nodiscard]] auto fleetView(Instant now) const -> direct::FleetView;
     auto onPeerDigest(const PeerDigest &digest) -> void;
     auto notePeerCrashes(const PeerDigest &digest, Instant now) -> void;
+    /// Asks the peer for its memory of crashes if it reaches back further than a new one here.
+    auto askForCrashMemory(const PeerDigest &digest, Instant now) -> void;
+    auto adoptCrashMemory(const Address &peer, const std::optional<std::string> &body,
+                          const std::string &why) -> void;
     auto onPeerDelta(const direct::RegistryDelta &delta) -> void;
     auto registryRegained() -> void;
     /// Decides whether this router reads the registry itself, and reports a change of role.
@@ -165,6 +172,7 @@
         std::string text;
     };
 
+    std::shared_ptr<PeerFetch> crashMemoryFetch_;
     EncodedDelta lastDelta_;
     std::deque<EarlyRequest> early_; // Ordered by arrival.
     std::size_t inFlight_ = 0;
--- a/include/applehatch/gateway/peer-digest.h
+++ b/include/applehatch/gateway/peer-digest.h
@@ -16,6 +16,7 @@
 namespace applehatch::gateway {
 
 using core::Address;
+using core::Duration;
 
 /// Gossip digest, sent to some peers several times a second in one datagram.
 struct PeerDigest
@@ -33,6 +34,8 @@
     std::vector<Address> members; ///< Some of the routers known to the sender.
     std::vector<direct::PeerLoad> loads;
     std::vector<direct::CrashReport> crashes;
+    /// How far back the sender's memory of crashes reaches; 0 if it does not tell.
+    Duration crashMemoryAge{0};
     std::vector<direct::ContextPlacement> contexts; ///< Recently used contexts.
 };
 
@@ -40,6 +43,10 @@
 /// Returns none if `bytes` is not a valid digest.
 [[nodiscard]] auto decodeDigest(std::string_view bytes) -> std::optional<PeerDigest>;
 
+[[nodiscard]] auto encodeCrashMemory(const direct::CrashMemory &memory) -> std::string;
+/// Returns none if `bytes` is not a valid memory of crashes.
+[[nodiscard]] auto decodeCrashMemory(std::string_view bytes) -> std::optional<direct::CrashMemory>;
+
 /// Encodes and compresses a registry delta.
 [[nodiscard]] auto encodeDelta(const direct::RegistryDelta &delta) -> std::string;
 /// Returns none if `bytes` is not a valid delta.
--- a/src/direct/crash-suspects.cc
+++ b/src/direct/crash-suspects.cc
@@ -107,6 +107,57 @@
     return static_cast<std::size_t>(count);
 }
 
+auto CrashSuspects::isInCarefulTime(const Break &known) const -> bool
+{
+    return memoryBegan_ && known.at >= *memoryBegan_ && known.at < *memoryBegan_ + carefulTime;
+}
+
+auto CrashSuspects::isSuspect(Fingerprint fingerprint, Instant now) const -> bool
+{
+    const auto *breaks = find(fingerprint, now);
+    if (breaks == nullptr)
+        return false;
+    std::size_t counted = 0;
+    std::size_t inCarefulTime = 0;
+    for (const auto &known : *breaks) {
+        if (!counts(known, now))
+            continue;
+        ++counted;
+        if (isInCarefulTime(known))
+            ++inCarefulTime;
+    }
+    return counted >= crashLimit || inCarefulTime >= carefulCrashLimit;
+}
+
+auto CrashSuspects::memoryAge(Instant now) const -> Duration
+{
+    return memoryBegan_ ? std::clamp(now - *memoryBegan_, Duration(0), lifetime) : lifetime;
+}
+
+auto CrashSuspects::memory(Instant now) const -> CrashMemory
+{
+    CrashMemory memory{memoryAge(now), repeatedCrashes(now)};
+    const auto &requests = requests_.front();
+    for (const auto fingerprint : requests.newest(capacity)) {
+        if (memory.reports.size() >= maxMemoryReports)
+            break;
+        if (const auto *breaks = requests.find(fingerprint, now))
+            appendReports(fingerprint, *breaks, now, memory.reports);
+    }
+    if (memory.reports.size() > maxMemoryReports)
+        memory.reports.resize(maxMemoryReports);
+    return memory;
+}
+
+auto CrashSuspects::adopt(const CrashMemory &memory, Instant now) -> void
+{
+    for (const auto &report : memory.reports)
+        notePeer(report, now);
+    const auto age = std::clamp(memory.age, Duration(0), lifetime);
+    if (memoryBegan_)
+        memoryBegan_ = std::min(*memoryBegan_, now - age);
+}
+
 auto CrashSuspects::appendReports(Fingerprint fingerprint, const Breaks &breaks, Instant now,
                                   std::vector<CrashReport> &reports) const -> void
 {
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -1,5 +1,7 @@
 #include "applehatch/direct/dispatcher.h"
 
+#include "applehatch/core/log-line.h"
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -42,6 +44,7 @@
 Dispatcher::Dispatcher(DispatcherOptions options, RetryLimits retryLimits, Instant startedAt)
     : options_(std::move(options))
     , randomState_(options_.seed)
+    , suspects_(startedAt)
     , budget_(retryLimits, startedAt)
     , cold_(options_.router, startedAt)
 { }
@@ -247,11 +250,25 @@
     return usable;
 }
 
+auto Dispatcher::crashRefusal(const RoutingInput &input, Instant now) -> std::optional<Failure>
+{
+    const auto crashes = suspects_.crashes(input.fingerprint, now);
+    if (crashes == 0)
+        return std::nullopt;
+    const auto isSuspect = suspects_.isSuspect(input.fingerprint, now);
+    if (!isSuspect && !running_.contains(input.fingerprint))
+        return std::nullopt;
+    const auto *why = isSuspect ? " upstreams before" : " upstreams before, and a copy is running";
+    return refusal(ErrorKind::CrashSuspect,
+                   "fingerprint " + core::hexText(input.fingerprint) + " crashed "
+                       + std::to_string(crashes) + why);
+}
+
 auto Dispatcher::choose(const Permit &permit, const RoutingInput &input, Instant now)
     -> std::variant<Choice, Failure>
 {
-    if (suspects_.isSuspect(input.fingerprint, now))
-        return refusal(ErrorKind::CrashSuspect, "crashed upstreams before");
+    if (auto refused = crashRefusal(input, now))
+        return std::move(*refused);
     const auto usable = usableUpstreams(permit, input.tried, now);
     const auto selection = select(permit, input, usable, now);
     if (!selection)
@@ -368,6 +385,7 @@
 auto Dispatcher::noteSent(UpstreamId upstream, const RoutingInput &input, Instant now) -> void
 {
     loads_.noteSent(upstream);
+    ++running_[input.fingerprint];
     cold_.noteSent(upstream, now);
     if (input.prompt.empty())
         return;
@@ -375,6 +393,14 @@
     contexts_.noteSent({context.hash, upstream, context.tokens}, now);
 }
 
+auto Dispatcher::noteDone(UpstreamId upstream, const RoutingInput &input) -> void
+{
+    loads_.noteDone(upstream);
+    const auto running = running_.find(input.fingerprint);
+    if (running != running_.end() && --running->second == 0)
+        running_.erase(running);
+}
+
 auto Dispatcher::noteOutcome(UpstreamId upstream, Outcome outcome, Instant now) -> void
 {
     health_.note(upstream, outcome, now);
--- a/src/gateway/exchange-attempts.cc
+++ b/src/gateway/exchange-attempts.cc
@@ -71,9 +71,17 @@
             environment_.pool->release(attempt_.choice.upstream.address, connection);
         return;
     }
+    const auto now = telemetry::steadyNow();
+    if (connection) {
+        // Others may have crashed upstreams, or a copy may have been sent, since the choice.
+        if (auto refused = environment_.dispatcher->crashRefusal(demand_, now)) {
+            environment_.pool->release(attempt_.choice.upstream.address, connection);
+            refusal_ = std::move(*refused);
+            return answerAfterLastAttempt();
+        }
+    }
     if (connection
-        && environment_.dispatcher->acceptsNewRequests(attempt_.choice.upstream.id,
-                                                       telemetry::steadyNow())) {
+        && environment_.dispatcher->acceptsNewRequests(attempt_.choice.upstream.id, now)) {
         attempt_.connection = connection;
         return sendRequest();
     }
@@ -245,7 +253,7 @@
     std::optional<Duration> serviceTime;
     if (attempt_.served)
         serviceTime = std::max(Duration(0), now - attempt_.sentAt - attempt_.choice.expectedWait);
-    environment_.dispatcher->noteDone(attempt_.choice.upstream.id);
+    environment_.dispatcher->noteDone(attempt_.choice.upstream.id, demand_);
     environment_.dispatcher->noteAdmissionEnd(permit_, serviceTime, now);
 }
 
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -107,6 +107,12 @@
          [this] { return static_cast<double>(mesh_.table().alive(steadyNow()).size()); }});
 }
 
+GatewayHost::~GatewayHost()
+{
+    if (crashMemoryFetch_)
+        crashMemoryFetch_->cancel();
+}
+
 auto GatewayHost::start() -> error_code
 {
     const auto limits = [this] { return callerLimits(); };
@@ -240,6 +246,9 @@
 auto GatewayHost::answerPeer(const CallerPtr &caller, const RequestMessage &request) -> void
 {
     const std::string_view target = request.target;
+    if (target == crashMemoryPath)
+        return answerText(caller, ok, "application/octet-stream",
+                          encodeCrashMemory(dispatcher_.suspects().memory(steadyNow())));
     std::uint64_t peerRevision = 0;
     const auto *end = target.data() + target.size();
     const auto isDeltaRequest = target.starts_with(deltaPath)
@@ -261,6 +270,7 @@
         return;
     digest.loads = dispatcher_.loads().ownLoads();
     digest.crashes = dispatcher_.suspects().nextReports(now);
+    digest.crashMemoryAge = dispatcher_.suspects().memoryAge(now);
     // A peer receives a digest only once per round, so the uses of a whole round are included.
     digest.contexts = dispatcher_.contexts().recentUses(
         now, mesh_.table().roundDuration(now) + PeerMesh::digestInterval);
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -174,31 +174,12 @@
         const auto peer = PeerTable::rankOf(digest.sender);
         dispatcher_.loads().notePeer(peer, digest.loads, now);
         notePeerCrashes(digest, now);
+        askForCrashMemory(digest, now);
         dispatcher_.contexts().notePeer(digest.contexts, now);
     }
     catchUp(now);
 }
 
-auto GatewayHost::notePeerCrashes(const PeerDigest &digest, Instant now) -> void
-{
-    auto &suspects = dispatcher_.suspects();
-    for (const auto &report : digest.crashes) {
-        if (!suspects.notePeer(report, now))
-            continue;
-        const auto *upstream = dispatcher_.findUpstream(report.upstream);
-        metrics_.noteEvent("crash-learned");
-        log(LogLine("crash-learned")
-                .add("fingerprint", core::hexText(report.fingerprint))
-                .add("upstream",
-                     upstream == nullptr ? core::hexText(report.upstream) : upstream->instance)
-                .add("peer", digest.sender.ip)
-                .add("ageMs",
-                     std::chrono::duration_cast<std::chrono::milliseconds>(report.age).count())
-                .add("crashes",
-                     static_cast<std::int64_t>(suspects.crashes(report.fingerprint, now))));
-    }
-}
-
 auto GatewayHost::catchUp(Instant now) -> void
 {
     if (mesh_.newestRevision(now) <= replica_.revision()) {
--- a/src/gateway/peer-digest.cc
+++ b/src/gateway/peer-digest.cc
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 
 namespace applehatch::gateway {
 
@@ -104,6 +105,15 @@
     return {boost::asio::ip::address_v4(from.getIp()).to_string(), from.getPort()};
 }
 
+auto readCrashes(capnp::List<schema::Crash>::Reader from) -> std::vector<direct::CrashReport>
+{
+    std::vector<direct::CrashReport> crashes;
+    for (const auto crash : from)
+        crashes.push_back({crash.getFingerprint(), crash.getUpstream(),
+                           std::chrono::milliseconds(crash.getAgeMs()), crash.getCrashes()});
+    return crashes;
+}
+
 auto readDigest(schema::PeerDigest::Reader from) -> PeerDigest
 {
     PeerDigest digest;
@@ -121,9 +131,8 @@
         digest.members.push_back(read(member));
     for (const auto load : from.getLoads())
         digest.loads.push_back({load.getUpstream(), load.getRunning()});
-    for (const auto crash : from.getCrashes())
-        digest.crashes.push_back({crash.getFingerprint(), crash.getUpstream(),
-                                  std::chrono::milliseconds(crash.getAgeMs()), crash.getCrashes()});
+    digest.crashes = readCrashes(from.getCrashes());
+    digest.crashMemoryAge = std::chrono::milliseconds(from.getCrashMemoryMs());
     for (const auto context : from.getContexts())
         digest.contexts.push_back(
             {context.getContext(), context.getUpstream(), context.getTokens()});
@@ -154,6 +163,32 @@
     return static_cast<std::uint32_t>(std::max<std::chrono::milliseconds::rep>(0, count));
 }
 
+auto writeCrashes(capnp::List<schema::Crash>::Builder into,
+                  const std::vector<direct::CrashReport> &crashes) -> void
+{
+    for (unsigned i = 0; i < into.size(); ++i) {
+        into[i].setFingerprint(crashes[i].fingerprint);
+        into[i].setCrashes(crashes[i].ownCrashes);
+        into[i].setUpstream(crashes[i].upstream);
+        into[i].setAgeMs(ageMs(crashes[i].age));
+    }
+}
+
+// Decodes a packed message; none if `bytes` is not one.
+template <typename Schema, typename Read>
+auto decodePacked(std::string_view bytes, Read read)
+    -> std::optional<decltype(read(std::declval<typename Schema::Reader>()))>
+{
+    std::optional<decltype(read(std::declval<typename Schema::Reader>()))> decoded;
+    const auto fault = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream stream(
+            kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+        capnp::PackedMessageReader reader(stream, readerOptions());
+        decoded = read(reader.getRoot<Schema>());
+    });
+    return fault == nullptr ? decoded : std::nullopt;
+}
+
 } // namespace
 
 auto encodeDigest(const PeerDigest &digest) -> std::string
@@ -181,13 +216,8 @@
         loads[i].setUpstream(digest.loads[i].upstream);
         loads[i].setRunning(digest.loads[i].running);
     }
-    auto crashes = root.initCrashes(static_cast<unsigned>(digest.crashes.size()));
-    for (unsigned i = 0; i < crashes.size(); ++i) {
-        crashes[i].setFingerprint(digest.crashes[i].fingerprint);
-        crashes[i].setCrashes(digest.crashes[i].ownCrashes);
-        crashes[i].setUpstream(digest.crashes[i].upstream);
-        crashes[i].setAgeMs(ageMs(digest.crashes[i].age));
-    }
+    writeCrashes(root.initCrashes(static_cast<unsigned>(digest.crashes.size())), digest.crashes);
+    root.setCrashMemoryMs(ageMs(digest.crashMemoryAge));
     auto contexts = root.initContexts(static_cast<unsigned>(digest.contexts.size()));
     for (unsigned i = 0; i < contexts.size(); ++i) {
         contexts[i].setContext(digest.contexts[i].context);
@@ -199,14 +229,24 @@
 
 auto decodeDigest(std::string_view bytes) -> std::optional<PeerDigest>
 {
-    std::optional<PeerDigest> digest;
-    const auto fault = kj::runCatchingExceptions([&] {
-        kj::ArrayInputStream stream(
-            kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
-        capnp::PackedMessageReader reader(stream, readerOptions());
-        digest = readDigest(reader.getRoot<schema::PeerDigest>());
+    return decodePacked<schema::PeerDigest>(bytes, readDigest);
+}
+
+auto encodeCrashMemory(const direct::CrashMemory &memory) -> std::string
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::CrashMemory>();
+    root.setAgeMs(ageMs(memory.age));
+    writeCrashes(root.initCrashes(static_cast<unsigned>(memory.reports.size())), memory.reports);
+    return packedBytesOf(message);
+}
+
+auto decodeCrashMemory(std::string_view bytes) -> std::optional<direct::CrashMemory>
+{
+    return decodePacked<schema::CrashMemory>(bytes, [](schema::CrashMemory::Reader from) {
+        return direct::CrashMemory{std::chrono::milliseconds(from.getAgeMs()),
+                                   readCrashes(from.getCrashes())};
     });
-    return fault == nullptr ? digest : std::nullopt;
 }
 
 auto encodeDelta(const direct::RegistryDelta &delta) -> std::string
--- a/src/gateway/peer.capnp
+++ b/src/gateway/peer.capnp
@@ -46,6 +46,13 @@
   contexts @8 :List(Context);
   readers @9 :List(ReaderWord);
   brief @10 :Bool;
+  crashMemoryMs @11 :UInt32;
+}
+
+# Answer to a peer that has just started.
+struct CrashMemory {
+  ageMs @0 :UInt32;
+  crashes @1 :List(Crash);
 }
 
 struct Item {
--- a/test/direct/choice-test.cc
+++ b/test/direct/choice-test.cc
@@ -77,7 +77,7 @@
     auto nextReport = start;
     for (auto now = start; now < start + 60s; now += 11ms) {
         while (!running.empty() && running.top().until <= now) {
-            fleet[running.top().router].noteDone(running.top().upstream);
+            fleet[running.top().router].noteDone(running.top().upstream, {});
             --atEngine[running.top().upstream];
             running.pop();
         }
--- a/test/direct/memory-test.cc
+++ b/test/direct/memory-test.cc
@@ -93,7 +93,7 @@
     for (auto now = start; now < start + 60s; now += 10ms) {
         while (!running.empty() && running.begin()->first <= now) {
             const auto [router, upstream] = running.begin()->second;
-            fleet[router].noteDone(upstream);
+            fleet[router].noteDone(upstream, {});
             running.erase(running.begin());
         }
         if (now >= nextReport) {
--- a/test/gateway-crash-memory/crash-memory-test.cc
+++ b/test/gateway-crash-memory/crash-memory-test.cc
@@ -24,6 +24,7 @@
 /// Within this time all routers know of a crash.
 constexpr Duration propagationLimit = 3s;
 constexpr Duration pauseBetweenCrashes = 1500ms;
+constexpr Duration restartTime = 500ms;
 
 /// Routers that report crashes to one another and all end at the same moment now and then.
 class ForgetfulFleet
@@ -43,8 +44,16 @@
         loseAllRouters();
     }
 
-    /// Starts all routers anew; nothing that they knew is left.
-    auto loseAllRouters() -> void { suspects_.assign(peers_.size(), startedAt(peers_.now)); }
+    /// Ends all routers and starts them anew; nothing that they knew is left.
+    auto loseAllRouters() -> void
+    {
+        for (std::size_t router = 0; router < peers_.size(); ++router)
+            peers_.silence(router);
+        peers_.runFor(restartTime);
+        suspects_.assign(peers_.size(), startedAt(peers_.now));
+        for (std::size_t router = 0; router < peers_.size(); ++router)
+            peers_.silence(router, false);
+    }
 
     /// The request comes to one router after another until all of them refuse it, and crashes an
     /// upstream wherever it is not refused. Returns how many it crashed.
@@ -70,7 +79,10 @@
     auto runFor(Duration time) -> void { peers_.runFor(time); }
 
 private:
-    static auto startedAt(Instant /*now*/) -> direct::CrashSuspects { return {}; }
+    static auto startedAt(Instant now) -> direct::CrashSuspects
+    {
+        return direct::CrashSuspects(now);
+    }
 
     std::vector<direct::CrashSuspects> suspects_;
     PeerFleet peers_;
--- a/test/gateway/crashes-test.cc
+++ b/test/gateway/crashes-test.cc
@@ -1,5 +1,7 @@
 #include "gateway-fixture.h"
 
+#include "applehatch/telemetry/clock.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <list>
@@ -35,6 +37,7 @@
         auto configuration = testConfiguration();
         configuration->add({"acme", std::nullopt}, {"key-2"});
         gateway.applyRegistry(configuration, entries);
+        rememberEverything();
     }
 
     /// Sends one request with a key of the customer's and waits for the end of its answer.
@@ -53,6 +56,13 @@
     std::uint32_t crashes = 0;
 
 private:
+    /// A gateway that has just started is more careful than one that forgot nothing.
+    auto rememberEverything() -> void
+    {
+        gateway.host.dispatcher().suspects().adopt({direct::CrashSuspects::lifetime, {}},
+                                                   telemetry::steadyNow());
+    }
+
     auto answer(ScriptedConnection &connection, const std::string &request, int upstream) -> void
     {
         if (!request.ends_with("crash"))
--- a/test/gateway/peers-test.cc
+++ b/test/gateway/peers-test.cc
@@ -55,6 +55,7 @@
     digest.members = {router(5)};
     digest.loads = {{77, 6}};
     digest.crashes = {{88, 77, 1500ms, 2}};
+    digest.crashMemoryAge = 90s;
     digest.contexts = {{99, 77, 10500}};
     const auto read = decodeDigest(encodeDigest(digest));
     BOOST_REQUIRE(read.has_value());
@@ -67,9 +68,19 @@
     BOOST_TEST((read->members.at(0) == router(5)));
     BOOST_TEST(read->loads.at(0).running == 6U);
     BOOST_TEST((read->crashes == digest.crashes));
+    BOOST_TEST((read->crashMemoryAge == digest.crashMemoryAge));
     BOOST_TEST((read->contexts == digest.contexts));
 }
 
+BOOST_AUTO_TEST_CASE(a_memory_of_crashes_round_trips_through_its_encoding)
+{
+    const direct::CrashMemory memory{90s, {{88, 77, 1500ms, 2}, {89, 78, 0ms, 0}}};
+    const auto read = decodeCrashMemory(encodeCrashMemory(memory));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((read->age == memory.age));
+    BOOST_TEST((read->reports == memory.reports));
+}
+
 // Any process may send to the port. Bytes that are not a message must be rejected
 // without an effect.
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_are_rejected)
@@ -77,8 +88,10 @@
     const auto digest = encodeDigest(digestOf(1));
     const auto news = encodeDelta(manyRoutes());
     for (const std::string &bytes :
-         {std::string(), std::string("x"), std::string(500, '\xff'), digest.substr(0, 9)})
+         {std::string(), std::string("x"), std::string(500, '\xff'), digest.substr(0, 9)}) {
         BOOST_TEST(!decodeDigest(bytes).has_value());
+        BOOST_TEST(!decodeCrashMemory(bytes).has_value());
+    }
     for (const std::string &bytes : {std::string(), std::string(500, '\xff'), news.substr(0, 60),
                                      std::string("\xff\xff\xff\xff\xff\xff\xff\x7f", 8)})
         BOOST_TEST(!decodeDelta(bytes).has_value());
