Tell a crash at once to the routers that keep it

What callers would see: with many requests that crash upstreams, each goes on after its third crash, since no gateway knows of all three.

Cause: 8 reports of single crashes fit a digest, the newest first, for 2 s each; twelve crashing requests with 60 bystanders a crash make 200 a second. The class is that of the memory: what must be known elsewhere waits for room.

Now each break goes at once, with others of the same 10 ms, to three gateways chosen by rendezvous hashing of the request, in digests of up to 40 reports; the breaks of one request meet there, and from two on digests tell them first, as before. Cost: nothing without crashes; 61 breaks of a crash are 6 datagrams of 0.9 KB at the most. Older gateways pass over the reports of such a digest.

Red without it: crash_fleet/every_router_knows_of_each_of_many_crashing_requests_in_time (12 checks), gateway_crash_memory/a_crash_is_told_to_its_keepers_at_once (4 of 4); green with it at 3, 30 and 390.

--- /dev/null
+++ b/include/applehatch/direct/keepers.h
@@ -0,0 +1,20 @@
+/// Chooses the routers that keep a piece of knowledge for the fleet.
+#pragma once
+
+#include "applehatch/core/identity.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace applehatch::direct {
+
+/// Number of routers that keep a piece of knowledge. All of them must end before it is lost.
+inline constexpr std::size_t keeperCount = 3;
+
+/// Returns the `count` routers with the highest rendezvous hashes for `key`, highest first. Routers
+/// whose views of the fleet differ a little still agree on most of them.
+[[nodiscard]] auto keepersOf(std::uint64_t key, std::vector<core::Address> routers,
+                             std::size_t count = keeperCount) -> std::vector<core::Address>;
+
+} // namespace applehatch::direct
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -54,6 +54,8 @@
     std::function<void(const std::string &id, const std::string &event, const std::string &why)>
         note;
     std::function<void(const ExchangeReport &)> ended;
+    /// Called when a break counts as a possible crash.
+    std::function<void(const direct::CrashReport &)> crashCounted;
     direct::StreamDurationEstimator *pace = nullptr;
     /// Time left for streams that begin now; none unless the process is stopping and only accepts
     /// streams that can still finish.
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -115,6 +115,9 @@
     auto notePeerCrashes(const PeerDigest &digest, Instant now) -> void;
     /// Asks the peer for its memory of crashes if it reaches back further than a new one here.
     auto askForCrashMemory(const PeerDigest &digest, Instant now) -> void;
+    /// Tells the routers that keep a crash of it, with others that follow at once.
+    auto tellKeepers(const direct::CrashReport &report) -> void;
+    auto sendNotes() -> void;
     auto adoptCrashMemory(const Address &peer, const std::optional<std::string> &body,
                           const std::string &why) -> void;
     auto onPeerDelta(const direct::RegistryDelta &delta) -> void;
@@ -173,6 +176,8 @@
     };
 
     std::shared_ptr<PeerFetch> crashMemoryFetch_;
+    KeeperOutbox outbox_;
+    Timer outboxTimer_;
     EncodedDelta lastDelta_;
     std::deque<EarlyRequest> early_; // Ordered by arrival.
     std::size_t inFlight_ = 0;
--- a/include/applehatch/gateway/peer-digest.h
+++ b/include/applehatch/gateway/peer-digest.h
@@ -27,8 +27,11 @@
     std::uint64_t revision = 0;    ///< Latest registry revision known to the sender.
     bool leaving = false;
     /// Set for a digest that is sent between the regular ones and reports only registry state. Its
-    /// lists, except `readers`, are empty and carry no information.
+    /// lists, except `readers` and those of a note, are empty and carry no information.
     bool brief = false;
+    /// Set for a brief digest that also tells its receiver what it is to keep. That counts even if
+    /// a newer digest of the sender came first.
+    bool isNote = false;
     /// Registry readers, including the sender if it is one.
     std::vector<direct::ReaderStatus> readers;
     std::vector<Address> members; ///< Some of the routers known to the sender.
--- a/include/applehatch/gateway/peer-mesh.h
+++ b/include/applehatch/gateway/peer-mesh.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "applehatch/gateway/caller-connection.h"
+#include "applehatch/gateway/keeper-outbox.h"
 #include "applehatch/gateway/peer-fetch.h"
 #include "applehatch/gateway/peer-table.h"
 #include "applehatch/gateway/timer.h"
@@ -26,7 +27,7 @@
 {
     /// Fills in this router's state; sender, incarnation, sequence and members are set by the mesh.
     std::function<void(PeerDigest &)> fill;
-    /// Called with each new digest of a peer; outdated digests are dropped before.
+    /// Called with each new digest of a peer; outdated digests are dropped before, except notes.
     std::function<void(const PeerDigest &)> digestReceived;
     /// Called with a registry delta fetched from a peer.
     std::function<void(const direct::RegistryDelta &)> deltaReceived;
@@ -52,6 +53,8 @@
     /// Sends a brief digest to the next `PeerTable::fanout` peers, which pass on that the registry
     /// answered.
     auto advertiseToSome() -> void;
+    /// Sends notes to the router that they are addressed to.
+    auto sendNotes(const AddressedNotes &notes) -> void;
     auto setSeeds(std::vector<Address> seeds) -> void { table_.setSeeds(std::move(seeds)); }
     /// Fetches the changes since `revision` from a peer with a newer revision. One fetch runs at a
     /// time. The peer is picked at random among those with the newest revision, so that a registry
@@ -66,6 +69,9 @@
     auto take(std::string_view bytes) -> void;
     auto tick() -> void;
     auto send(bool brief, const std::vector<Address> &targets) -> void;
+    /// Returns a digest with this router's identity and state.
+    [[nodiscard]] auto nextDigest(bool brief) -> PeerDigest;
+    auto post(const PeerDigest &digest, const std::vector<Address> &targets) -> void;
     [[nodiscard]] auto newestPeer(std::uint64_t revision) -> std::optional<Address>;
     auto noteLiveness(Instant now) -> void;
     auto takeDelta(const Address &peer, const std::optional<std::string> &body,
--- a/src/gateway/exchange-attempts.cc
+++ b/src/gateway/exchange-attempts.cc
@@ -193,6 +193,9 @@
     const auto counts = environment_.dispatcher->suspects().noteBreak(
         demand_.fingerprint, attempt_.choice.upstream.id, telemetry::steadyNow());
     environment_.note(id_, counts ? "crash-counted" : "crash-not-counted", crashText());
+    if (counts)
+        environment_.crashCounted(
+            {demand_.fingerprint, attempt_.choice.upstream.id, Duration(0), 1});
 }
 
 auto Exchange::noteAnswered() -> void
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -77,6 +77,7 @@
                  log(LogLine(event).add("peer", peer));
              }})
     , tick_(loop.get_executor())
+    , outboxTimer_(loop.get_executor())
 {
     dispatcher_.setLoadBound(settings_.loadBound);
     dispatcher_.setColdTolerance(settings_.coldTolerance);
@@ -91,6 +92,9 @@
         log(LogLine(event).add("request", id).add("why", why));
     };
     exchangeEnvironment_.ended = [this](const ExchangeReport &report) { exchangeEnded(report); };
+    exchangeEnvironment_.crashCounted = [this](const direct::CrashReport &report) {
+        tellKeepers(report);
+    };
     exchangeEnvironment_.pace = &pace_;
     exchangeEnvironment_.streamTimeLeft = [this] { return streamTimeLeft(); };
     exchangeEnvironment_.exitTimeLeft = [this] { return exitTimeLeft(steadyNow()); };
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -170,10 +170,10 @@
 auto GatewayHost::onPeerDigest(const PeerDigest &digest) -> void
 {
     const auto now = steadyNow();
+    notePeerCrashes(digest, now);
     if (!digest.brief) {
         const auto peer = PeerTable::rankOf(digest.sender);
         dispatcher_.loads().notePeer(peer, digest.loads, now);
-        notePeerCrashes(digest, now);
         askForCrashMemory(digest, now);
         dispatcher_.contexts().notePeer(digest.contexts, now);
     }
--- a/src/gateway/peer-digest.cc
+++ b/src/gateway/peer-digest.cc
@@ -123,6 +123,7 @@
     digest.revision = from.getRevision();
     digest.leaving = from.getLeaving();
     digest.brief = from.getBrief();
+    digest.isNote = from.getNote();
     for (const auto reader : from.getReaders())
         digest.readers.push_back({read(reader.getRouter()), reader.getHeartbeat(),
                                   reader.getRevision(),
@@ -201,6 +202,7 @@
     root.setRevision(digest.revision);
     root.setLeaving(digest.leaving);
     root.setBrief(digest.brief);
+    root.setNote(digest.isNote);
     auto readers = root.initReaders(static_cast<unsigned>(digest.readers.size()));
     for (unsigned i = 0; i < readers.size(); ++i) {
         write(readers[i].initRouter(), digest.readers[i].router);
--- a/src/gateway/peer-mesh.cc
+++ b/src/gateway/peer-mesh.cc
@@ -75,7 +75,9 @@
     const auto digest = decodeDigest(bytes);
     if (!digest)
         return hooks_.note("datagram-unreadable", from_.address().to_string());
-    if (table_.apply(*digest, telemetry::steadyNow()))
+    const auto isNews = table_.apply(*digest, telemetry::steadyNow());
+    const auto isForeignNote = digest->isNote && digest->sender != self_;
+    if (isNews || isForeignNote)
         hooks_.digestReceived(*digest);
 }
 
@@ -89,15 +91,35 @@
 
 auto PeerMesh::send(bool brief, const std::vector<Address> &targets) -> void
 {
-    const auto now = telemetry::steadyNow();
+    auto digest = nextDigest(brief);
+    if (!brief)
+        digest.members = table_.nextMembers(telemetry::steadyNow());
+    post(digest, targets);
+}
+
+auto PeerMesh::sendNotes(const AddressedNotes &notes) -> void
+{
+    if (!socket_.is_open())
+        return;
+    auto digest = nextDigest(true);
+    digest.isNote = true;
+    digest.crashes = notes.crashes;
+    post(digest, {notes.to});
+}
+
+auto PeerMesh::nextDigest(bool brief) -> PeerDigest
+{
     PeerDigest digest;
     digest.sender = self_;
     digest.incarnation = incarnation_;
     digest.sequence = ++sequence_;
     digest.brief = brief;
     hooks_.fill(digest);
-    if (!brief)
-        digest.members = table_.nextMembers(now);
+    return digest;
+}
+
+auto PeerMesh::post(const PeerDigest &digest, const std::vector<Address> &targets) -> void
+{
     const auto bytes = encodeDigest(digest);
     for (const auto &target : targets) {
         error_code error; // Ignored: the next digest replaces a lost one.
--- a/src/gateway/peer.capnp
+++ b/src/gateway/peer.capnp
@@ -47,6 +47,7 @@
   readers @9 :List(ReaderWord);
   brief @10 :Bool;
   crashMemoryMs @11 :UInt32;
+  note @12 :Bool;
 }
 
 # Answer to a peer that has just started.
--- a/test/gateway-crash-memory/crash-memory-test.cc
+++ b/test/gateway-crash-memory/crash-memory-test.cc
@@ -127,6 +127,9 @@
     std::list<ScriptedUpstream> upstreams_;
 };
 
+/// Fingerprint of the requests of `sendCopies`.
+const auto crashFingerprint = core::stableHash("POST /stream/a\nacme\n\ncrash");
+
 /// Sends copies of one request at the same moment and waits for the end of their answers.
 auto sendCopies(asio::io_context &loop, Gateway &gateway, int copies) -> std::vector<std::string>
 {
@@ -195,6 +198,30 @@
     BOOST_TEST(runUntil(loop, knowsAll, 8s));
 }
 
+// Guards against a crash that is known to one router alone until its turn in a digest comes.
+BOOST_AUTO_TEST_CASE(a_crash_is_told_to_its_keepers_at_once)
+{
+    asio::io_context loop{1};
+    CrashingPool pool(loop, 4);
+    Gateway first(loop);
+    Gateway second(loop, {first.settings.peers});
+    first.applyRegistry(testConfiguration(), pool.entries());
+    const auto peersKnown = [&] {
+        return scrape(loop, first).find("applehatch_peers 1") != std::string::npos;
+    };
+    BOOST_REQUIRE(runUntil(loop, peersKnown));
+    sendCopies(loop, first, 1);
+    BOOST_TEST(pool.runs == 1);
+    // Digests report the newest first, eight at a time, and each of them for 2 s.
+    for (direct::Fingerprint request = 1; request <= 1000; ++request)
+        first.host.dispatcher().suspects().noteBreak(request, 1, telemetry::steadyNow());
+    const auto &learned = second.host.dispatcher().suspects();
+    const auto isTold = [&] {
+        return learned.crashes(crashFingerprint, telemetry::steadyNow()) == 1;
+    };
+    BOOST_TEST(runUntil(loop, isTold, 5s));
+}
+
 // Guards against upstreams that crash at the same moment under copies of one request.
 BOOST_AUTO_TEST_CASE(copies_of_a_request_that_crashed_an_upstream_run_one_at_a_time)
 {
--- a/test/gateway/crash-fleet-test.cc
+++ b/test/gateway/crash-fleet-test.cc
@@ -1,6 +1,7 @@
 #include "peer-fleet.h"
 
 #include "applehatch/direct/crash-suspects.h"
+#include "applehatch/gateway/keeper-outbox.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -37,19 +38,29 @@
                  }})
     { }
 
-    /// `upstream` crashes under the crashing request at `router`, which had other requests there.
-    auto crash(std::size_t router, direct::UpstreamId upstream) -> void
+    /// `upstream` crashes under the request at `router`, which had other requests there.
+    auto crash(std::size_t router, direct::UpstreamId upstream,
+               direct::Fingerprint request = crashing) -> void
     {
-        suspects[router].noteBreak(crashing, upstream, peers.now);
+        KeeperOutbox outbox;
+        const auto noteBreak = [&](direct::Fingerprint broken) {
+            suspects[router].noteBreak(broken, upstream, peers.now);
+            outbox.add({broken, upstream, 0ms, 1}, peers.now);
+        };
+        noteBreak(request);
         for (direct::Fingerprint i = 0; i < bystanders; ++i)
-            suspects[router].noteBreak(nextBystander_++, upstream, peers.now);
+            noteBreak(nextBystander_++);
+        for (const auto &notes : outbox.take(peers.othersThan(router), peers.now))
+            peers.tell(router, notes.to,
+                       [&](PeerDigest &digest) { digest.crashes = notes.crashes; });
     }
 
-    [[nodiscard]] auto knowing() const -> std::size_t
+    /// Returns the number of routers that refuse the request.
+    [[nodiscard]] auto knowing(direct::Fingerprint request = crashing) const -> std::size_t
     {
         std::size_t count = 0;
         for (const auto &router : suspects)
-            count += router.isSuspect(crashing, peers.now) ? 1 : 0;
+            count += router.isSuspect(request, peers.now) ? 1 : 0;
         return count;
     }
 
@@ -80,6 +91,26 @@
     }
 }
 
+// Guards against a request that goes on to crash upstreams because reports of others come first.
+BOOST_AUTO_TEST_CASE(every_router_knows_of_each_of_many_crashing_requests_in_time)
+{
+    constexpr direct::Fingerprint requests = 12;
+    constexpr Duration betweenCrashes = 300ms;
+    for (const std::size_t size : {3, 30, 390}) {
+        CrashFleet fleet(size, 1);
+        direct::UpstreamId upstream = firstUpstream;
+        for (std::size_t round = 0; round < direct::CrashSuspects::crashLimit; ++round) {
+            for (direct::Fingerprint request = 1; request <= requests; ++request) {
+                fleet.crash((round + request) * (size / 3) % size, ++upstream, request);
+                fleet.peers.runFor(betweenCrashes);
+            }
+        }
+        fleet.peers.runFor(propagationLimit - betweenCrashes);
+        for (direct::Fingerprint request = 1; request <= requests; ++request)
+            BOOST_TEST(fleet.knowing(request) == size);
+    }
+}
+
 // Guards against losing what is known of a request while routers are restarted one by one.
 BOOST_AUTO_TEST_CASE(a_fleet_restarted_one_by_one_keeps_what_it_knows)
 {
--- a/test/gateway/peer-fleet.h
+++ b/test/gateway/peer-fleet.h
@@ -85,6 +85,31 @@
             post(target, digest);
     }
 
+    /// Sends a digest that holds what `fill` sets to one router.
+    auto tell(std::size_t from, const Address &to, const std::function<void(PeerDigest &)> &fill)
+        -> void
+    {
+        auto digest = std::make_shared<PeerDigest>();
+        digest->sender = routerAt(from);
+        digest->incarnation = initialIncarnation;
+        digest->sequence = ++sequences_[from];
+        digest->brief = true;
+        digest->isNote = true;
+        fill(*digest);
+        post(to, digest);
+    }
+
+    /// Addresses of all routers but one.
+    [[nodiscard]] auto othersThan(std::size_t router) const -> std::vector<Address>
+    {
+        std::vector<Address> others;
+        for (std::size_t i = 0; i < tables_.size(); ++i) {
+            if (i != router)
+                others.push_back(routerAt(i));
+        }
+        return others;
+    }
+
     /// Makes a router neither send nor receive from now on, as after a kill or while it is frozen;
     /// or ends that.
     auto silence(std::size_t router, bool silent = true) -> void { silent_[router] = silent; }
@@ -130,7 +155,10 @@
         while (!datagrams_.empty() && datagrams_.top().arrival <= now) {
             const auto datagram = datagrams_.top();
             datagrams_.pop();
-            if (!silent_[datagram.to] && tables_[datagram.to].apply(*datagram.digest, now))
+            if (silent_[datagram.to])
+                continue;
+            const auto isNews = tables_[datagram.to].apply(*datagram.digest, now);
+            if (isNews || datagram.digest->isNote)
                 hooks_.received(datagram.to, *datagram.digest);
         }
     }
--- a/test/gateway/peers-test.cc
+++ b/test/gateway/peers-test.cc
@@ -56,11 +56,13 @@
     digest.loads = {{77, 6}};
     digest.crashes = {{88, 77, 1500ms, 2}};
     digest.crashMemoryAge = 90s;
+    digest.isNote = true;
     digest.contexts = {{99, 77, 10500}};
     const auto read = decodeDigest(encodeDigest(digest));
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST((read->sender == digest.sender));
     BOOST_TEST(read->leaving);
+    BOOST_TEST(read->isNote);
     BOOST_TEST((read->readers.at(0).router == router(4)));
     BOOST_TEST(read->readers.at(0).heartbeat == 7U);
     BOOST_TEST(read->readers.at(0).revision == 12);
