--- a/src/gateway/keeper-outbox.cc
+++ b/src/gateway/keeper-outbox.cc
@@ -54,8 +54,9 @@
     -> std::vector<AddressedNotes>
 {
     Sorter sorter(routers);
-    for (auto &[report, at] : std::exchange(crashes_, {})) {
-        report.age += now - at;
+    for (const auto &added : std::exchange(crashes_, {})) {
+        auto report = added.report;
+        report.age += now - added.at;
         sorter.addFor(report.fingerprint,
                       [&](AddressedNotes &notes) { notes.crashes.push_back(report); });
     }
