--- /dev/null
+++ b/test/gateway-versions/versions-test.cc
@@ -0,0 +1,218 @@
+// Streams while engines of two versions of one service serve.
+#include "version-fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace {
+
+using namespace applehatch::gateway;
+using namespace applehatch::gateway::testing;
+
+/// Streams in each case. Without knowledge of versions half of them would change theirs.
+constexpr int streams = 8;
+
+auto isAnswered(const std::string &answer) -> bool
+{
+    return answer.starts_with("HTTP/1.1 200") && answer.find("piece-3") != std::string::npos;
+}
+
+/// A refusal that tells when to come back.
+auto isRefused(const std::string &answer) -> bool
+{
+    return answer.starts_with("HTTP/1.1 503") && !headerOf(answer, "Retry-After").empty();
+}
+
+auto nameOf(const char *kind, int number) -> std::string
+{
+    return std::string(kind) + '-' + std::to_string(number);
+}
+
+/// Two engines of each of two versions, and gateways that know each other.
+class TwoVersions : public VersionFleet
+{
+public:
+    TwoVersions()
+    {
+        for (const auto *version : {"v1", "v2"}) {
+            addEngine(version);
+            addEngine(version);
+        }
+        publish();
+        BOOST_REQUIRE(meet());
+    }
+
+    auto v1() -> VersionedEngine & { return engines.front(); }
+    auto v2() -> VersionedEngine & { return engines.back(); }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gateway_versions)
+
+// Guards against events of two versions in one answer.
+BOOST_AUTO_TEST_CASE(within_one_answer_a_stream_goes_on_at_its_version_alone)
+{
+    TwoVersions fleet;
+    fleet.v1().breaks = true;
+    for (int i = 0; i < 3 * streams; ++i)
+        fleet.ask(*fleet.first, nameOf("a", i), {}, "/thrice/");
+    BOOST_TEST(fleet.resumedAt("v1") > 0U);
+    BOOST_TEST(fleet.resumedAt("v2") == 0U);
+}
+
+// Guards against a stream that changes its version because no other engine of its own is left.
+BOOST_AUTO_TEST_CASE(a_stream_whose_version_has_no_engine_left_is_broken_off)
+{
+    TwoVersions fleet;
+    fleet.setState(fleet.v1(), "draining");
+    fleet.publish();
+    auto &lastOfV1 = *std::next(fleet.engines.begin());
+    lastOfV1.breaks = true;
+    for (int i = 0; i < 3 * streams; ++i)
+        fleet.ask(*fleet.first, nameOf("a", i), {}, "/thrice/");
+    BOOST_TEST(lastOfV1.requests() > 0U);
+    BOOST_TEST(fleet.resumedAt("v2") == 0U);
+}
+
+// Guards against a caller that takes its stream up at another version.
+BOOST_AUTO_TEST_CASE(a_stream_taken_up_goes_on_at_its_version_at_any_gateway)
+{
+    TwoVersions fleet;
+    for (int i = 0; i < streams; ++i) {
+        fleet.beginAndBreak(*fleet.first, nameOf("a", i), fleet.v1());
+        fleet.openAll();
+        auto &gateway = i % 2 == 0 ? *fleet.first : *fleet.second;
+        BOOST_TEST(isAnswered(fleet.resume(gateway, nameOf("b", i), nameOf("a", i))));
+    }
+    BOOST_TEST(fleet.resumedAt("v1") == static_cast<std::size_t>(streams));
+    BOOST_TEST(fleet.resumedAt("v2") == 0U);
+}
+
+// Guards against forgetting a stream's version with the gateway that ends at its first event.
+BOOST_AUTO_TEST_CASE(a_stream_outlives_the_gateway_that_ended_at_its_first_event)
+{
+    for (const auto *version : {"v1", "v2"}) {
+        TwoVersions fleet;
+        fleet.beginAndBreak(*fleet.first, "a",
+                            version == fleet.v1().version ? fleet.v1() : fleet.v2());
+        fleet.first->isRunning = false;
+        fleet.openAll();
+        for (int i = 0; i < streams; ++i)
+            BOOST_TEST(isAnswered(fleet.resume(*fleet.second, nameOf("b", i), "a")));
+        BOOST_TEST(fleet.resumedAt(version) == static_cast<std::size_t>(streams));
+    }
+}
+
+// Guards against forgetting the streams that began before the second version came.
+BOOST_AUTO_TEST_CASE(a_stream_from_before_the_second_version_goes_on_at_the_first)
+{
+    TwoVersions fleet;
+    fleet.beginAndBreak(*fleet.first, "a", fleet.v1(), "");
+    fleet.openAll();
+    fleet.runFor(100ms);
+    fleet.first->isRunning = false;
+    for (int i = 0; i < streams; ++i)
+        BOOST_TEST(isAnswered(fleet.resume(*fleet.second, nameOf("b", i), "a")));
+    BOOST_TEST(fleet.resumedAt("v2") == 0U);
+}
+
+// Guards against a guess by a gateway that has just started.
+BOOST_AUTO_TEST_CASE(a_gateway_that_has_just_started_learns_the_version_from_a_peer)
+{
+    TwoVersions fleet;
+    fleet.beginAndBreak(*fleet.first, "a", fleet.v2());
+    fleet.openAll();
+    fleet.restartSecond();
+    BOOST_REQUIRE(fleet.meet());
+    for (int i = 0; i < streams; ++i)
+        BOOST_TEST(isAnswered(fleet.resume(*fleet.second, nameOf("b", i), "a")));
+    BOOST_TEST(fleet.resumedAt("v1") == 0U);
+}
+
+// Guards against a stream that is taken up twice and changes its version the second time.
+BOOST_AUTO_TEST_CASE(a_stream_taken_up_again_and_again_stays_at_its_version)
+{
+    TwoVersions fleet;
+    fleet.beginAndBreak(*fleet.first, "a", fleet.v1());
+    fleet.openAll();
+    for (auto &engine : fleet.engines)
+        engine.breaks = true;
+    for (int i = 0; i < streams; ++i) {
+        auto &gateway = i % 2 == 0 ? *fleet.first : *fleet.second;
+        fleet.resume(gateway, nameOf("b", i), "a");
+    }
+    BOOST_TEST(fleet.resumedAt("v1") == static_cast<std::size_t>(streams));
+    BOOST_TEST(fleet.resumedAt("v2") == 0U);
+}
+
+// Guards against a guess where nobody knows what began the stream.
+BOOST_AUTO_TEST_CASE(a_stream_that_nobody_knows_is_refused_at_once_while_two_versions_serve)
+{
+    TwoVersions fleet;
+    for (int i = 0; i < streams; ++i) {
+        BOOST_TEST(isRefused(fleet.resume(*fleet.first, nameOf("b", i), "never-sent")));
+        BOOST_TEST(isRefused(fleet.ask(*fleet.first, nameOf("c", i), "Last-Event-Id: 1\r\n")));
+    }
+    BOOST_TEST(fleet.resumedAt("v1") + fleet.resumedAt("v2") == 0U);
+}
+
+// Guards against telling one customer of another's stream.
+BOOST_AUTO_TEST_CASE(a_stream_of_another_customer_is_not_found)
+{
+    TwoVersions fleet;
+    fleet.beginAndBreak(*fleet.first, "a", fleet.v1());
+    fleet.openAll();
+    fleet.key = "key-2";
+    BOOST_TEST(isRefused(fleet.resume(*fleet.first, "b", "a")));
+    fleet.key = "key-1";
+    BOOST_TEST(isAnswered(fleet.resume(*fleet.first, "c", "a")));
+}
+
+// Guards against waiting, or changing the version, when that of the stream serves no more.
+BOOST_AUTO_TEST_CASE(a_stream_whose_version_serves_no_more_is_refused_at_once)
+{
+    TwoVersions fleet;
+    fleet.beginAndBreak(*fleet.first, "a", fleet.v1());
+    fleet.openAll();
+    for (auto &engine : fleet.engines) {
+        if (engine.version == "v1")
+            fleet.setState(engine, "draining");
+    }
+    fleet.publish();
+    BOOST_TEST(isRefused(fleet.resume(*fleet.first, "b", "a")));
+    BOOST_TEST(isRefused(fleet.resume(*fleet.second, "c", "a")));
+    BOOST_TEST(fleet.resumedAt("v1") + fleet.resumedAt("v2") == 0U);
+}
+
+// Guards against refusing streams where there is only one version.
+BOOST_AUTO_TEST_CASE(with_one_version_every_stream_is_taken_up)
+{
+    VersionFleet fleet;
+    fleet.addEngine("v1");
+    fleet.addEngine("v1");
+    fleet.publish();
+    BOOST_REQUIRE(fleet.meet());
+    for (int i = 0; i < streams; ++i) {
+        BOOST_TEST(isAnswered(fleet.resume(*fleet.first, nameOf("b", i), "never-sent")));
+        BOOST_TEST(isAnswered(fleet.ask(*fleet.second, nameOf("c", i), "Last-Event-Id: 1\r\n")));
+    }
+}
+
+// Guards against mixing engines that tell their version with engines that do not.
+BOOST_AUTO_TEST_CASE(engines_that_tell_no_version_are_a_version_of_their_own)
+{
+    VersionFleet fleet;
+    auto &silent = fleet.addEngine("");
+    fleet.addEngine("v1");
+    fleet.publish();
+    BOOST_REQUIRE(fleet.meet());
+    fleet.beginAndBreak(*fleet.first, "a", silent);
+    fleet.openAll();
+    for (int i = 0; i < streams; ++i)
+        BOOST_TEST(isAnswered(fleet.resume(*fleet.second, nameOf("b", i), "a")));
+    BOOST_TEST(fleet.resumedAt("v1") == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
