Gateway tests: addresses that no other process uses

Each gateway of a test asked the kernel for a free port and bound it a moment later; another process of the same suite, or a connection, could have it by then. Seen in 2 of 40 runs of gateway-versions, four at a time: 'Address already in use' once, and a gateway without its datagrams once.

--- a/test/gateway-versions/version-fleet.h
+++ b/test/gateway-versions/version-fleet.h
@@ -77,7 +77,7 @@
 {
 public:
     explicit VersionedGateway(std::vector<core::Address> seeds = {})
-        : settings(makeSettings(loop, std::move(seeds)))
+        : settings(makeSettings(std::move(seeds)))
         , host(loop, settings, platform::platformVocabulary(), platform::DirectoryDecoder())
     {
         const auto error = host.start();
@@ -99,16 +99,15 @@
     bool isRunning = true;
 
 private:
-    static auto makeSettings(asio::io_context &loop, std::vector<core::Address> seeds)
-        -> GatewaySettings
+    static auto makeSettings(std::vector<core::Address> seeds) -> GatewaySettings
     {
         GatewaySettings made;
         made.name = "gateway";
         made.dataCenter = "here";
-        made.callers = {"127.0.0.1", freePort(loop)};
-        made.readiness = {"127.0.0.1", freePort(loop)};
-        made.metrics = {"127.0.0.1", freePort(loop)};
-        made.peers = {"127.0.0.1", freePort(loop)};
+        made.callers = ownAddress();
+        made.readiness = ownAddress();
+        made.metrics = ownAddress();
+        made.peers = ownAddress();
         made.seeds = std::move(seeds);
         made.retries.extra = 1000;
         return made;
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <unistd.h>
+
 #include <array>
 #include <charconv>
 #include <chrono>
@@ -295,11 +297,15 @@
     return configuration;
 }
 
-/// Returns a port that is free at the time of the call.
-inline auto freePort(asio::io_context &loop) -> std::uint16_t
+/// Returns a loopback address that no other process of these tests uses, with a new port each time.
+/// A port that was free a moment ago may be taken by another process meanwhile.
+inline auto ownAddress() -> core::Address
 {
-    tcp::acceptor probe(loop, {asio::ip::make_address("127.0.0.1"), 0});
-    return probe.local_endpoint().port();
+    static std::uint16_t port = 20000;
+    const auto process = static_cast<unsigned>(::getpid());
+    const auto ip = "127." + std::to_string(64 + ((process >> 16U) & 63U)) + '.'
+        + std::to_string((process >> 8U) & 255U) + '.' + std::to_string(process & 255U);
+    return {ip, ++port};
 }
 
 /// A gateway and the registry contents that it decodes.
@@ -308,7 +314,7 @@
 public:
     explicit Gateway(asio::io_context &loop, std::vector<core::Address> seeds = {})
         : loop_(loop)
-        , settings(makeSettings(loop, std::move(seeds)))
+        , settings(makeSettings(std::move(seeds)))
         , host(loop, settings, testVocabulary(), [this](const auto &) { return registry; })
     {
         const auto error = host.start();
@@ -332,16 +338,15 @@
     DecodedRegistry registry;
 
 private:
-    static auto makeSettings(asio::io_context &loop, std::vector<core::Address> seeds)
-        -> GatewaySettings
+    static auto makeSettings(std::vector<core::Address> seeds) -> GatewaySettings
     {
         GatewaySettings made;
         made.name = "gateway";
         made.dataCenter = "here";
-        made.callers = {"127.0.0.1", freePort(loop)};
-        made.readiness = {"127.0.0.1", freePort(loop)};
-        made.metrics = {"127.0.0.1", freePort(loop)};
-        made.peers = {"127.0.0.1", freePort(loop)};
+        made.callers = ownAddress();
+        made.readiness = ownAddress();
+        made.metrics = ownAddress();
+        made.peers = ownAddress();
         made.seeds = std::move(seeds);
         made.retries.extra = 1000; // A newly started process has a small share of it.
         return made;
--- a/test/platform/evacuation-test.cc
+++ b/test/platform/evacuation-test.cc
@@ -99,10 +99,10 @@
         gateway::GatewaySettings made;
         made.name = "gateway";
         made.dataCenter = "east";
-        callers_ = {"127.0.0.1", freePort(loop)};
+        callers_ = ownAddress();
         made.callers = callers_;
-        made.readiness = {"127.0.0.1", freePort(loop)};
-        made.peers = {"127.0.0.1", freePort(loop)};
+        made.readiness = ownAddress();
+        made.peers = ownAddress();
         return made;
     }
 
