A stream goes on only at the version that began it

Cause: a fact that decides what fits together, the version of an engine's software, was not read, and nothing knew what began a stream. The class: a resource taken for interchangeable because its name is the same.

Changed: the entry's version is read as it is spelled (a version of its own where it is missing; not a text: logged, and compared by its spelling). StreamVersions (direct) decides for each stream that a caller takes up: at its origin where that is known; anywhere while one version serves; by asking its keepers otherwise; refused at once, not run, with a time to come back, where nobody knows or the version serves no more. Within an answer the first event settles the version, not the head; without an engine of it left the answer is broken off. While several versions serve, and for 2 minutes after, a stream is told to three gateways by rendezvous hashing when it is sent and, at the latest, before its first event goes to the caller; so it outlives its gateway. What runs when the second version comes is told then. A keeper that starts anew is told again. Digests name the services with several versions, so that one known version proves nothing to a gateway with an old list; one that hears neither the store nor half of the others trusts none. Contexts are fetched from engines of the same version only. Keys hold the customer: nobody finds another's stream.

--- a/include/applehatch/direct/directory.h
+++ b/include/applehatch/direct/directory.h
@@ -128,6 +128,7 @@
                           ///< meant for another.
     std::uint64_t incarnation = 0; ///< Changes when the upstream restarts under the same name.
     std::string service;
+    std::string version; ///< Version of its software; empty if its entry does not tell.
     Address address;
     std::string dataCenter;
     std::uint32_t slots = 1;
--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -11,6 +11,7 @@
 #include "applehatch/direct/load-tracker.h"
 #include "applehatch/direct/prompt.h"
 #include "applehatch/direct/retry-budget.h"
+#include "applehatch/direct/stream-versions.h"
 #include "applehatch/direct/upstream-announcements.h"
 #include "applehatch/direct/upstream-health.h"
 
@@ -45,6 +46,8 @@
     Prompt prompt;
     Fingerprint fingerprint = 0;   ///< The same for all copies of a request.
     std::vector<UpstreamId> tried; ///< Upstreams that were tried already and are excluded.
+    /// The version that began the stream, the only one at which it may go on; none for any.
+    std::optional<std::string> version;
 };
 
 /// A selected upstream and the inputs of the decision, for the log.
@@ -113,6 +116,10 @@
     [[nodiscard]] auto crashRefusal(const RoutingInput &input, Instant now)
         -> std::optional<core::Failure>;
 
+    /// Makes the permit one for the service that began a stream, if its route allows it. Returns
+    /// whether it does.
+    [[nodiscard]] auto keepService(Permit &permit, const std::string &service) const -> bool;
+
     /// Counts the request towards the retry budget of its service.
     auto noteRequest(const Permit &permit, Instant now) -> void;
 
@@ -150,13 +157,16 @@
     /// not all return at once.
     [[nodiscard]] auto retryAfter() -> Duration;
     /// Returns the retry delay for a request that no upstream has room for; it grows with the
-    /// number of recent refusals, and includes the time until an upstream of the service takes
+    /// number of recent refusals, and includes the time until an upstream that may run it takes
     /// requests.
-    [[nodiscard]] auto overloadRetryAfter(const Permit &permit, Instant now) -> Duration;
+    [[nodiscard]] auto overloadRetryAfter(const Permit &permit, const RoutingInput &input,
+                                          Instant now) -> Duration;
 
     [[nodiscard]] auto loads() -> LoadTracker & { return loads_; }
     [[nodiscard]] auto contexts() -> ContextMap & { return contexts_; }
     [[nodiscard]] auto suspects() -> CrashSuspects & { return suspects_; }
+    [[nodiscard]] auto streams() -> StreamVersions & { return streams_; }
+    [[nodiscard]] auto streams() const -> const StreamVersions & { return streams_; }
     [[nodiscard]] auto health() -> UpstreamHealth & { return health_; }
     [[nodiscard]] auto announcements() -> UpstreamAnnouncements & { return announcements_; }
 
@@ -169,8 +179,13 @@
         AdmissionDecision admission;
     };
 
-    [[nodiscard]] auto usableUpstreams(const Permit &permit, const std::vector<UpstreamId> &tried,
+    [[nodiscard]] auto usableUpstreams(const Permit &permit, const RoutingInput &input,
                                        Instant now) const -> std::vector<UpstreamView>;
+    /// Whether the upstream may run the request, as far as versions go.
+    [[nodiscard]] static auto fits(const Upstream &upstream, const RoutingInput &input) -> bool
+    {
+        return !input.version || upstream.version == *input.version;
+    }
     [[nodiscard]] auto acceptsNewRequests(const Upstream &upstream, Instant now) const -> bool;
     [[nodiscard]] auto isEvacuated(const Upstream &upstream) const -> bool;
     [[nodiscard]] auto findService(const std::string &name) const -> const Service *;
@@ -181,21 +196,26 @@
     /// Returns the mean load of the service's upstreams that do not leave, usable or not.
     [[nodiscard]] auto meanLoad(const std::string &service, Instant now) const -> double;
     /// Why no upstream can be selected, and when to return.
-    [[nodiscard]] auto noUpstream(const Permit &permit, Instant now) -> core::Failure;
+    [[nodiscard]] auto noUpstream(const Permit &permit, const RoutingInput &input, Instant now)
+        -> core::Failure;
     /// Whether the upstream leaves, by its registry entry or its own answers.
     [[nodiscard]] auto isLeaving(const Upstream &upstream, Instant now) const -> bool;
     /// When the upstream may get the next request, as far as its rest and its being cold go.
     [[nodiscard]] auto availableAt(const Upstream &upstream, Instant now) const -> Instant;
-    /// Returns the time until the first upstream of the service is available; 0 if one is, or if
-    /// there is none.
-    [[nodiscard]] auto waitForAvailable(const std::string &service, Instant now) const -> Duration;
+    /// Returns the time until the first upstream of the service that may run the request is
+    /// available; 0 if one is, or if there is none.
+    [[nodiscard]] auto waitForAvailable(const std::string &service, const RoutingInput &input,
+                                        Instant now) const -> Duration;
     /// Returns the engine from which `chosen`, which does not hold the context, should fetch it: an
     /// engine known to hold it, or, if none is known, the context's other candidate, which answers
     /// at once if it does not hold it either.
-    [[nodiscard]] auto fetchSource(std::uint64_t context, UpstreamId chosen,
+    [[nodiscard]] auto fetchSource(std::uint64_t context, const Upstream &chosen,
                                    const std::vector<UpstreamView> &usable, Instant now) const
         -> std::optional<Address>;
-    [[nodiscard]] auto reachableHolder(const std::vector<UpstreamId> &holders, Instant now) const
+    /// Returns the first of `holders` that can be trusted to give a context to `receiver`. One of
+    /// another version cannot: what two versions write does not fit together.
+    [[nodiscard]] auto reachableHolder(const std::vector<UpstreamId> &holders,
+                                       const Upstream &receiver, Instant now) const
         -> std::optional<Address>;
     [[nodiscard]] auto drawTarget(const Route &route) -> const std::string &;
     [[nodiscard]] auto draw() -> std::uint64_t;
@@ -214,6 +234,7 @@
     UpstreamAnnouncements announcements_;
     ContextMap contexts_;
     CrashSuspects suspects_;
+    StreamVersions streams_;
     std::unordered_map<Fingerprint, std::uint32_t> running_; // Copies of each request.
     RetryBudget budget_;
     Admission admission_;
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -38,11 +38,20 @@
     bool heldContext = false;        ///< Whether the chosen engine already had the context.
     std::string fetchedFrom;         ///< Engine named as source of the context; empty for none.
     bool resumed = false;
+    std::string version; ///< Version of the upstream's software.
+    std::string takesUp; ///< Id of the request that began the stream, as the caller named it.
     std::uint64_t configurationVersion = 0;
     Duration duration{0};
     std::optional<Duration> firstByte; ///< Time to the first event, or to the whole answer.
 };
 
+/// What a peer knows of a stream.
+struct KeptStream
+{
+    direct::StreamReport report;
+    std::string peer;
+};
+
 /// Services shared by all exchanges of a process.
 struct ExchangeEnvironment
 {
@@ -54,6 +63,16 @@
     std::function<void(const std::string &id, const std::string &event, const std::string &why)>
         note;
     std::function<void(const ExchangeReport &)> ended;
+    /// Tells the routers that keep a stream what began it.
+    std::function<void(const direct::StreamReport &)> tellStream;
+    /// Sends what is to be told at once.
+    std::function<void()> sendNotes;
+    /// Asks the routers that keep a stream what began it; calls back once, with none if none of
+    /// them knows.
+    std::function<void(direct::StreamKey, std::function<void(std::optional<KeptStream>)>)>
+        askKeepers;
+    /// Whether this router may have missed changes that all others know.
+    std::function<bool()> isIsolated;
     /// Called when a break counts as a possible crash.
     std::function<void(const direct::CrashReport &)> crashCounted;
     direct::StreamDurationEstimator *pace = nullptr;
@@ -118,6 +137,17 @@
     };
 
     auto readRequestOptions() -> void;
+    /// Sends the request to its first upstream.
+    auto begin() -> void;
+    /// Finds out at which version the stream that the caller takes up may go on, then begins.
+    auto takeUp() -> void;
+    auto takeUpAt(const direct::StreamReport &report, const std::string &knownBy) -> void;
+    auto refuseUnknownStream() -> void;
+    /// Records which version runs the stream, so that it is found if this process ends.
+    auto noteStreamSent() -> void;
+    auto noteStreamCompleted() -> void;
+    /// Binds what is left of the stream to the version that brought its first event.
+    auto bindToVersion() -> void;
     /// Returns the same value for each copy of a request, whichever router it comes to.
     [[nodiscard]] auto fingerprint() const -> core::Fingerprint;
     [[nodiscard]] auto cannotFinishBeforeStop() const -> bool;
@@ -181,6 +211,8 @@
     std::uint32_t maxTokens_ = 0; // Maximum tokens of the answer; 0 if unknown.
     std::uint32_t sent_ = 0;
     std::uint32_t connectFailures_ = 0;
+    direct::StreamKey ownStream_ = 0;     // The stream if this request begins it; 0 for none.
+    direct::StreamKey takenUpStream_ = 0; // The stream that another request began; 0 for none.
     bool mayHaveRun_ = false; // Some upstream may have run the request, even if it failed there.
     Failure refusal_;         // Why no upstream could be chosen.
     ExchangeReport report_;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -6,6 +6,7 @@
 #include "applehatch/direct/registry-replica.h"
 #include "applehatch/gateway/exchange.h"
 #include "applehatch/gateway/gateway-metrics.h"
+#include "applehatch/gateway/keeper-query.h"
 #include "applehatch/gateway/listener.h"
 #include "applehatch/gateway/peer-mesh.h"
 #include "applehatch/gateway/timer.h"
@@ -115,9 +116,23 @@
     auto notePeerCrashes(const PeerDigest &digest, Instant now) -> void;
     /// Asks the peer for its memory of crashes if it reaches back further than a new one here.
     auto askForCrashMemory(const PeerDigest &digest, Instant now) -> void;
-    /// Tells the routers that keep a crash of it, with others that follow at once.
-    auto tellKeepers(const direct::CrashReport &report) -> void;
+    /// Tells the routers that keep a crash or a stream of it, with others that follow at once.
+    template <typename Report>
+    auto tellKeepers(const Report &report) -> void;
     auto sendNotes() -> void;
+    /// Returns the addresses of peers that will stay for a while.
+    [[nodiscard]] auto lastingPeers(Instant now) const -> std::vector<Address>;
+
+    auto noteVersions(const direct::UpstreamList &upstreams, Instant now) -> void;
+    auto notePeerStreams(const PeerDigest &digest, Instant now) -> void;
+    /// Tells a process that has just started of the streams that it keeps.
+    auto tellNewPeer(const PeerDigest &digest, Instant now) -> void;
+    auto askKeepers(direct::StreamKey stream, std::function<void(std::optional<KeptStream>)> done)
+        -> void;
+    /// What a peer is told that asks for the stream with this key, in hexadecimal.
+    [[nodiscard]] auto streamAnswer(std::string_view key) const -> std::string;
+    /// Whether the registry has been silent for long, and most routers as well.
+    [[nodiscard]] auto isIsolated(Instant now) const -> bool;
     auto adoptCrashMemory(const Address &peer, const std::optional<std::string> &body,
                           const std::string &why) -> void;
     auto onPeerDelta(const direct::RegistryDelta &delta) -> void;
@@ -176,6 +191,8 @@
     };
 
     std::shared_ptr<PeerFetch> crashMemoryFetch_;
+    std::vector<std::weak_ptr<KeeperQuery>> queries_;         // Running, and some that have ended.
+    std::map<std::uint64_t, std::uint64_t> peerIncarnations_; // By rank.
     KeeperOutbox outbox_;
     Timer outboxTimer_;
     EncodedDelta lastDelta_;
--- a/include/applehatch/gateway/keeper-outbox.h
+++ b/include/applehatch/gateway/keeper-outbox.h
@@ -18,13 +18,15 @@
 {
     Address to;
     std::vector<direct::CrashReport> crashes;
+    std::vector<direct::StreamReport> streams;
 };
 
 /// Collects what this router has just learned until it is sent to its keepers.
 ///
 /// Digests go to some routers at a time and have room for few reports. What must be known elsewhere
 /// soon, however much there is of it, goes to a few routers chosen by its key: crashes of one
-/// request that different routers saw meet there.
+/// request that different routers saw meet there, and what began a stream is found there after its
+/// router ended.
 class KeeperOutbox
 {
 public:
@@ -35,7 +37,11 @@
     {
         crashes_.push_back({report, now});
     }
-    [[nodiscard]] auto isEmpty() const -> bool { return crashes_.empty(); }
+    auto add(const direct::StreamReport &report, Instant now) -> void
+    {
+        streams_.push_back({report, now});
+    }
+    [[nodiscard]] auto isEmpty() const -> bool { return crashes_.empty() && streams_.empty(); }
     /// Empties the outbox; returns its contents by the routers, among `routers`, that keep them.
     [[nodiscard]] auto take(const std::vector<Address> &routers, Instant now)
         -> std::vector<AddressedNotes>;
@@ -49,6 +55,7 @@
     };
 
     std::vector<Added<direct::CrashReport>> crashes_;
+    std::vector<Added<direct::StreamReport>> streams_;
 };
 
 } // namespace applehatch::gateway
--- a/include/applehatch/gateway/peer-digest.h
+++ b/include/applehatch/gateway/peer-digest.h
@@ -6,6 +6,7 @@
 #include "applehatch/direct/load-tracker.h"
 #include "applehatch/direct/reader-tracker.h"
 #include "applehatch/direct/registry-replica.h"
+#include "applehatch/direct/stream-versions.h"
 
 #include <cstdint>
 #include <optional>
@@ -37,6 +38,9 @@
     std::vector<Address> members; ///< Some of the routers known to the sender.
     std::vector<direct::PeerLoad> loads;
     std::vector<direct::CrashReport> crashes;
+    std::vector<direct::StreamReport> streams; ///< Streams that the receiver is to keep.
+    /// Keys of the services of which several versions serve, by the sender's own list.
+    std::vector<std::uint64_t> mixedServices;
     /// How far back the sender's memory of crashes reaches; 0 if it does not tell.
     Duration crashMemoryAge{0};
     std::vector<direct::ContextPlacement> contexts; ///< Recently used contexts.
@@ -50,6 +54,11 @@
 /// Returns none if `bytes` is not a valid memory of crashes.
 [[nodiscard]] auto decodeCrashMemory(std::string_view bytes) -> std::optional<direct::CrashMemory>;
 
+using StreamReports = std::vector<direct::StreamReport>;
+[[nodiscard]] auto encodeStreams(const StreamReports &streams) -> std::string;
+/// Returns none if `bytes` is not a valid list of streams.
+[[nodiscard]] auto decodeStreams(std::string_view bytes) -> std::optional<StreamReports>;
+
 /// Encodes and compresses a registry delta.
 [[nodiscard]] auto encodeDelta(const direct::RegistryDelta &delta) -> std::string;
 /// Returns none if `bytes` is not a valid delta.
--- a/include/applehatch/gateway/vocabulary.h
+++ b/include/applehatch/gateway/vocabulary.h
@@ -35,6 +35,7 @@
     std::string tokens;         ///< Tokens of the prompt and maximum tokens of the answer.
     std::string fetchFrom;      ///< Engine from which to fetch the prompt's context.
     std::string lastEventId;    ///< Id of the event after which a stream resumes.
+    std::string resumes;        ///< Id of the request that brought a resumed stream's first event.
     std::string leaving;        ///< Set by upstreams that are about to exit.
     std::string restRequest;    ///< On a refusal, how long the upstream wants no requests.
     std::string keyScheme;      ///< Scheme before the key in `Authorization`.
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -144,7 +144,8 @@
     return std::max(restEnd, cold_.nextAt(upstream.id, findService(upstream.service), now));
 }
 
-auto Dispatcher::waitForAvailable(const std::string &service, Instant now) const -> Duration
+auto Dispatcher::waitForAvailable(const std::string &service, const RoutingInput &input,
+                                  Instant now) const -> Duration
 {
     const auto indexes = indexesByService_.find(service);
     if (indexes == indexesByService_.end())
@@ -152,7 +153,7 @@
     std::optional<Instant> first;
     for (const auto index : indexes->second) {
         const auto &upstream = upstreams_[index];
-        if (isLeaving(upstream, now) || isEvacuated(upstream))
+        if (isLeaving(upstream, now) || isEvacuated(upstream) || !fits(upstream, input))
             continue;
         const auto at = availableAt(upstream, now);
         first = std::min(at, first.value_or(at));
@@ -193,6 +194,22 @@
     return permit;
 }
 
+auto Dispatcher::keepService(Permit &permit, const std::string &service) const -> bool
+{
+    if (permit.serviceName == service)
+        return true;
+    const auto &targets = permit.route->targets;
+    const auto isTarget =
+        std::any_of(targets.begin(), targets.end(),
+                    [&](const RouteTarget &target) { return target.service == service; });
+    if (!isTarget)
+        return false;
+    const auto known = permit.configuration->services.find(service);
+    permit.serviceName = service;
+    permit.service = known == permit.configuration->services.end() ? nullptr : &known->second;
+    return true;
+}
+
 auto Dispatcher::drawTarget(const Route &route) -> const std::string &
 {
     static const std::string none;
@@ -224,8 +241,8 @@
     budget_.noteRequest(permit.serviceName, now);
 }
 
-auto Dispatcher::usableUpstreams(const Permit &permit, const std::vector<UpstreamId> &tried,
-                                 Instant now) const -> std::vector<UpstreamView>
+auto Dispatcher::usableUpstreams(const Permit &permit, const RoutingInput &input, Instant now) const
+    -> std::vector<UpstreamView>
 {
     std::vector<UpstreamView> usable;
     const auto indexes = indexesByService_.find(permit.serviceName);
@@ -234,8 +251,9 @@
     const auto memory = permit.service == nullptr ? 0 : permit.service->memoryTokens;
     for (const auto index : indexes->second) {
         const auto &upstream = upstreams_[index];
-        if (!acceptsNewRequests(upstream, now)
-            || std::find(tried.begin(), tried.end(), upstream.id) != tried.end())
+        const auto wasTried =
+            std::find(input.tried.begin(), input.tried.end(), upstream.id) != input.tried.end();
+        if (wasTried || !fits(upstream, input) || !acceptsNewRequests(upstream, now))
             continue;
         UpstreamView view;
         view.upstream = &upstream;
@@ -269,17 +287,18 @@
 {
     if (auto refused = crashRefusal(input, now))
         return std::move(*refused);
-    const auto usable = usableUpstreams(permit, input.tried, now);
+    const auto usable = usableUpstreams(permit, input, now);
     const auto selection = select(permit, input, usable, now);
     if (!selection)
-        return noUpstream(permit, now);
+        return noUpstream(permit, input, now);
     Choice choice;
     choice.upstream = *selection->upstream;
     choice.load = selection->load;
     choice.expectedWait = selection->admission.expectedWait;
     if (!selection->admission.admitted && input.tried.empty())
         return Failure{ErrorKind::Overloaded, Run::NotRun,
-                       overloadText(choice, selection->admission), overloadRetryAfter(permit, now)};
+                       overloadText(choice, selection->admission),
+                       overloadRetryAfter(permit, input, now)};
     choice.usable = static_cast<std::uint32_t>(usable.size());
     if (input.prompt.empty())
         return choice;
@@ -289,7 +308,7 @@
         std::find(holders.begin(), holders.end(), choice.upstream.id) != holders.end();
     const auto mayFetch = permit.service != nullptr && permit.service->sharesContexts;
     if (mayFetch && !choice.holdsContext)
-        choice.fetchFrom = fetchSource(context, choice.upstream.id, usable, now);
+        choice.fetchFrom = fetchSource(context, choice.upstream, usable, now);
     return choice;
 }
 
@@ -332,11 +351,13 @@
     return counted == 0 ? 0 : total / static_cast<double>(counted);
 }
 
-auto Dispatcher::noUpstream(const Permit &permit, Instant now) -> Failure
+auto Dispatcher::noUpstream(const Permit &permit, const RoutingInput &input, Instant now) -> Failure
 {
-    if (waitForAvailable(permit.serviceName, now) > Duration(0))
+    if (waitForAvailable(permit.serviceName, input, now) > Duration(0))
         return {ErrorKind::Overloaded, Run::NotRun, "all upstreams asked for rest or are cold",
-                overloadRetryAfter(permit, now)};
+                overloadRetryAfter(permit, input, now)};
+    if (input.version)
+        return refusal(ErrorKind::NoUpstream, "no upstream of version " + *input.version);
     const auto indexes = indexesByService_.find(permit.serviceName);
     const auto isAllEvacuated = indexes != indexesByService_.end()
         && std::all_of(indexes->second.begin(), indexes->second.end(),
@@ -347,7 +368,7 @@
     return refusal(ErrorKind::NoUpstream, "no upstream of the service is known");
 }
 
-auto Dispatcher::fetchSource(std::uint64_t context, UpstreamId chosen,
+auto Dispatcher::fetchSource(std::uint64_t context, const Upstream &chosen,
                              const std::vector<UpstreamView> &usable, Instant now) const
     -> std::optional<Address>
 {
@@ -356,19 +377,19 @@
     // other candidate.
     if (sources.empty())
         sources = contextCandidates(context, usable);
-    std::erase(sources, chosen);
-    return reachableHolder(sources, now);
+    std::erase(sources, chosen.id);
+    return reachableHolder(sources, chosen, now);
 }
 
-auto Dispatcher::reachableHolder(const std::vector<UpstreamId> &holders, Instant now) const
-    -> std::optional<Address>
+auto Dispatcher::reachableHolder(const std::vector<UpstreamId> &holders, const Upstream &receiver,
+                                 Instant now) const -> std::optional<Address>
 {
     for (const auto id : holders) {
         // A draining engine still serves the contexts that it holds.
         const auto *holder = findUpstream(id);
-        const auto trusted = holder != nullptr && holder->state != UpstreamState::Doubtful
-            && !isEvacuated(*holder) && !health_.isPaused(id, now)
-            && health_.failureShare(id, now) < trustedFailureShare;
+        const auto trusted = holder != nullptr && holder->version == receiver.version
+            && holder->state != UpstreamState::Doubtful && !isEvacuated(*holder)
+            && !health_.isPaused(id, now) && health_.failureShare(id, now) < trustedFailureShare;
         if (trusted)
             return holder->address;
     }
@@ -379,7 +400,7 @@
                                     Instant now) const -> bool
 {
     return !suspects_.isSuspect(input.fingerprint, now)
-        && !usableUpstreams(permit, input.tried, now).empty();
+        && !usableUpstreams(permit, input, now).empty();
 }
 
 auto Dispatcher::noteSent(UpstreamId upstream, const RoutingInput &input, Instant now) -> void
@@ -422,10 +443,11 @@
     return {permit.serviceName, permit.customer, permit.priority, route.priority, route.objective};
 }
 
-auto Dispatcher::overloadRetryAfter(const Permit &permit, Instant now) -> Duration
+auto Dispatcher::overloadRetryAfter(const Permit &permit, const RoutingInput &input, Instant now)
+    -> Duration
 {
     constexpr auto range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    return waitForAvailable(permit.serviceName, now)
+    return waitForAvailable(permit.serviceName, input, now)
         + admission_.retryAfter(admissionRequestOf(permit), static_cast<double>(draw()) / range,
                                 now);
 }
--- /dev/null
+++ b/src/direct/stream-versions.cc
@@ -0,0 +1,151 @@
+#include "applehatch/direct/stream-versions.h"
+
+#include <algorithm>
+
+namespace applehatch::direct {
+
+namespace {
+
+// Hash buckets visited by one call of `expire`, so that a large map does not hold up the loop.
+constexpr std::size_t bucketsPerExpiry = 1024;
+
+} // namespace
+
+auto streamKey(std::string_view customer, std::string_view requestId) -> StreamKey
+{
+    if (requestId.empty())
+        return 0;
+    return core::stableHash(requestId, core::stableHash(customer));
+}
+
+auto StreamVersions::serviceKey(std::string_view service) -> std::uint64_t
+{
+    return core::stableHash(service);
+}
+
+auto StreamVersions::setUpstreams(const UpstreamList &upstreams, Instant now)
+    -> std::vector<std::string>
+{
+    const auto before = mixedServices(now);
+    for (auto &[service, versions] : versions_) {
+        for (auto &[version, lastSeen] : versions)
+            lastSeen = lastSeen.value_or(now);
+    }
+    for (const auto &upstream : upstreams)
+        versions_[upstream.service][upstream.version] = std::nullopt;
+    auto turned = mixedServices(now);
+    std::erase_if(turned, [&](const std::string &service) {
+        return std::find(before.begin(), before.end(), service) != before.end();
+    });
+    return turned;
+}
+
+auto StreamVersions::notePeerMixed(std::uint64_t service, Instant now) -> void
+{
+    mixedByPeers_.put(service, true, now + peerWordLifetime);
+}
+
+auto StreamVersions::versionsOf(const std::string &service, Instant now) const
+    -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    const auto versions = versions_.find(service);
+    if (versions == versions_.end())
+        return names;
+    for (const auto &[version, lastSeen] : versions->second) {
+        if (!lastSeen || now - *lastSeen < lifetime)
+            names.push_back(version);
+    }
+    return names;
+}
+
+auto StreamVersions::isMixedByList(const std::string &service, Instant now) const -> bool
+{
+    return versionsOf(service, now).size() > 1;
+}
+
+auto StreamVersions::isMixed(const std::string &service, Instant now) const -> bool
+{
+    return isMixedByList(service, now) || mixedByPeers_.find(serviceKey(service), now) != nullptr;
+}
+
+auto StreamVersions::mixedServices(Instant now) const -> std::vector<std::string>
+{
+    std::vector<std::string> mixed;
+    for (const auto &[service, versions] : versions_) {
+        if (isMixedByList(service, now))
+            mixed.push_back(service);
+    }
+    return mixed;
+}
+
+auto StreamVersions::noteSent(StreamKey stream, const StreamOrigin &origin, Instant now) -> bool
+{
+    if (stream == 0)
+        return false;
+    streams_.put(stream, {origin, now, true}, now + lifetime);
+    return isMixed(origin.service, now);
+}
+
+auto StreamVersions::noteCompleted(StreamKey stream, Instant now) -> void
+{
+    const auto *known = find(stream, now);
+    if (known == nullptr)
+        return;
+    const auto completed = *known;
+    streams_.put(stream, completed, now + completedLifetime);
+}
+
+auto StreamVersions::notePeer(const StreamReport &report, Instant now) -> void
+{
+    if (report.stream == 0 || report.age < Duration(0) || report.age >= lifetime)
+        return;
+    const auto sentAt = now - report.age;
+    const auto *known = find(report.stream, now);
+    if (known != nullptr && known->sentAt >= sentAt)
+        return;
+    streams_.put(report.stream, {report.origin, sentAt, false}, sentAt + lifetime);
+}
+
+auto StreamVersions::report(StreamKey stream, Instant now) const -> std::optional<StreamReport>
+{
+    const auto *known = find(stream, now);
+    if (known == nullptr)
+        return std::nullopt;
+    return StreamReport{stream, known->origin, now - known->sentAt};
+}
+
+auto StreamVersions::ownReports(const std::string &service, Instant now) const
+    -> std::vector<StreamReport>
+{
+    std::vector<StreamReport> reports;
+    for (const auto stream : streams_.newest(capacity)) {
+        const auto *known = find(stream, now);
+        if (known != nullptr && known->own && known->origin.service == service)
+            reports.push_back({stream, known->origin, now - known->sentAt});
+    }
+    return reports;
+}
+
+auto StreamVersions::decide(StreamKey stream, const std::string &service, bool isIsolated,
+                            Instant now) const -> ResumeRule
+{
+    if (stream != 0 && find(stream, now) != nullptr)
+        return ResumeRule::AtOrigin;
+    if (!isIsolated && !isMixed(service, now))
+        return ResumeRule::AnyVersion;
+    return stream == 0 ? ResumeRule::Refuse : ResumeRule::AskKeepers;
+}
+
+auto StreamVersions::expire(Instant now) -> void
+{
+    streams_.expireSome(now, bucketsPerExpiry);
+    mixedByPeers_.expire(now);
+    for (auto &[service, versions] : versions_)
+        std::erase_if(versions, [now](const auto &version) {
+            return version.second && now - *version.second >= lifetime;
+        });
+    std::erase_if(versions_, [](const auto &service) { return service.second.empty(); });
+}
+
+} // namespace applehatch::direct
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -123,6 +123,7 @@
     const auto now = telemetry::steadyNow();
     if (isFirst) {
         report_.firstByte = now - arrivedAt_;
+        bindToVersion();
         environment_.dispatcher->noteFirstEvent(attempt_.choice.upstream.id, now - attempt_.sentAt,
                                                 now);
     }
@@ -151,6 +152,7 @@
     }
     attempt_.served = true;
     noteOutcome(Outcome::Served);
+    noteStreamCompleted();
     environment_.dispatcher->suspects().noteServed(demand_.fingerprint, telemetry::steadyNow());
     if (report_.firstByte)
         environment_.pace->noteStream(maxTokens_,
--- a/src/gateway/exchange-attempts.cc
+++ b/src/gateway/exchange-attempts.cc
@@ -26,6 +26,7 @@
     attempt_.choice = std::get<direct::Choice>(std::move(chosen));
     demand_.tried.push_back(attempt_.choice.upstream.id);
     report_.upstream = attempt_.choice.upstream.instance;
+    report_.version = attempt_.choice.upstream.version;
     report_.upstreamLoad = attempt_.choice.load;
     report_.usable = attempt_.choice.usable;
     report_.heldContext = attempt_.choice.holdsContext;
@@ -112,6 +113,7 @@
     attempt_.sentAt = telemetry::steadyNow();
     environment_.dispatcher->noteSent(attempt_.choice.upstream.id, demand_, attempt_.sentAt);
     environment_.dispatcher->noteAdmissionStart(permit_);
+    noteStreamSent();
     AnswerHooks hooks;
     const auto self = shared_from_this();
     hooks.head = [self](ResponseHead &head) { self->onHead(head); };
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -88,6 +88,18 @@
         return answerFailure({ErrorKind::Draining, Run::NotRun, "process is stopping", wait});
     }
     deadlineTimer_.start(timeLeft(), [self = shared_from_this()] { self->onDeadline(); });
+    const auto isResumable = permit_.route->kind == RouteKind::Stream && permit_.route->resumable;
+    if (!isResumable)
+        return begin();
+    ownStream_ = direct::streamKey(permit_.customer, id_);
+    const auto *lastEvent = request_.headers.find(environment_.vocabulary->lastEventId);
+    if (lastEvent == nullptr || lastEvent->empty())
+        return begin();
+    takeUp();
+}
+
+auto Exchange::begin() -> void
+{
     if (!startAttempt())
         answerAfterLastAttempt();
 }
@@ -175,7 +187,8 @@
     report_.status = head.status;
     auto retryAfter = failure.retryAfter;
     if (!retryAfter && failure.kind == ErrorKind::Overloaded)
-        retryAfter = environment_.dispatcher->overloadRetryAfter(permit_, telemetry::steadyNow());
+        retryAfter =
+            environment_.dispatcher->overloadRetryAfter(permit_, demand_, telemetry::steadyNow());
     if (retryAfter)
         head.headers.add("Retry-After", secondsText(*retryAfter));
     if (!id_.empty())
--- a/src/gateway/gateway-crashes.cc
+++ b/src/gateway/gateway-crashes.cc
@@ -18,9 +18,6 @@
 // The memory of a peer that started at nearly the same moment holds nothing that is worth a call.
 constexpr Duration minMemoryGain = std::chrono::milliseconds(500);
 
-// All requests that one crash breaks off are noticed within this time.
-constexpr Duration outboxDelay = std::chrono::milliseconds(10);
-
 auto milliseconds(Duration duration) -> std::int64_t
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -47,25 +44,6 @@
     }
 }
 
-auto GatewayHost::tellKeepers(const direct::CrashReport &report) -> void
-{
-    if (outbox_.isEmpty())
-        outboxTimer_.start(outboxDelay, [this] { sendNotes(); });
-    outbox_.add(report, steadyNow());
-}
-
-auto GatewayHost::sendNotes() -> void
-{
-    const auto now = steadyNow();
-    std::vector<Address> routers;
-    for (const auto &row : mesh_.table().alive(now)) {
-        if (!row.leaving)
-            routers.push_back(row.address);
-    }
-    for (const auto &notes : outbox_.take(routers, now))
-        mesh_.sendNotes(notes);
-}
-
 auto GatewayHost::askForCrashMemory(const PeerDigest &digest, Instant now) -> void
 {
     const auto &suspects = dispatcher_.suspects();
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -92,6 +92,14 @@
         log(LogLine(event).add("request", id).add("why", why));
     };
     exchangeEnvironment_.ended = [this](const ExchangeReport &report) { exchangeEnded(report); };
+    exchangeEnvironment_.tellStream = [this](const direct::StreamReport &report) {
+        tellKeepers(report);
+    };
+    exchangeEnvironment_.sendNotes = [this] { sendNotes(); };
+    exchangeEnvironment_.askKeepers = [this](direct::StreamKey stream, auto done) {
+        askKeepers(stream, std::move(done));
+    };
+    exchangeEnvironment_.isIsolated = [this] { return isIsolated(steadyNow()); };
     exchangeEnvironment_.crashCounted = [this](const direct::CrashReport &report) {
         tellKeepers(report);
     };
@@ -115,6 +123,10 @@
 {
     if (crashMemoryFetch_)
         crashMemoryFetch_->cancel();
+    for (const auto &each : queries_) {
+        if (const auto query = each.lock())
+            query->cancel();
+    }
 }
 
 auto GatewayHost::start() -> error_code
@@ -229,6 +241,8 @@
         .add("heldContext", report.heldContext ? 1 : 0)
         .add("fetchedFrom", report.fetchedFrom)
         .add("resumed", report.resumed ? 1 : 0)
+        .add("version", report.version)
+        .add("takesUp", report.takesUp)
         .add("config", static_cast<std::int64_t>(report.configurationVersion))
         .add("tookMs", milliseconds(report.duration));
     if (report.firstByte)
@@ -253,6 +267,9 @@
     if (target == crashMemoryPath)
         return answerText(caller, ok, "application/octet-stream",
                           encodeCrashMemory(dispatcher_.suspects().memory(steadyNow())));
+    if (target.starts_with(streamPath))
+        return answerText(caller, ok, "application/octet-stream",
+                          streamAnswer(target.substr(streamPath.size())));
     std::uint64_t peerRevision = 0;
     const auto *end = target.data() + target.size();
     const auto isDeltaRequest = target.starts_with(deltaPath)
@@ -274,6 +291,8 @@
         return;
     digest.loads = dispatcher_.loads().ownLoads();
     digest.crashes = dispatcher_.suspects().nextReports(now);
+    for (const auto &service : dispatcher_.streams().mixedServices(now))
+        digest.mixedServices.push_back(direct::StreamVersions::serviceKey(service));
     digest.crashMemoryAge = dispatcher_.suspects().memoryAge(now);
     // A peer receives a digest only once per round, so the uses of a whole round are included.
     digest.contexts = dispatcher_.contexts().recentUses(
@@ -289,6 +308,7 @@
     dispatcher_.loads().setPeerLifetime(mesh_.table().currentAliveTimeout(now));
     dispatcher_.loads().expire(now);
     dispatcher_.contexts().expire(now);
+    dispatcher_.streams().expire(now);
     dispatcher_.setRouters(mesh_.table().routers(now));
     dispatcher_.setFleet(fleetView(now));
     pool_.expire(now);
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -94,6 +94,7 @@
     }
     logUpstreamChanges(decoded.upstreams);
     const auto now = steadyNow();
+    noteVersions(decoded.upstreams, now);
     noteTurnedCold(dispatcher_.setUpstreams(std::move(decoded.upstreams), now));
     if (decoded.evacuated != dispatcher_.evacuated())
         applyEvacuations(std::move(decoded.evacuated), now);
@@ -149,11 +150,13 @@
     const auto revision = static_cast<std::int64_t>(replica_.revision());
     for (const auto &upstream : upstreams) {
         const auto previous = before.find(upstream.id);
-        const auto isNews = previous == before.end() || previous->second.state != upstream.state;
+        const auto isNews = previous == before.end() || previous->second.state != upstream.state
+            || previous->second.version != upstream.version;
         if (isNews)
             log(LogLine("upstream")
                     .add("upstream", upstream.instance)
                     .add("service", upstream.service)
+                    .add("version", upstream.version)
                     .add("address",
                          upstream.address.ip + ':' + std::to_string(upstream.address.port))
                     .add("state", direct::stateName(upstream.state))
@@ -171,10 +174,12 @@
 {
     const auto now = steadyNow();
     notePeerCrashes(digest, now);
+    notePeerStreams(digest, now);
     if (!digest.brief) {
         const auto peer = PeerTable::rankOf(digest.sender);
         dispatcher_.loads().notePeer(peer, digest.loads, now);
         askForCrashMemory(digest, now);
+        tellNewPeer(digest, now);
         dispatcher_.contexts().notePeer(digest.contexts, now);
     }
     catchUp(now);
--- /dev/null
+++ b/src/gateway/gateway-streams.cc
@@ -0,0 +1,122 @@
+// What gateways tell one another of streams that may be taken up.
+#include "applehatch/gateway/gateway-host.h"
+
+#include "gateway-log.h"
+
+#include "applehatch/direct/keepers.h"
+#include "applehatch/telemetry/clock.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace applehatch::gateway {
+
+using core::LogLine;
+using telemetry::steadyNow;
+
+namespace {
+
+// More than are told, since the views of two gateways differ a little.
+constexpr std::size_t keepersToAsk = direct::keeperCount + 2;
+// Usually some gateway has an answer of the registry each second.
+constexpr Duration maxRegistrySilence = std::chrono::seconds(3);
+
+auto joined(const std::vector<std::string> &texts) -> std::string
+{
+    std::string all;
+    for (const auto &text : texts)
+        all += (all.empty() ? "" : " ") + (text.empty() ? "-" : text);
+    return all;
+}
+
+} // namespace
+
+auto GatewayHost::noteVersions(const direct::UpstreamList &upstreams, Instant now) -> void
+{
+    auto &streams = dispatcher_.streams();
+    for (const auto &service : streams.setUpstreams(upstreams, now)) {
+        const auto running = streams.ownReports(service, now);
+        metrics_.noteEvent("several-versions");
+        log(LogLine("several-versions")
+                .add("service", service)
+                .add("versions", joined(streams.versionsOf(service, now)))
+                .add("streams", static_cast<std::int64_t>(running.size()))
+                .add("revision", static_cast<std::int64_t>(replica_.revision())));
+        for (const auto &report : running)
+            tellKeepers(report);
+    }
+}
+
+auto GatewayHost::notePeerStreams(const PeerDigest &digest, Instant now) -> void
+{
+    auto &streams = dispatcher_.streams();
+    for (const auto service : digest.mixedServices)
+        streams.notePeerMixed(service, now);
+    for (const auto &report : digest.streams)
+        streams.notePeer(report, now);
+}
+
+auto GatewayHost::tellNewPeer(const PeerDigest &digest, Instant now) -> void
+{
+    auto &incarnation = peerIncarnations_[PeerTable::rankOf(digest.sender)];
+    if (std::exchange(incarnation, digest.incarnation) == digest.incarnation)
+        return;
+    const auto routers = lastingPeers(now);
+    AddressedNotes notes{digest.sender, {}, {}};
+    const auto send = [&] {
+        if (!notes.streams.empty())
+            mesh_.sendNotes(notes);
+        notes.streams.clear();
+    };
+    for (const auto &service : dispatcher_.streams().mixedServices(now)) {
+        for (auto &report : dispatcher_.streams().ownReports(service, now)) {
+            const auto keepers = direct::keepersOf(report.stream, routers);
+            if (std::find(keepers.begin(), keepers.end(), digest.sender) == keepers.end())
+                continue;
+            notes.streams.push_back(std::move(report));
+            if (notes.streams.size() == KeeperOutbox::maxNotes)
+                send();
+        }
+    }
+    send();
+}
+
+auto GatewayHost::askKeepers(direct::StreamKey stream,
+                             std::function<void(std::optional<KeptStream>)> done) -> void
+{
+    auto routers = std::vector<Address>{settings_.peers};
+    for (const auto &row : mesh_.table().alive(steadyNow()))
+        routers.push_back(row.address);
+    auto keepers = direct::keepersOf(stream, std::move(routers), keepersToAsk);
+    std::erase(keepers, settings_.peers);
+    std::erase_if(queries_, [](const auto &query) { return query.expired(); });
+    const auto query = std::make_shared<KeeperQuery>(stream, std::move(done));
+    queries_.push_back(query);
+    query->start(loop_, pool_, keepers);
+}
+
+auto GatewayHost::streamAnswer(std::string_view key) const -> std::string
+{
+    direct::StreamKey stream = 0;
+    constexpr int hexadecimal = 16;
+    const auto *end = key.data() + key.size();
+    StreamReports known;
+    if (std::from_chars(key.data(), end, stream, hexadecimal).ptr == end) {
+        if (auto report = dispatcher_.streams().report(stream, steadyNow()))
+            known.push_back(std::move(*report));
+    }
+    return encodeStreams(known);
+}
+
+auto GatewayHost::isIsolated(Instant now) const -> bool
+{
+    const auto &table = mesh_.table();
+    const auto since = table.readerTracker().timeSinceAnswer(now);
+    if (since && *since <= maxRegistrySilence)
+        return false;
+    const auto inTouch = table.alive(now).size() + 1;
+    return 2 * inTouch < table.routers(now);
+}
+
+} // namespace applehatch::gateway
--- a/src/gateway/keeper-outbox.cc
+++ b/src/gateway/keeper-outbox.cc
@@ -60,6 +60,12 @@
         sorter.addFor(report.fingerprint,
                       [&](AddressedNotes &notes) { notes.crashes.push_back(report); });
     }
+    for (const auto &added : std::exchange(streams_, {})) {
+        auto report = added.report;
+        report.age += now - added.at;
+        sorter.addFor(report.stream,
+                      [&](AddressedNotes &notes) { notes.streams.push_back(report); });
+    }
     return sorter.take();
 }
 
--- a/src/gateway/peer-digest.cc
+++ b/src/gateway/peer-digest.cc
@@ -114,6 +114,16 @@
     return crashes;
 }
 
+auto readStreams(capnp::List<schema::Stream>::Reader from) -> StreamReports
+{
+    StreamReports streams;
+    for (const auto stream : from)
+        streams.push_back({stream.getKey(),
+                           {stream.getService().cStr(), stream.getVersion().cStr()},
+                           std::chrono::milliseconds(stream.getAgeMs())});
+    return streams;
+}
+
 auto readDigest(schema::PeerDigest::Reader from) -> PeerDigest
 {
     PeerDigest digest;
@@ -133,6 +143,9 @@
     for (const auto load : from.getLoads())
         digest.loads.push_back({load.getUpstream(), load.getRunning()});
     digest.crashes = readCrashes(from.getCrashes());
+    digest.streams = readStreams(from.getStreams());
+    for (const auto service : from.getMixedServices())
+        digest.mixedServices.push_back(service);
     digest.crashMemoryAge = std::chrono::milliseconds(from.getCrashMemoryMs());
     for (const auto context : from.getContexts())
         digest.contexts.push_back(
@@ -175,6 +188,16 @@
     }
 }
 
+auto writeStreams(capnp::List<schema::Stream>::Builder into, const StreamReports &streams) -> void
+{
+    for (unsigned i = 0; i < into.size(); ++i) {
+        into[i].setKey(streams[i].stream);
+        into[i].setService(streams[i].origin.service);
+        into[i].setVersion(streams[i].origin.version);
+        into[i].setAgeMs(ageMs(streams[i].age));
+    }
+}
+
 // Decodes a packed message; none if `bytes` is not one.
 template <typename Schema, typename Read>
 auto decodePacked(std::string_view bytes, Read read)
@@ -219,6 +242,10 @@
         loads[i].setRunning(digest.loads[i].running);
     }
     writeCrashes(root.initCrashes(static_cast<unsigned>(digest.crashes.size())), digest.crashes);
+    writeStreams(root.initStreams(static_cast<unsigned>(digest.streams.size())), digest.streams);
+    auto mixed = root.initMixedServices(static_cast<unsigned>(digest.mixedServices.size()));
+    for (unsigned i = 0; i < mixed.size(); ++i)
+        mixed.set(i, digest.mixedServices[i]);
     root.setCrashMemoryMs(ageMs(digest.crashMemoryAge));
     auto contexts = root.initContexts(static_cast<unsigned>(digest.contexts.size()));
     for (unsigned i = 0; i < contexts.size(); ++i) {
@@ -251,6 +278,20 @@
     });
 }
 
+auto encodeStreams(const StreamReports &streams) -> std::string
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::Streams>();
+    writeStreams(root.initStreams(static_cast<unsigned>(streams.size())), streams);
+    return packedBytesOf(message);
+}
+
+auto decodeStreams(std::string_view bytes) -> std::optional<StreamReports>
+{
+    return decodePacked<schema::Streams>(
+        bytes, [](schema::Streams::Reader from) { return readStreams(from.getStreams()); });
+}
+
 auto encodeDelta(const direct::RegistryDelta &delta) -> std::string
 {
     capnp::MallocMessageBuilder message;
--- a/src/gateway/peer-mesh.cc
+++ b/src/gateway/peer-mesh.cc
@@ -104,6 +104,7 @@
     auto digest = nextDigest(true);
     digest.isNote = true;
     digest.crashes = notes.crashes;
+    digest.streams = notes.streams;
     post(digest, {notes.to});
 }
 
--- a/src/gateway/peer.capnp
+++ b/src/gateway/peer.capnp
@@ -48,6 +48,20 @@
   brief @10 :Bool;
   crashMemoryMs @11 :UInt32;
   note @12 :Bool;
+  streams @13 :List(Stream);
+  mixedServices @14 :List(UInt64);
+}
+
+struct Stream {
+  key @0 :UInt64;
+  service @1 :Text;
+  version @2 :Text;
+  ageMs @3 :UInt32;
+}
+
+# Answer to a peer that asks what began a stream; no stream if that is not known.
+struct Streams {
+  streams @0 :List(Stream);
 }
 
 # Answer to a peer that has just started.
--- a/test/gateway-versions/version-fleet.h
+++ b/test/gateway-versions/version-fleet.h
@@ -19,8 +19,14 @@
 
 namespace applehatch::gateway::testing {
 
-/// Answers a stream of three events, or what is left of it after `Last-Event-Id`. Breaks off after
-/// the first event while `breaks` is set.
+/// How an engine ends its answers.
+enum class Ending {
+    Whole,
+    Reset,  ///< After the first event the connection is reset.
+    Silent, ///< After the first event nothing more comes.
+};
+
+/// Answers a stream of three events, or what is left of it after `Last-Event-Id`.
 class VersionedEngine
 {
 public:
@@ -48,7 +54,7 @@
     [[nodiscard]] auto requests() const -> std::size_t { return upstream.requests().size(); }
 
     std::string version;
-    bool breaks = false;
+    Ending ending = Ending::Whole;
     ScriptedUpstream upstream;
 
 private:
@@ -62,9 +68,11 @@
         const auto head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + headerOf(request, "X-Attempt-Id")
             + "\r\nX-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
               "Transfer-Encoding: chunked\r\n\r\n";
-        if (breaks)
-            return connection.sendThenReset(head + eventChunk(1));
         const auto first = isResume(request) ? 2 : 1;
+        if (ending == Ending::Reset)
+            return connection.sendThenReset(head + eventChunk(first));
+        if (ending == Ending::Silent)
+            return connection.send(head + eventChunk(first));
         std::string events;
         for (int id = first; id <= 3; ++id)
             events += eventChunk(id);
@@ -195,10 +203,10 @@
         return caller.received;
     }
     /// The same for a caller that takes the stream that `id` began up after its first event.
-    auto resume(VersionedGateway &gateway, const std::string &newId, const std::string &id)
-        -> std::string
+    auto resume(VersionedGateway &gateway, const std::string &newId, const std::string &id,
+                const std::string &enough = {}) -> std::string
     {
-        return ask(gateway, newId, "Last-Event-Id: 1\r\nResumes: " + id + "\r\n");
+        return ask(gateway, newId, "Last-Event-Id: 1\r\nResumes: " + id + "\r\n", "/once/", enough);
     }
 
     /// Begins a stream at the engine, the only one that takes requests, and lets it break off after
@@ -209,10 +217,10 @@
         for (auto &each : engines)
             setState(each, &each == &engine ? "ready" : stateOfOthers);
         publish();
-        engine.breaks = true;
+        engine.ending = Ending::Reset;
         const auto received = ask(gateway, id, {}, "/once/", "piece-1");
         BOOST_TEST(received.find("piece-1") != std::string::npos);
-        engine.breaks = false;
+        engine.ending = Ending::Whole;
     }
     /// Makes all engines take requests.
     auto openAll() -> void
--- a/test/gateway-versions/versions-test.cc
+++ b/test/gateway-versions/versions-test.cc
@@ -55,7 +55,7 @@
 BOOST_AUTO_TEST_CASE(within_one_answer_a_stream_goes_on_at_its_version_alone)
 {
     TwoVersions fleet;
-    fleet.v1().breaks = true;
+    fleet.v1().ending = Ending::Reset;
     for (int i = 0; i < 3 * streams; ++i)
         fleet.ask(*fleet.first, nameOf("a", i), {}, "/thrice/");
     BOOST_TEST(fleet.resumedAt("v1") > 0U);
@@ -69,7 +69,7 @@
     fleet.setState(fleet.v1(), "draining");
     fleet.publish();
     auto &lastOfV1 = *std::next(fleet.engines.begin());
-    lastOfV1.breaks = true;
+    lastOfV1.ending = Ending::Reset;
     for (int i = 0; i < 3 * streams; ++i)
         fleet.ask(*fleet.first, nameOf("a", i), {}, "/thrice/");
     BOOST_TEST(lastOfV1.requests() > 0U);
@@ -138,10 +138,10 @@
     fleet.beginAndBreak(*fleet.first, "a", fleet.v1());
     fleet.openAll();
     for (auto &engine : fleet.engines)
-        engine.breaks = true;
+        engine.ending = Ending::Silent;
     for (int i = 0; i < streams; ++i) {
         auto &gateway = i % 2 == 0 ? *fleet.first : *fleet.second;
-        fleet.resume(gateway, nameOf("b", i), "a");
+        fleet.resume(gateway, nameOf("b", i), "a", "piece-2");
     }
     BOOST_TEST(fleet.resumedAt("v1") == static_cast<std::size_t>(streams));
     BOOST_TEST(fleet.resumedAt("v2") == 0U);
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -249,6 +249,7 @@
     vocabulary.prompt = "Prompt-Parts";
     vocabulary.fetchFrom = "Fetch-Context";
     vocabulary.lastEventId = "Last-Event-ID";
+    vocabulary.resumes = "First-Request";
     vocabulary.leaving = "Going-Away";
     vocabulary.restRequest = "Rest-Ms";
     vocabulary.keyScheme = "Bearer";
--- a/test/gateway/peers-test.cc
+++ b/test/gateway/peers-test.cc
@@ -56,6 +56,8 @@
     digest.loads = {{77, 6}};
     digest.crashes = {{88, 77, 1500ms, 2}};
     digest.crashMemoryAge = 90s;
+    digest.streams = {{55, {"pool", "v1.2"}, 40ms}};
+    digest.mixedServices = {direct::StreamVersions::serviceKey("pool")};
     digest.isNote = true;
     digest.contexts = {{99, 77, 10500}};
     const auto read = decodeDigest(encodeDigest(digest));
@@ -71,6 +73,8 @@
     BOOST_TEST(read->loads.at(0).running == 6U);
     BOOST_TEST((read->crashes == digest.crashes));
     BOOST_TEST((read->crashMemoryAge == digest.crashMemoryAge));
+    BOOST_TEST((read->streams == digest.streams));
+    BOOST_TEST((read->mixedServices == digest.mixedServices));
     BOOST_TEST((read->contexts == digest.contexts));
 }
 
@@ -83,6 +87,15 @@
     BOOST_TEST((read->reports == memory.reports));
 }
 
+BOOST_AUTO_TEST_CASE(streams_round_trip_through_their_encoding)
+{
+    const StreamReports streams = {{55, {"pool", "v1.2"}, 40ms}, {56, {"pool", ""}, 0ms}};
+    const auto read = decodeStreams(encodeStreams(streams));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((*read == streams));
+    BOOST_TEST(decodeStreams(encodeStreams({}))->empty());
+}
+
 // Any process may send to the port. Bytes that are not a message must be rejected
 // without an effect.
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_message_are_rejected)
@@ -93,6 +106,7 @@
          {std::string(), std::string("x"), std::string(500, '\xff'), digest.substr(0, 9)}) {
         BOOST_TEST(!decodeDigest(bytes).has_value());
         BOOST_TEST(!decodeCrashMemory(bytes).has_value());
+        BOOST_TEST(!decodeStreams(bytes).has_value());
     }
     for (const std::string &bytes : {std::string(), std::string(500, '\xff'), news.substr(0, 60),
                                      std::string("\xff\xff\xff\xff\xff\xff\xff\x7f", 8)})
--- a/test/platform/decoder-test.cc
+++ b/test/platform/decoder-test.cc
@@ -101,6 +101,28 @@
 
 // An engine restarts under the same name. State recorded for its earlier incarnation must not apply
 // to the new one.
+// Guards against joining what two versions wrote because an entry spells its version oddly.
+BOOST_AUTO_TEST_CASE(versions_are_read_as_they_are_spelled)
+{
+    const auto versionOf = [](const std::string &field, bool isNamed) {
+        std::string problem;
+        const auto upstream = decodeUpstream(
+            "e",
+            R"({"service":"pool","addr":"10.0.0.9:8080","zone":"east","slots":64,"state":"ready")"
+                + field + '}',
+            problem);
+        BOOST_REQUIRE(upstream.has_value());
+        BOOST_TEST(problem.empty() != isNamed);
+        return upstream->version;
+    };
+    BOOST_TEST(versionOf(R"(,"version":"v1.2")", false) == "v1.2");
+    BOOST_TEST(versionOf(R"(,"version":"V1.2")", false) == "V1.2");
+    BOOST_TEST(versionOf("", false).empty());
+    BOOST_TEST(versionOf(R"(,"version":null)", false).empty());
+    BOOST_TEST(versionOf(R"(,"version":7)", true) == "7");
+    BOOST_TEST(versionOf(R"(,"version":["v1"])", true) == R"(["v1"])");
+}
+
 BOOST_AUTO_TEST_CASE(a_restarted_engine_is_a_different_upstream)
 {
     std::string problem;
