--- a/include/applehatch/core/log-line.h
+++ b/include/applehatch/core/log-line.h
@@ -1,6 +1,8 @@
 /// Log lines of key=value pairs.
 #pragma once
 
+#include "applehatch/core/identity.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -27,6 +29,11 @@
     std::string text_;
 };
 
+/// Returns whole milliseconds.
+[[nodiscard]] auto millisecondsOf(Duration duration) -> std::int64_t;
+/// Returns whole milliseconds with their unit, such as `120 ms`.
+[[nodiscard]] auto millisecondsText(Duration duration) -> std::string;
+
 /// Returns `value` as 16 hexadecimal digits.
 [[nodiscard]] auto hexText(std::uint64_t value) -> std::string;
 
--- a/include/applehatch/direct/stream-versions.h
+++ b/include/applehatch/direct/stream-versions.h
@@ -72,6 +72,7 @@
     /// The same for a stream that was sent to its caller whole.
     static constexpr Duration completedLifetime = std::chrono::seconds(5);
     static constexpr std::size_t capacity = 32768;
+    static constexpr std::size_t maxServices = 1024;
     /// A peer that stops saying that a service has several versions is believed for this long.
     static constexpr Duration peerWordLifetime = std::chrono::seconds(5);
 
@@ -120,8 +121,8 @@
 
     [[nodiscard]] auto isMixedByList(const std::string &service, Instant now) const -> bool;
 
-    std::map<std::string, Versions> versions_; // By service.
-    core::ExpiringMap<bool> mixedByPeers_{capacity};
+    std::map<std::string, Versions> versions_;          // By service.
+    core::ExpiringMap<bool> mixedByPeers_{maxServices}; // By `serviceKey`.
     core::ExpiringMap<KnownStream> streams_{capacity};
 };
 
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -116,6 +116,8 @@
     auto notePeerCrashes(const PeerDigest &digest, Instant now) -> void;
     /// Asks the peer for its memory of crashes if it reaches back further than a new one here.
     auto askForCrashMemory(const PeerDigest &digest, Instant now) -> void;
+    auto adoptCrashMemory(const Address &peer, const std::optional<std::string> &body,
+                          const std::string &why) -> void;
     /// Tells the routers that keep a crash or a stream of it, with others that follow at once.
     template <typename Report>
     auto tellKeepers(const Report &report) -> void;
@@ -133,8 +135,6 @@
     [[nodiscard]] auto streamAnswer(std::string_view key) const -> std::string;
     /// Whether the registry has been silent for long, and most routers as well.
     [[nodiscard]] auto isIsolated(Instant now) const -> bool;
-    auto adoptCrashMemory(const Address &peer, const std::optional<std::string> &body,
-                          const std::string &why) -> void;
     auto onPeerDelta(const direct::RegistryDelta &delta) -> void;
     auto registryRegained() -> void;
     /// Decides whether this router reads the registry itself, and reports a change of role.
--- a/src/core/log-line.cc
+++ b/src/core/log-line.cc
@@ -70,6 +70,16 @@
     return add(key, std::string_view(std::to_string(value)));
 }
 
+auto millisecondsOf(Duration duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+auto millisecondsText(Duration duration) -> std::string
+{
+    return std::to_string(millisecondsOf(duration)) + " ms";
+}
+
 auto hexText(std::uint64_t value) -> std::string
 {
     constexpr std::size_t digits = 16;
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -24,19 +24,13 @@
 // Shortest retry delay while every data centre of a service is evacuated, which lasts seconds.
 constexpr Duration evacuatedRetryDelay = std::chrono::seconds(1);
 
-auto millisecondsText(Duration duration) -> std::string
-{
-    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    return std::to_string(count) + " ms";
-}
-
 // Describes the inputs of the decision, for the log.
 auto overloadText(const Choice &choice, const AdmissionDecision &decision) -> std::string
 {
     return "least load " + std::to_string(choice.load) + " of "
         + std::to_string(choice.upstream.slots) + " slots, wait "
-        + millisecondsText(decision.expectedWait) + ", allowed "
-        + millisecondsText(decision.maxWait);
+        + core::millisecondsText(decision.expectedWait) + ", allowed "
+        + core::millisecondsText(decision.maxWait);
 }
 
 } // namespace
--- a/src/gateway/exchange-resume.cc
+++ b/src/gateway/exchange-resume.cc
@@ -1,27 +1,15 @@
 // Streams that callers take up, and the version at which they go on.
 #include "applehatch/gateway/exchange.h"
 
+#include "applehatch/core/log-line.h"
 #include "applehatch/telemetry/clock.h"
 
-#include <chrono>
-#include <utility>
-
 namespace applehatch::gateway {
 
 using core::ErrorKind;
 using core::Run;
 using direct::ResumeRule;
 
-namespace {
-
-auto millisecondsText(Duration duration) -> std::string
-{
-    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    return std::to_string(count) + " ms";
-}
-
-} // namespace
-
 auto Exchange::takeUp() -> void
 {
     const auto now = telemetry::steadyNow();
@@ -55,7 +43,7 @@
     environment_.note(id_, "stream-taken-up",
                       report_.takesUp + ": began at " + report.origin.service + " version "
                           + report.origin.version + ", known by " + knownBy + " for "
-                          + millisecondsText(report.age));
+                          + core::millisecondsText(report.age));
     // Without the service on its route, the stream goes on as the configuration now says.
     if (environment_.dispatcher->keepService(permit_, report.origin.service)) {
         report_.service = permit_.serviceName;
--- a/src/gateway/gateway-crashes.cc
+++ b/src/gateway/gateway-crashes.cc
@@ -18,11 +18,6 @@
 // The memory of a peer that started at nearly the same moment holds nothing that is worth a call.
 constexpr Duration minMemoryGain = std::chrono::milliseconds(500);
 
-auto milliseconds(Duration duration) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 auto GatewayHost::notePeerCrashes(const PeerDigest &digest, Instant now) -> void
@@ -38,7 +33,7 @@
                 .add("upstream",
                      upstream == nullptr ? core::hexText(report.upstream) : upstream->instance)
                 .add("peer", digest.sender.ip)
-                .add("ageMs", milliseconds(report.age))
+                .add("ageMs", core::millisecondsOf(report.age))
                 .add("crashes",
                      static_cast<std::int64_t>(suspects.crashes(report.fingerprint, now))));
     }
@@ -78,8 +73,8 @@
     log(LogLine("crash-memory")
             .add("peer", peer.ip)
             .add("reports", static_cast<std::int64_t>(memory->reports.size()))
-            .add("beforeMs", milliseconds(before))
-            .add("reachesMs", milliseconds(memory->age)));
+            .add("beforeMs", core::millisecondsOf(before))
+            .add("reachesMs", core::millisecondsOf(memory->age)));
 }
 
 } // namespace applehatch::gateway
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -39,11 +39,6 @@
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
 
-auto milliseconds(Duration duration) -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 auto answerText(const CallerPtr &caller, int status, std::string_view type, std::string_view body)
     -> void
 {
@@ -244,9 +239,9 @@
         .add("version", report.version)
         .add("takesUp", report.takesUp)
         .add("config", static_cast<std::int64_t>(report.configurationVersion))
-        .add("tookMs", milliseconds(report.duration));
+        .add("tookMs", core::millisecondsOf(report.duration));
     if (report.firstByte)
-        line.add("firstByteMs", milliseconds(*report.firstByte));
+        line.add("firstByteMs", core::millisecondsOf(*report.firstByte));
     log(line);
 }
 
@@ -343,7 +338,7 @@
     if (late < stallThreshold)
         return false;
     metrics_.noteEvent("held-up");
-    log(LogLine("held-up").add("lateMs", milliseconds(late)), LogLevel::Warning);
+    log(LogLine("held-up").add("lateMs", core::millisecondsOf(late)), LogLevel::Warning);
     return true;
 }
 
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -135,8 +135,7 @@
         metrics_.noteEvent("upstream-cold");
         log(LogLine("upstream-cold")
                 .add("upstream", upstream.instance)
-                .add("forMs",
-                     std::chrono::duration_cast<std::chrono::milliseconds>(upstream.left).count())
+                .add("forMs", core::millisecondsOf(upstream.left))
                 .add("why", upstream.wasEvacuated ? "was evacuated" : "its entry")
                 .add("revision", static_cast<std::int64_t>(replica_.revision())));
     }
@@ -254,7 +253,7 @@
 {
     constexpr std::int64_t never = -1;
     const auto since = mesh_.table().readerTracker().timeSinceAnswer(now);
-    return since ? std::chrono::duration_cast<std::chrono::milliseconds>(*since).count() : never;
+    return since ? core::millisecondsOf(*since) : never;
 }
 
 auto GatewayHost::onPeerDelta(const direct::RegistryDelta &delta) -> void
--- a/test/direct/stream-versions-test.cc
+++ b/test/direct/stream-versions-test.cc
@@ -145,6 +145,7 @@
 BOOST_AUTO_TEST_CASE(routers_that_miss_a_few_others_still_agree_on_most_keepers)
 {
     std::vector<Address> routers;
+    routers.reserve(30);
     for (int i = 0; i < 30; ++i)
         routers.push_back({"10.0.0." + std::to_string(i), 7000});
     const auto fewer = std::vector<Address>(routers.begin() + 3, routers.end());
--- a/test/gateway/stream-fleet-test.cc
+++ b/test/gateway/stream-fleet-test.cc
@@ -74,7 +74,8 @@
     {
         std::vector<bool> ended(known_.size());
         std::minstd_rand random(1);
-        const auto count = std::max<std::size_t>(1, static_cast<std::size_t>(share * ended.size()));
+        const auto size = static_cast<double>(ended.size());
+        const auto count = std::max<std::size_t>(1, static_cast<std::size_t>(share * size));
         std::fill_n(ended.begin(), count, true);
         std::shuffle(ended.begin(), ended.end(), random);
         std::size_t asked = 0;
