A common request that shared a crash runs side by side again

A request that was served three times since its last break is trusted, as it already is when the next break comes; it is not held back.

--- a/include/applehatch/direct/crash-suspects.h
+++ b/include/applehatch/direct/crash-suspects.h
@@ -92,6 +92,9 @@
 
     /// Returns the number of upstreams that crashed under the request.
     [[nodiscard]] auto crashes(Fingerprint fingerprint, Instant now) const -> std::size_t;
+    /// Whether the request was served so often since its last break that it shared the crash of
+    /// another.
+    [[nodiscard]] auto isTrusted(Fingerprint fingerprint, Instant now) const -> bool;
     /// Whether the request is refused.
     [[nodiscard]] auto isSuspect(Fingerprint fingerprint, Instant now) const -> bool;
     /// Returns how far back the memory of crashes reaches, at most `lifetime`.
--- a/src/direct/crash-suspects.cc
+++ b/src/direct/crash-suspects.cc
@@ -20,10 +20,9 @@
 
 auto CrashSuspects::noteBreak(Fingerprint fingerprint, UpstreamId upstream, Instant now) -> bool
 {
-    const auto *served = served_.find(fingerprint, now);
-    const auto isTrusted = served != nullptr && *served >= servesToTrust;
+    const auto sharedACrash = isTrusted(fingerprint, now);
     served_.erase(fingerprint);
-    if (isTrusted)
+    if (sharedACrash)
         return false;
     add(fingerprint, {upstream, now, now, true}, now);
     return true;
@@ -35,6 +34,12 @@
     served_.put(fingerprint, (served == nullptr ? 0 : *served) + 1, now + lifetime);
 }
 
+auto CrashSuspects::isTrusted(Fingerprint fingerprint, Instant now) const -> bool
+{
+    const auto *served = served_.find(fingerprint, now);
+    return served != nullptr && *served >= servesToTrust;
+}
+
 auto CrashSuspects::noteAnswered(UpstreamId upstream, Instant sentAt, Instant now) -> bool
 {
     const auto *brokeAt = unrefutedBreaks_.find(upstream, now);
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -268,7 +268,9 @@
     if (crashes == 0)
         return std::nullopt;
     const auto isSuspect = suspects_.isSuspect(input.fingerprint, now);
-    if (!isSuspect && !running_.contains(input.fingerprint))
+    const auto isHeldBack =
+        running_.contains(input.fingerprint) && !suspects_.isTrusted(input.fingerprint, now);
+    if (!isSuspect && !isHeldBack)
         return std::nullopt;
     const auto *why = isSuspect ? " upstreams before" : " upstreams before, and a copy is running";
     return refusal(ErrorKind::CrashSuspect,
--- a/test/gateway-crash-memory/crash-memory-test.cc
+++ b/test/gateway-crash-memory/crash-memory-test.cc
@@ -239,4 +239,19 @@
     BOOST_TEST(refused == 2);
 }
 
+// Guards against refusing copies of a common request for minutes because it shared one crash.
+BOOST_AUTO_TEST_CASE(copies_of_a_request_that_was_served_again_run_side_by_side)
+{
+    asio::io_context loop{1};
+    CrashingPool pool(loop, 4);
+    Gateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), pool.entries());
+    auto &suspects = gateway.host.dispatcher().suspects();
+    suspects.noteBreak(crashFingerprint, 1, telemetry::steadyNow());
+    for (std::uint32_t i = 0; i < direct::CrashSuspects::servesToTrust; ++i)
+        suspects.noteServed(crashFingerprint, telemetry::steadyNow());
+    sendCopies(loop, gateway, 3);
+    BOOST_TEST(pool.runs == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
