--- a/test/gateway-versions/version-fleet.h
+++ b/test/gateway-versions/version-fleet.h
@@ -85,7 +85,7 @@
 {
 public:
     explicit VersionedGateway(std::vector<core::Address> seeds = {})
-        : settings(makeSettings(std::move(seeds)))
+        : settings(testSettings(std::move(seeds)))
         , host(loop, settings, platform::platformVocabulary(), platform::DirectoryDecoder())
     {
         const auto error = host.start();
@@ -106,22 +106,6 @@
     asio::io_context loop{1};
     bool isRunning = true;
 
-private:
-    static auto makeSettings(std::vector<core::Address> seeds) -> GatewaySettings
-    {
-        GatewaySettings made;
-        made.name = "gateway";
-        made.dataCenter = "here";
-        made.callers = ownAddress();
-        made.readiness = ownAddress();
-        made.metrics = ownAddress();
-        made.peers = ownAddress();
-        made.seeds = std::move(seeds);
-        made.retries.extra = 1000;
-        return made;
-    }
-
-public:
     GatewaySettings settings;
     GatewayHost host;
 };
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -309,13 +309,28 @@
     return {ip, ++port};
 }
 
+/// Settings of a gateway at addresses of its own, which knows `seeds`.
+inline auto testSettings(std::vector<core::Address> seeds) -> GatewaySettings
+{
+    GatewaySettings made;
+    made.name = "gateway";
+    made.dataCenter = "here";
+    made.callers = ownAddress();
+    made.readiness = ownAddress();
+    made.metrics = ownAddress();
+    made.peers = ownAddress();
+    made.seeds = std::move(seeds);
+    made.retries.extra = 1000; // A newly started process has a small share of it.
+    return made;
+}
+
 /// A gateway and the registry contents that it decodes.
 class Gateway
 {
 public:
     explicit Gateway(asio::io_context &loop, std::vector<core::Address> seeds = {})
         : loop_(loop)
-        , settings(makeSettings(std::move(seeds)))
+        , settings(testSettings(std::move(seeds)))
         , host(loop, settings, testVocabulary(), [this](const auto &) { return registry; })
     {
         const auto error = host.start();
@@ -339,20 +354,6 @@
     DecodedRegistry registry;
 
 private:
-    static auto makeSettings(std::vector<core::Address> seeds) -> GatewaySettings
-    {
-        GatewaySettings made;
-        made.name = "gateway";
-        made.dataCenter = "here";
-        made.callers = ownAddress();
-        made.readiness = ownAddress();
-        made.metrics = ownAddress();
-        made.peers = ownAddress();
-        made.seeds = std::move(seeds);
-        made.retries.extra = 1000; // A newly started process has a small share of it.
-        return made;
-    }
-
     asio::io_context &loop_;
     std::uint64_t revision_ = 0;
 
