Room by time left, pace of upstreams, prompts weighed, bytes without end: four parts for hard load

- Admission by the time left: a caller that comes back is known by the time that it gives.
While slots are short it gets every ninth; a failed request is not repeated in the place of one that can be on time.

All off unless deploy/policies.jsonc turns them on; the first two act only where upstreams report a pace.

--- a/include/applehatch/direct/admission.h
+++ b/include/applehatch/direct/admission.h
@@ -21,6 +21,9 @@
     int routePriority = 0; ///< Orders requests of the same `priority`; 0 is the most urgent.
     Duration objective{0}; ///< Time to the first event after which an answer is of little use; 0 if
                            ///< the route has none.
+    /// Whether requests that can still be on time come before those that cannot.
+    bool byTimeLeft = false;
+    Duration sinceFirstSent{0}; ///< Part of the objective that was spent before this attempt.
 };
 
 /// Occupancy of the upstream that would receive the request.
@@ -28,6 +31,7 @@
 {
     std::uint32_t load = 0; ///< Requests that all routers of the fleet have at the upstream.
     std::uint32_t slots = 1;
+    double slowdown = 1; ///< Time that work takes there now as a multiple of the usual time.
 };
 
 struct AdmissionDecision
@@ -67,6 +71,15 @@
     static constexpr double fairShareFactor = 2.0;
     /// Shares of customers are not compared while fewer requests than this are running.
     static constexpr std::uint32_t minRunningForShares = 16;
+    /// While slots are short, a request that will be late in any case gets one after this many that
+    /// can be on time: callers who come back are served rarely, but they are.
+    static constexpr std::uint32_t onTimePerLate = 8;
+    /// Slots are short where a request waits longer than this share of the service time. News of
+    /// the load is some hundred milliseconds old; a shorter queue would idle slots while it is
+    /// awaited.
+    static constexpr double shortWaitShare = 0.5;
+    /// Slots count as short for this long after a request was refused for want of one.
+    static constexpr Duration shortPeriod = std::chrono::milliseconds(500);
     /// Weight of the newest sample in the mean service time; the mean covers about the last twenty.
     static constexpr double serviceTimeWeight = 0.1;
     /// Callers refused within this period are assumed to retry.
@@ -82,6 +95,9 @@
     static constexpr Duration maxRetrySpread = std::chrono::seconds(4);
 
     auto decide(const AdmissionRequest &request, UpstreamOccupancy occupancy) -> AdmissionDecision;
+    /// Whether a request that an upstream failed may be sent again: not in the place of others that
+    /// can be on time, unless it can be so itself.
+    [[nodiscard]] auto mayRepeat(const AdmissionRequest &request, Instant now) const -> bool;
     /// Discards the known objectives, which may change with a new configuration.
     auto noteConfiguration() -> void;
 
@@ -110,10 +126,18 @@
         std::map<std::string, std::uint32_t> runningByCustomer;
         std::deque<Instant> refusals;
         std::deque<Instant> completions;
+        // Requests that waited for a slot and can be on time, since the last one that cannot.
+        std::uint32_t onTimeSinceLate = 0;
     };
 
     [[nodiscard]] static auto maxWait(const AdmissionRequest &request, const Service &service)
         -> Duration;
+    /// Refuses a request that will be late while others take all slots, but for its turns.
+    static auto orderByTimeLeft(const AdmissionRequest &request, Service &service, Duration wait,
+                                AdmissionDecision &decision) -> void;
+    /// Whether the request, sent now, would be answered after its objective even without a wait.
+    [[nodiscard]] static auto isLate(const AdmissionRequest &request, const Service &service)
+        -> bool;
     [[nodiscard]] static auto steps(const AdmissionRequest &request, const Service &service) -> int;
 
     std::map<std::string, Service> services_;
--- a/include/applehatch/direct/choice.h
+++ b/include/applehatch/direct/choice.h
@@ -18,7 +18,10 @@
     double failureShare = 0; ///< Estimated share of failures among its recent answers.
     /// Ratio of its mean time to first event to the mean of all upstreams; 1 is usual.
     double slowness = 1;
+    double slowdown = 1; ///< As the upstream reports it; 1 where reports do not count.
     bool paused = false; ///< Was unreachable recently and gets no requests for the time being.
+    /// Prompt tokens that it still has to read; 0 where they do not count.
+    std::uint64_t unreadTokens = 0;
     /// Share of its memory taken by contexts whose next request is expected there.
     double memoryShare = 0;
 };
@@ -45,6 +48,27 @@
                                 std::optional<double> serviceMean = std::nullopt)
     -> const Upstream *;
 
+/// A prompt for which an engine is sought.
+struct PromptDemand
+{
+    std::uint64_t context = 0;
+    std::uint32_t contextTokens = 0; ///< Read again by an engine that does not hold the context.
+    std::uint32_t ownTokens = 0;     ///< Read by any engine.
+    std::vector<UpstreamId> holders; ///< Engines that may hold the context.
+    bool canFetch = false;           ///< Whether an engine can fetch the context from a holder.
+};
+
+/// Selects the engine that has read the prompt first, among those within the load bound.
+///
+/// All is counted in tokens: what the engine still has to read for others, what it would read of
+/// this prompt, and once more what it would read again of the context, since that delays others and
+/// takes memory. So a context has one holder while that is soon ready, and more as soon as waiting
+/// for its holders takes longer than reading it once more: how many follows from how often it is
+/// asked for. Short prompts avoid engines that read long ones.
+[[nodiscard]] auto chooseSoonestRead(const PromptDemand &demand,
+                                     const std::vector<UpstreamView> &usable, LoadBound bound,
+                                     double serviceMean) -> const Upstream *;
+
 /// Number of candidate engines among which the first use of a context chooses. Two keep the load
 /// far more even than one; a third gains little and makes routers that see different loads disagree
 /// more often.
@@ -62,4 +86,11 @@
                                  std::string_view ownDataCenter, std::uint64_t draw)
     -> const Upstream *;
 
+/// The same by the time until the answer: the wait for a slot and the work, both at the pace that
+/// the upstream reports. One at which work takes longer gets less, not nothing: its free slots are
+/// used as soon as the others' queues are longer than that.
+[[nodiscard]] auto chooseSoonest(const std::vector<UpstreamView> &usable,
+                                 std::string_view ownDataCenter, std::uint64_t draw)
+    -> const Upstream *;
+
 } // namespace applehatch::direct
--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -9,8 +9,11 @@
 #include "applehatch/direct/crash-suspects.h"
 #include "applehatch/direct/directory.h"
 #include "applehatch/direct/load-tracker.h"
+#include "applehatch/direct/pace-tracker.h"
 #include "applehatch/direct/part-suspects.h"
+#include "applehatch/direct/policies.h"
 #include "applehatch/direct/prompt.h"
+#include "applehatch/direct/reading-backlog.h"
 #include "applehatch/direct/retry-budget.h"
 #include "applehatch/direct/stream-versions.h"
 #include "applehatch/direct/upstream-announcements.h"
@@ -50,6 +53,7 @@
     std::vector<UpstreamId> tried; ///< Upstreams that were tried already and are excluded.
     /// The version that began the stream, the only one at which it may go on; none for any.
     std::optional<std::string> version;
+    Duration sinceFirstSent{0}; ///< 0 unless the caller comes back after a refusal.
 };
 
 /// A selected upstream and the inputs of the decision, for the log.
@@ -60,6 +64,7 @@
     std::uint32_t usable = 0;
     Duration expectedWait{0}; ///< Expected wait for a free slot there.
     bool holdsContext = false;
+    std::uint32_t unreadTokens = 0; ///< Tokens of the prompt that the engine has to read.
     /// An engine from which to fetch the context if the chosen one does not hold it: fetching
     /// 10,000 tokens takes about 5 ms, reading them 120 ms.
     std::optional<Address> fetchFrom;
@@ -94,6 +99,8 @@
     [[nodiscard]] auto evacuated() const -> const DataCenters & { return evacuated_; }
     auto setColdTolerance(ColdTolerance tolerance) -> void { cold_.setTolerance(tolerance); }
     auto setFleet(FleetView fleet) -> void { cold_.setFleet(std::move(fleet)); }
+    auto setPolicies(Policies policies) -> void { policies_ = policies; }
+    [[nodiscard]] auto policies() const -> const Policies & { return policies_; }
     auto setLoadBound(LoadBound bound) -> void { bound_ = bound; }
     auto setRetryLimits(RetryLimits limits) -> void { budget_.setLimits(limits); }
     auto setRouters(std::size_t routers) -> void { routers_ = routers; }
@@ -140,6 +147,13 @@
     [[nodiscard]] auto hasUntriedUpstream(const Permit &permit, const RoutingInput &input,
                                           Instant now) -> bool;
 
+    /// Whether requests are admitted by the time that they have left; else in order of arrival.
+    [[nodiscard]] auto admitsByTimeLeft(const Permit &permit) const -> bool;
+    /// Whether a request that an upstream failed, first sent `sinceFirstSent` ago, may take a slot
+    /// from others.
+    [[nodiscard]] auto mayRepeat(const Permit &permit, Duration sinceFirstSent, Instant now)
+        -> bool;
+
     auto noteSent(UpstreamId upstream, const RoutingInput &input, Instant now) -> void;
     /// Records that the request left `upstream`, with any outcome.
     auto noteDone(UpstreamId upstream, const RoutingInput &input) -> void;
@@ -171,6 +185,8 @@
                                           Instant now) -> Duration;
 
     [[nodiscard]] auto loads() -> LoadTracker & { return loads_; }
+    [[nodiscard]] auto paces() -> PaceTracker & { return paces_; }
+    [[nodiscard]] auto backlog() -> ReadingBacklog & { return backlog_; }
     [[nodiscard]] auto contexts() -> ContextMap & { return contexts_; }
     [[nodiscard]] auto suspects() -> CrashSuspects & { return suspects_; }
     [[nodiscard]] auto parts() -> PartSuspects & { return parts_; }
@@ -193,6 +209,12 @@
 
     [[nodiscard]] auto partRefusal(const RoutingInput &input, Instant now)
         -> std::optional<core::Failure>;
+    /// Selects the engine for a prompt.
+    [[nodiscard]] auto selectEngine(const Permit &permit, const RoutingInput &input,
+                                    const std::vector<UpstreamView> &usable, Instant now) const
+        -> const Upstream *;
+    /// Whether any upstream of the service reports its pace.
+    [[nodiscard]] auto reportsPace(const std::string &service) const -> bool;
     /// Returns what requests that should go to the same engine have in common: a suspected part, or
     /// else their context.
     [[nodiscard]] auto placementKey(const RoutingInput &input, Instant now) const -> std::uint64_t;
@@ -206,6 +228,8 @@
         return !input.version || upstream.version == *input.version;
     }
     [[nodiscard]] auto acceptsNewRequests(const Upstream &upstream, Instant now) const -> bool;
+    /// Time that work takes at the upstream now as a multiple of the usual time, where that counts.
+    [[nodiscard]] auto slowdownOf(UpstreamId upstream, Instant now) const -> double;
     [[nodiscard]] auto isEvacuated(const Upstream &upstream) const -> bool;
     [[nodiscard]] auto findService(const std::string &name) const -> const Service *;
     /// Selects the upstream for a request among `usable` and decides on its admission.
@@ -239,9 +263,13 @@
     [[nodiscard]] auto drawTarget(const Route &route) -> const std::string &;
     [[nodiscard]] auto draw() -> std::uint64_t;
     [[nodiscard]] static auto admissionRequestOf(const Permit &permit) -> AdmissionRequest;
+    /// The same with the time that the request has left, where that counts.
+    [[nodiscard]] auto admissionRequestOf(const Permit &permit, Duration sinceFirstSent) const
+        -> AdmissionRequest;
     [[nodiscard]] auto refusal(core::ErrorKind kind, std::string detail) -> core::Failure;
 
     DispatcherOptions options_;
+    Policies policies_;
     std::uint64_t randomState_;
     ConfigurationPtr configuration_;
     UpstreamList upstreams_;
@@ -249,6 +277,8 @@
     std::unordered_map<UpstreamId, std::size_t> indexById_;
     LoadBound bound_;
     LoadTracker loads_;
+    PaceTracker paces_;
+    ReadingBacklog backlog_;
     UpstreamHealth health_;
     UpstreamAnnouncements announcements_;
     ContextMap contexts_;
--- a/include/applehatch/direct/load-tracker.h
+++ b/include/applehatch/direct/load-tracker.h
@@ -17,6 +17,7 @@
 {
     UpstreamId upstream = 0;
     std::uint32_t running = 0;
+    std::uint32_t unreadTokens = 0; ///< Prompt tokens sent there that no event followed yet.
 };
 
 /// Combines this router's own running requests, the counts reported by peers and the reports of the
--- a/include/applehatch/direct/prompt.h
+++ b/include/applehatch/direct/prompt.h
@@ -19,6 +19,9 @@
 
 using Prompt = std::vector<PromptPart>;
 
+/// Returns the tokens of all parts.
+[[nodiscard]] auto promptTokens(const Prompt &prompt) -> std::uint32_t;
+
 /// Returns the parts that other prompts may share: all but the last.
 [[nodiscard]] auto sharedParts(const Prompt &prompt) -> std::span<const PromptPart>;
 
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -1,6 +1,7 @@
 /// Handling of one caller's request by the gateway.
 #pragma once
 
+#include "applehatch/direct/caller-patience.h"
 #include "applehatch/direct/dispatcher.h"
 #include "applehatch/direct/stream-duration-estimator.h"
 #include "applehatch/gateway/caller-connection.h"
@@ -42,6 +43,7 @@
     std::string takesUp; ///< Id of the request that began the stream, as the caller named it.
     std::uint64_t configurationVersion = 0;
     Duration duration{0};
+    Duration sinceFirstSent{0};        ///< 0 unless the caller came back after a refusal.
     std::optional<Duration> firstByte; ///< Time to the first event, or to the whole answer.
 };
 
@@ -78,6 +80,7 @@
     /// Called with what is to be told of a part of a prompt.
     std::function<void(const direct::PartReport &)> partNoted;
     direct::StreamDurationEstimator *pace = nullptr;
+    direct::CallerPatience *patience = nullptr;
     /// Time left for streams that begin now; none unless the process is stopping and only accepts
     /// streams that can still finish.
     std::function<std::optional<Duration>()> streamTimeLeft;
@@ -112,6 +115,9 @@
     /// Answers of plain services up to this size are buffered until complete, so that a truncated
     /// one can be requested again from another upstream.
     static constexpr std::size_t maxBufferedBytes = 262144;
+    /// A longer answer of a plain service, or a longer event, counts as one without end.
+    static constexpr std::size_t maxPlainAnswerBytes = std::size_t{16} * 1024 * 1024;
+    static constexpr std::size_t maxEventBytes = std::size_t{1024} * 1024;
 
     Exchange(const ExchangeEnvironment &environment, CallerPtr caller, RequestMessage request);
 
@@ -138,6 +144,7 @@
         bool isStream = false;
         /// When the upstream began the answer: with its first event, or else with its head.
         std::optional<Instant> beganAt;
+        std::uint32_t unreadTokens = 0; ///< Counted as unread until the first event.
         bool isSound = false; ///< The answer went so far that no part of the prompt crashes.
         std::optional<ResponseHead> head;
         std::string bufferedBody; ///< Body of an answer that is not streamed.
@@ -158,8 +165,8 @@
     /// Returns the same value for each copy of a request, whichever router it comes to.
     [[nodiscard]] auto fingerprint() const -> core::Fingerprint;
     [[nodiscard]] auto cannotFinishBeforeStop() const -> bool;
-    /// Starts an attempt at the best upstream. Returns false and sets `refusal_` when there is
-    /// none.
+    /// Starts an attempt at the best upstream. Returns false and sets
+    /// `refusal_` when there is none.
     auto startAttempt() -> bool;
     /// Starts an attempt at another upstream if there is one and the route, the retry budget and
     /// the deadline allow it. Returns whether an attempt was started.
@@ -179,6 +186,8 @@
 
     auto relayHead(const ResponseHead &head) -> void;
     auto relayEvents(std::string_view bytes) -> void;
+    /// Ends the attempt at an upstream that violates the protocol.
+    auto breakOffUpstream(const std::string &why) -> void;
     /// Takes the end of an answer that is complete.
     auto takeEnd() -> void;
     /// Waits for a moment at the end of an answer that only the end of its connection tells: an
@@ -207,9 +216,15 @@
     auto noteAnswered() -> void;
     /// Records what the upstream says of itself: that it leaves, or wants no requests for a time.
     auto noteAnnouncements(const ResponseHead &head) -> void;
+    /// Records that the upstream has read the prompt, or never will.
+    auto noteRead() -> void;
     auto noteRest(Duration rest) -> void;
+    /// Records the load and the pace that the upstream reports.
+    auto noteLoad(const std::string &text) -> void;
     [[nodiscard]] auto crashText() const -> std::string;
     [[nodiscard]] auto timeLeft() const -> Duration;
+    /// Time since the caller first sent this request, here or to another router.
+    [[nodiscard]] auto sinceFirstSent() const -> Duration;
 
     const ExchangeEnvironment &environment_;
     CallerPtr caller_;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -41,6 +41,7 @@
     /// Maximum time from a change in the registry until it is in force on every router.
     Duration maxPropagationTime = std::chrono::seconds(2);
     direct::ColdTolerance coldTolerance;
+    direct::Policies policies;
 };
 
 /// Registry contents decoded into routing types.
@@ -174,6 +175,7 @@
     direct::RegistryReaders readers_;
     std::function<void(bool)> readerRoleHook_;
     direct::StreamDurationEstimator pace_;
+    direct::CallerPatience patience_;
     UpstreamPool pool_;
     GatewayMetrics metrics_;
     PeerMesh mesh_;
--- a/include/applehatch/gateway/upstream-connection.h
+++ b/include/applehatch/gateway/upstream-connection.h
@@ -34,9 +34,17 @@
     bool isHead = false; ///< The request is a `HEAD`, whose response has no body.
 };
 
+/// Ends with an error when an upstream sends bytes without end that are no answer: interim answers,
+/// or a chunk header or trailer that does not end. Memory for them stays within `maxUnparsedBytes`.
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection>
 {
 public:
+    /// Bytes that may wait for the end of what they belong to; far beyond any chunk header or
+    /// trailer.
+    static constexpr std::size_t maxUnparsedBytes = std::size_t{64} * 1024;
+    /// Interim answers (status 1xx) before the final one; usual are none or one.
+    static constexpr int maxInterimAnswers = 16;
+
     explicit UpstreamConnection(Channel::Socket socket);
 
     auto start(ChannelLimits limits) -> void;
@@ -73,6 +81,7 @@
     bool informational_ = false;
     bool keepAlive_ = true;
     int skippedAnswers_ = 0;
+    int interimAnswers_ = 0;
 };
 
 } // namespace applehatch::gateway
--- a/include/applehatch/gateway/vocabulary.h
+++ b/include/applehatch/gateway/vocabulary.h
@@ -18,6 +18,8 @@
 {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    /// Time that work takes there now as a multiple of the usual time; none if not reported.
+    std::optional<double> slowdown;
 };
 
 /// Header names, and parsers for values with a deployment-specific format.
--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -51,7 +51,27 @@
     // A request that is done soon after it got a slot may wait longer and still be answered in
     // time.
     const auto untilLate = service.serviceTime ? minObjective - *service.serviceTime : Duration(0);
-    return std::max(scaled(minObjective, maxWaitShare), untilLate);
+    const auto usual = std::max(scaled(minObjective, maxWaitShare), untilLate);
+    if (!request.byTimeLeft || isLate(request, service))
+        return usual;
+    return std::min(usual, std::max(untilLate, Duration(0)) - request.sinceFirstSent);
+}
+
+auto Admission::isLate(const AdmissionRequest &request, const Service &service) -> bool
+{
+    const auto serviceTime = service.serviceTime.value_or(Duration(0));
+    return request.sinceFirstSent > Duration(0)
+        && request.sinceFirstSent + serviceTime >= request.objective;
+}
+
+auto Admission::mayRepeat(const AdmissionRequest &request, Instant now) const -> bool
+{
+    const auto found = services_.find(request.service);
+    if (found == services_.end())
+        return true;
+    const auto &service = found->second;
+    const auto isShort = !service.refusals.empty() && service.refusals.back() + shortPeriod > now;
+    return !isShort || !isLate(request, service);
 }
 
 auto Admission::decide(const AdmissionRequest &request, UpstreamOccupancy occupancy)
@@ -66,14 +86,34 @@
     objective = std::min(objective, request.objective);
     const auto slots = std::max(1U, occupancy.slots);
     decision.maxWait = maxWait(request, service);
-    decision.expectedWait = queueWait(occupancy.load, slots, service.serviceTime);
+    decision.expectedWait =
+        scaled(queueWait(occupancy.load, slots, service.serviceTime), occupancy.slowdown);
     const auto reserved = reservedSlotShares.at(static_cast<std::size_t>(steps(request, service)))
         + routePriorityShare * std::clamp(request.routePriority, 0, maxPrioritySteps);
     const auto effectiveLoad = occupancy.load + reserved * slots;
-    decision.admitted = queueWait(effectiveLoad, slots, service.serviceTime) <= decision.maxWait;
+    const auto wait =
+        scaled(queueWait(effectiveLoad, slots, service.serviceTime), occupancy.slowdown);
+    decision.admitted = wait <= decision.maxWait;
+    if (request.byTimeLeft)
+        orderByTimeLeft(request, service, wait, decision);
     return decision;
 }
 
+auto Admission::orderByTimeLeft(const AdmissionRequest &request, Service &service, Duration wait,
+                                AdmissionDecision &decision) -> void
+{
+    const auto isShort = wait > scaled(service.serviceTime.value_or(Duration(0)), shortWaitShare);
+    if (!decision.admitted || !isShort)
+        return;
+    if (!isLate(request, service)) {
+        ++service.onTimeSinceLate;
+        return;
+    }
+    decision.admitted = service.onTimeSinceLate >= onTimePerLate;
+    if (decision.admitted)
+        service.onTimeSinceLate = 0;
+}
+
 auto Admission::noteConfiguration() -> void
 {
     for (auto &[name, service] : services_)
--- a/src/direct/choice.cc
+++ b/src/direct/choice.cc
@@ -3,6 +3,7 @@
 #include "applehatch/core/rendezvous.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <limits>
 
@@ -164,6 +165,83 @@
     return leastLoaded(withRoom.empty() ? engines : withRoom);
 }
 
+namespace {
+
+// Fetching a context from another engine takes about half of the time of reading it.
+constexpr double fetchShare = 0.5;
+// Added to what an engine has to read that is not among the context's candidates, as a share of the
+// context: routers that do not know yet where it is held look for it there.
+constexpr double strayShare = 0.25;
+// A running request delays the next one's first event about as long as reading this many tokens.
+constexpr double tokensPerRequest = 50;
+
+// What is read again delays others, the more the busier all engines are with reading: its weight
+// grows by one for each of these tokens that an engine has to read on average.
+constexpr double tokensPerRereadWeight = 500;
+
+auto contains(const std::vector<UpstreamId> &list, UpstreamId id) -> bool
+{
+    return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+auto rereadWeight(const std::vector<UpstreamView> &usable) -> double
+{
+    auto unread = 0.0;
+    for (const auto &view : usable)
+        unread += static_cast<double>(view.unreadTokens);
+    const auto mean = usable.empty() ? 0 : unread / static_cast<double>(usable.size());
+    return 1 + mean / tokensPerRereadWeight;
+}
+
+auto readingCost(const PromptDemand &demand, const UpstreamView &view, bool isCandidate,
+                 double weight) -> double
+{
+    auto missing = 0.0;
+    if (!contains(demand.holders, view.upstream->id)) {
+        const auto mayFetch = demand.canFetch && !demand.holders.empty();
+        missing = demand.contextTokens * (mayFetch ? fetchShare : 1.0);
+        if (!isCandidate)
+            missing += demand.contextTokens * strayShare;
+        if (view.memoryShare >= fullContextShare)
+            missing += demand.contextTokens;
+    }
+    const auto slowness = view.slowness > slownessTolerance ? view.slowness : 1.0;
+    const auto toRead = static_cast<double>(view.unreadTokens) + demand.ownTokens + missing;
+    return toRead * std::max(slowness, view.slowdown) + weight * missing
+        + tokensPerRequest * view.load;
+}
+
+} // namespace
+
+auto chooseSoonestRead(const PromptDemand &demand, const std::vector<UpstreamView> &usable,
+                       LoadBound bound, double serviceMean) -> const Upstream *
+{
+    auto engines = scoreEngines(demand.context, bestTier(usable));
+    const auto candidates = topCandidates(engines);
+    const auto isCandidate = [&](const UpstreamView &view) {
+        return std::any_of(candidates.begin(), candidates.end(),
+                           [&](const ScoredEngine &each) { return each.view == &view; });
+    };
+    const auto hasNoRoom = [&](const ScoredEngine &engine) {
+        return !isBelowBound(*engine.view, serviceMean, bound);
+    };
+    if (!std::all_of(engines.begin(), engines.end(), hasNoRoom))
+        std::erase_if(engines, hasNoRoom);
+    const auto weight = rereadWeight(usable);
+    const ScoredEngine *best = nullptr;
+    auto least = std::numeric_limits<double>::max();
+    for (const auto &engine : engines) {
+        const auto cost = readingCost(demand, *engine.view, isCandidate(*engine.view), weight);
+        const auto isLess =
+            cost < least || (cost == least && best != nullptr && hasHigherScore(engine, *best));
+        if (!isLess)
+            continue;
+        least = cost;
+        best = &engine;
+    }
+    return best == nullptr ? nullptr : best->view->upstream;
+}
+
 auto contextCandidates(std::uint64_t context, const std::vector<UpstreamView> &usable)
     -> std::vector<UpstreamId>
 {
@@ -177,17 +255,27 @@
     return candidates;
 }
 
-auto chooseService(const std::vector<UpstreamView> &usable, std::string_view ownDataCenter,
-                   std::uint64_t draw) -> const Upstream *
+namespace {
+
+// Added to the cost of an upstream in another data centre, in shares of the work's usual time.
+constexpr double otherDataCenterCost = 0.1;
+
+// Share of the load that counts although slots are free: others may have sent requests there that
+// are not known here yet.
+constexpr double unseenLoadShare = 0.5;
+
+using Cost = std::function<double(const UpstreamView &)>;
+
+// Returns the cheapest upstream of the best tier.
+auto cheapest(const std::vector<UpstreamView> &usable, std::string_view ownDataCenter,
+              std::uint64_t draw, const Cost &cost) -> const Upstream *
 {
-    const auto upstreams = bestTier(usable);
     const UpstreamView *best = nullptr;
     auto bestScore = std::numeric_limits<double>::max();
-    for (const auto *view : upstreams) {
-        const auto busy = view->slowness * view->load / std::max(1U, view->upstream->slots);
-        const auto away = view->upstream->dataCenter == ownDataCenter ? 0.0 : 0.1;
+    for (const auto *view : bestTier(usable)) {
+        const auto away = view->upstream->dataCenter == ownDataCenter ? 0.0 : otherDataCenterCost;
         const auto tie = static_cast<double>((draw ^ view->upstream->id) % 97) * 1e-4;
-        const auto score = busy + away + tie;
+        const auto score = cost(*view) + away + tie;
         if (score < bestScore) {
             bestScore = score;
             best = view;
@@ -196,4 +284,28 @@
     return best == nullptr ? nullptr : best->upstream;
 }
 
+auto relativeTimeToAnswer(const UpstreamView &view) -> double
+{
+    const auto slots = std::max(1U, view.upstream->slots);
+    const auto busy = static_cast<double>(view.load) / slots;
+    const auto queued = std::max(0.0, (view.load + 1.0 - slots) / slots);
+    return view.slowdown * (1 + queued + busy * unseenLoadShare);
+}
+
+} // namespace
+
+auto chooseService(const std::vector<UpstreamView> &usable, std::string_view ownDataCenter,
+                   std::uint64_t draw) -> const Upstream *
+{
+    return cheapest(usable, ownDataCenter, draw, [](const UpstreamView &view) {
+        return view.slowness * view.load / std::max(1U, view.upstream->slots);
+    });
+}
+
+auto chooseSoonest(const std::vector<UpstreamView> &usable, std::string_view ownDataCenter,
+                   std::uint64_t draw) -> const Upstream *
+{
+    return cheapest(usable, ownDataCenter, draw, relativeTimeToAnswer);
+}
+
 } // namespace applehatch::direct
--- a/src/direct/dispatcher.cc
+++ b/src/direct/dispatcher.cc
@@ -1,9 +1,6 @@
 #include "applehatch/direct/dispatcher.h"
 
-#include "applehatch/core/log-line.h"
-
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace applehatch::direct {
@@ -18,20 +15,6 @@
 // completes a request; the maximum leaves time for a retry within short deadlines.
 constexpr Duration minRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration retrySpread = std::chrono::milliseconds(350);
-// An engine with a higher failure share is not asked for a context; two failures in a row exceed
-// it.
-constexpr double trustedFailureShare = 0.25;
-// Shortest retry delay while every data centre of a service is evacuated, which lasts seconds.
-constexpr Duration evacuatedRetryDelay = std::chrono::seconds(1);
-
-// Describes the inputs of the decision, for the log.
-auto overloadText(const Choice &choice, const AdmissionDecision &decision) -> std::string
-{
-    return "least load " + std::to_string(choice.load) + " of "
-        + std::to_string(choice.upstream.slots) + " slots, wait "
-        + core::millisecondsText(decision.expectedWait) + ", allowed "
-        + core::millisecondsText(decision.maxWait);
-}
 
 } // namespace
 
@@ -66,6 +49,8 @@
             continue;
         health_.forget(upstream.id);
         loads_.forget(upstream.id);
+        paces_.forget(upstream.id);
+        backlog_.forget(upstream.id);
         cold_.forget(upstream.id);
     }
     std::vector<TurnedCold> turnedCold;
@@ -138,23 +123,6 @@
     return std::max(restEnd, cold_.nextAt(upstream.id, findService(upstream.service), now));
 }
 
-auto Dispatcher::waitForAvailable(const std::string &service, const RoutingInput &input,
-                                  Instant now) const -> Duration
-{
-    const auto indexes = indexesByService_.find(service);
-    if (indexes == indexesByService_.end())
-        return Duration(0);
-    std::optional<Instant> first;
-    for (const auto index : indexes->second) {
-        const auto &upstream = upstreams_[index];
-        if (isLeaving(upstream, now) || isEvacuated(upstream) || !fits(upstream, input))
-            continue;
-        const auto at = availableAt(upstream, now);
-        first = std::min(at, first.value_or(at));
-    }
-    return first ? *first - now : Duration(0);
-}
-
 auto Dispatcher::refusal(ErrorKind kind, std::string detail) -> Failure
 {
     return Failure{kind, Run::NotRun, std::move(detail), retryAfter()};
@@ -235,147 +203,6 @@
     budget_.noteRequest(permit.serviceName, now);
 }
 
-auto Dispatcher::usableUpstreams(const Permit &permit, const RoutingInput &input, Instant now) const
-    -> std::vector<UpstreamView>
-{
-    std::vector<UpstreamView> usable;
-    const auto indexes = indexesByService_.find(permit.serviceName);
-    if (indexes == indexesByService_.end())
-        return usable;
-    const auto memory = permit.service == nullptr ? 0 : permit.service->memoryTokens;
-    for (const auto index : indexes->second) {
-        const auto &upstream = upstreams_[index];
-        const auto wasTried =
-            std::find(input.tried.begin(), input.tried.end(), upstream.id) != input.tried.end();
-        if (wasTried || !fits(upstream, input) || !acceptsNewRequests(upstream, now))
-            continue;
-        UpstreamView view;
-        view.upstream = &upstream;
-        view.load = loads_.fleetLoad(upstream.id, now);
-        view.failureShare = health_.failureShare(upstream.id, now);
-        view.slowness = health_.slowness(upstream.id);
-        view.paused = health_.isPaused(upstream.id, now);
-        if (memory > 0)
-            view.memoryShare = static_cast<double>(contexts_.tokensAt(upstream.id)) / memory;
-        usable.push_back(view);
-    }
-    return usable;
-}
-
-auto Dispatcher::choose(const Permit &permit, const RoutingInput &input, Instant now)
-    -> std::variant<Choice, Failure>
-{
-    if (auto refused = crashRefusal(input, now))
-        return std::move(*refused);
-    const auto usable = usableUpstreams(permit, input, now);
-    const auto selection = select(permit, input, usable, now);
-    if (!selection)
-        return noUpstream(permit, input, now);
-    Choice choice;
-    choice.upstream = *selection->upstream;
-    choice.load = selection->load;
-    choice.expectedWait = selection->admission.expectedWait;
-    if (!selection->admission.admitted && input.tried.empty())
-        return Failure{ErrorKind::Overloaded, Run::NotRun,
-                       overloadText(choice, selection->admission),
-                       overloadRetryAfter(permit, input, now)};
-    choice.usable = static_cast<std::uint32_t>(usable.size());
-    if (input.prompt.empty())
-        return choice;
-    const auto context = sharedContext(input.prompt).hash;
-    const auto holders = contexts_.upstreamsOf(context, now);
-    choice.holdsContext =
-        std::find(holders.begin(), holders.end(), choice.upstream.id) != holders.end();
-    const auto mayFetch = permit.service != nullptr && permit.service->sharesContexts;
-    if (mayFetch && !choice.holdsContext)
-        choice.fetchFrom = fetchSource(context, choice.upstream, usable, now);
-    return choice;
-}
-
-auto Dispatcher::select(const Permit &permit, const RoutingInput &input,
-                        const std::vector<UpstreamView> &usable, Instant now)
-    -> std::optional<Selection>
-{
-    const Upstream *upstream = nullptr;
-    if (input.prompt.empty()) {
-        upstream = chooseService(usable, options_.dataCenter, draw());
-    } else {
-        const auto context = placementKey(input, now);
-        const auto holders = contexts_.upstreamsOf(context, now);
-        const auto usedLast = holders.empty() ? std::nullopt : std::optional(holders.front());
-        upstream =
-            chooseEngine(context, usedLast, usable, bound_, meanLoad(permit.serviceName, now));
-    }
-    if (upstream == nullptr)
-        return std::nullopt;
-    Selection selection{upstream, loads_.fleetLoad(upstream->id, now), {}};
-    selection.admission =
-        admission_.decide(admissionRequestOf(permit), {selection.load, upstream->slots});
-    return selection;
-}
-
-auto Dispatcher::meanLoad(const std::string &service, Instant now) const -> double
-{
-    const auto indexes = indexesByService_.find(service);
-    if (indexes == indexesByService_.end())
-        return 0;
-    auto total = 0.0;
-    std::size_t counted = 0;
-    for (const auto index : indexes->second) {
-        const auto &upstream = upstreams_[index];
-        if (isLeaving(upstream, now))
-            continue;
-        total += loads_.fleetLoad(upstream.id, now);
-        ++counted;
-    }
-    return counted == 0 ? 0 : total / static_cast<double>(counted);
-}
-
-auto Dispatcher::noUpstream(const Permit &permit, const RoutingInput &input, Instant now) -> Failure
-{
-    if (waitForAvailable(permit.serviceName, input, now) > Duration(0))
-        return {ErrorKind::Overloaded, Run::NotRun, "all upstreams asked for rest or are cold",
-                overloadRetryAfter(permit, input, now)};
-    if (input.version)
-        return refusal(ErrorKind::NoUpstream, "no upstream of version " + *input.version);
-    const auto indexes = indexesByService_.find(permit.serviceName);
-    const auto isAllEvacuated = indexes != indexesByService_.end()
-        && std::all_of(indexes->second.begin(), indexes->second.end(),
-                       [this](std::size_t index) { return isEvacuated(upstreams_[index]); });
-    if (isAllEvacuated)
-        return {ErrorKind::NoUpstream, Run::NotRun, "all data centres are evacuated",
-                evacuatedRetryDelay + retryAfter()};
-    return refusal(ErrorKind::NoUpstream, "no upstream of the service is known");
-}
-
-auto Dispatcher::fetchSource(std::uint64_t context, const Upstream &chosen,
-                             const std::vector<UpstreamView> &usable, Instant now) const
-    -> std::optional<Address>
-{
-    auto sources = contexts_.upstreamsOf(context, now);
-    // After all routers restarted, none knows where the context is held; most likely it is at its
-    // other candidate.
-    if (sources.empty())
-        sources = contextCandidates(context, usable);
-    std::erase(sources, chosen.id);
-    return reachableHolder(sources, chosen, now);
-}
-
-auto Dispatcher::reachableHolder(const std::vector<UpstreamId> &holders, const Upstream &receiver,
-                                 Instant now) const -> std::optional<Address>
-{
-    for (const auto id : holders) {
-        // A draining engine still serves the contexts that it holds.
-        const auto *holder = findUpstream(id);
-        const auto trusted = holder != nullptr && holder->version == receiver.version
-            && holder->state != UpstreamState::Doubtful && !isEvacuated(*holder)
-            && !health_.isPaused(id, now) && health_.failureShare(id, now) < trustedFailureShare;
-        if (trusted)
-            return holder->address;
-    }
-    return std::nullopt;
-}
-
 auto Dispatcher::hasUntriedUpstream(const Permit &permit, const RoutingInput &input, Instant now)
     -> bool
 {
@@ -427,13 +254,13 @@
     return {permit.serviceName, permit.customer, permit.priority, route.priority, route.objective};
 }
 
-auto Dispatcher::overloadRetryAfter(const Permit &permit, const RoutingInput &input, Instant now)
-    -> Duration
+auto Dispatcher::admissionRequestOf(const Permit &permit, Duration sinceFirstSent) const
+    -> AdmissionRequest
 {
-    constexpr auto range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    return waitForAvailable(permit.serviceName, input, now)
-        + admission_.retryAfter(admissionRequestOf(permit), static_cast<double>(draw()) / range,
-                                now);
+    auto request = admissionRequestOf(permit);
+    request.byTimeLeft = admitsByTimeLeft(permit);
+    request.sinceFirstSent = sinceFirstSent;
+    return request;
 }
 
 auto Dispatcher::retryAfter() -> Duration
--- a/src/direct/prompt.cc
+++ b/src/direct/prompt.cc
@@ -6,6 +6,14 @@
 
 namespace applehatch::direct {
 
+auto promptTokens(const Prompt &prompt) -> std::uint32_t
+{
+    std::uint32_t tokens = 0;
+    for (const auto &part : prompt)
+        tokens += part.tokens;
+    return tokens;
+}
+
 auto sharedParts(const Prompt &prompt) -> std::span<const PromptPart>
 {
     return std::span(prompt).first(prompt.empty() ? 0 : prompt.size() - 1);
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -44,12 +44,8 @@
 auto Exchange::onHead(ResponseHead &head) -> void
 {
     const auto &vocabulary = *environment_.vocabulary;
-    if (const auto *load = head.headers.find(vocabulary.loadReport)) {
-        if (const auto report = vocabulary.readLoad(*load))
-            environment_.dispatcher->loads().noteReport(attempt_.choice.upstream.id,
-                                                        report->running, report->waiting,
-                                                        telemetry::steadyNow());
-    }
+    if (const auto *load = head.headers.find(vocabulary.loadReport))
+        noteLoad(*load);
     attempt_.notRun = head.headers.find(vocabulary.notRun) != nullptr || head.status == misdirected;
     attempt_.head = head;
     if (head.status != misdirected) {
@@ -64,6 +60,23 @@
         relayHead(head);
 }
 
+auto Exchange::noteLoad(const std::string &text) -> void
+{
+    const auto report = environment_.vocabulary->readLoad(text);
+    if (!report)
+        return;
+    const auto now = telemetry::steadyNow();
+    const auto upstream = attempt_.choice.upstream.id;
+    environment_.dispatcher->loads().noteReport(upstream, report->running, report->waiting, now);
+    if (!report->slowdown)
+        return;
+    auto &paces = environment_.dispatcher->paces();
+    if (!paces.reports(upstream))
+        environment_.note(id_, "upstream-reports-pace",
+                          attempt_.choice.upstream.instance + ": " + text);
+    paces.note(upstream, *report->slowdown, now);
+}
+
 auto Exchange::noteAnnouncements(const ResponseHead &head) -> void
 {
     const auto &vocabulary = *environment_.vocabulary;
@@ -110,16 +123,18 @@
     if (attempt_.isStream)
         return relayEvents(bytes);
     attempt_.bufferedBody += bytes;
+    if (attempt_.bufferedBody.size() > maxPlainAnswerBytes)
+        breakOffUpstream("answer without end");
 }
 
 auto Exchange::relayEvents(std::string_view bytes) -> void
 {
     const auto isFirst = events_.events() == 0;
     const auto whole = events_.feed(bytes);
-    if (!events_.isInOrder()) {
-        attempt_.connection->abort();
-        return onFailed("event ids are not increasing");
-    }
+    if (!events_.isInOrder())
+        return breakOffUpstream("event ids are not increasing");
+    if (events_.partial().size() > maxEventBytes)
+        return breakOffUpstream("event without end");
     if (whole.empty())
         return;
     const auto now = telemetry::steadyNow();
@@ -129,8 +144,10 @@
         environment_.dispatcher->noteFirstEvent(attempt_.choice.upstream.id, now - attempt_.sentAt,
                                                 now);
     }
-    if (!attempt_.beganAt)
+    if (!attempt_.beganAt) {
         attempt_.beganAt = now;
+        noteRead();
+    }
     if (now - *attempt_.beganAt >= direct::PartSuspects::soundAnswerTime)
         noteSoundAnswer();
     startSilenceTimer();
@@ -139,6 +156,12 @@
         attempt_.connection->setPaused(true);
 }
 
+auto Exchange::breakOffUpstream(const std::string &why) -> void
+{
+    attempt_.connection->abort();
+    onFailed(why);
+}
+
 auto Exchange::onDone() -> void
 {
     if (phase_ == Phase::Ended)
@@ -173,8 +196,7 @@
 {
     if (!events_.partial().empty()) {
         // A stream that ends inside an event is truncated, even if the connection ended in order.
-        attempt_.connection->abort();
-        return onFailed("stream ended in the middle of an event");
+        return breakOffUpstream("stream ended in the middle of an event");
     }
     attempt_.served = true;
     noteOutcome(Outcome::Served);
--- a/src/gateway/exchange-attempts.cc
+++ b/src/gateway/exchange-attempts.cc
@@ -45,6 +45,11 @@
     if (!mayTry
         || !environment_.dispatcher->hasUntriedUpstream(permit_, demand_, telemetry::steadyNow()))
         return false;
+    if (mayHaveRun_
+        && !environment_.dispatcher->mayRepeat(permit_, sinceFirstSent(), telemetry::steadyNow())) {
+        environment_.note(id_, "retry-gave-way", "others are refused: " + why);
+        return false;
+    }
     if (!environment_.dispatcher->takeRetry(permit_, telemetry::steadyNow())) {
         environment_.note(id_, "retry-denied", "retry budget exhausted: " + why);
         return false;
@@ -113,6 +118,8 @@
     attempt_.sentAt = telemetry::steadyNow();
     environment_.dispatcher->noteSent(attempt_.choice.upstream.id, demand_, attempt_.sentAt);
     environment_.dispatcher->noteAdmissionStart(permit_);
+    attempt_.unreadTokens = attempt_.choice.unreadTokens;
+    environment_.dispatcher->backlog().noteSent(attempt_.choice.upstream.id, attempt_.unreadTokens);
     noteStreamSent();
     AnswerHooks hooks;
     const auto self = shared_from_this();
@@ -224,8 +231,15 @@
         connection->abort();
 }
 
+auto Exchange::noteRead() -> void
+{
+    const auto tokens = std::exchange(attempt_.unreadTokens, 0);
+    environment_.dispatcher->backlog().noteRead(attempt_.choice.upstream.id, tokens);
+}
+
 auto Exchange::recordAttemptEnd() -> void
 {
+    noteRead();
     const auto now = telemetry::steadyNow();
     std::optional<Duration> serviceTime;
     if (attempt_.served)
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -121,6 +121,9 @@
         parseMilliseconds(request_.headers.find(environment_.vocabulary->deadline));
     const auto allowed =
         permit_.route->timeout > Duration(0) ? permit_.route->timeout : std::chrono::seconds(60);
+    if (requested && environment_.dispatcher->admitsByTimeLeft(permit_))
+        demand_.sinceFirstSent = environment_.patience->note(permit_.route->name, *requested);
+    report_.sinceFirstSent = demand_.sinceFirstSent;
     deadline_ = arrivedAt_ + (requested ? std::min(*requested, allowed) : allowed);
     if (const auto *prompt = request_.headers.find(environment_.vocabulary->prompt))
         demand_.prompt = environment_.vocabulary->readPrompt(*prompt);
@@ -154,6 +157,11 @@
     return std::max(Duration(0), deadline_ - telemetry::steadyNow());
 }
 
+auto Exchange::sinceFirstSent() const -> Duration
+{
+    return demand_.sinceFirstSent + (telemetry::steadyNow() - arrivedAt_);
+}
+
 auto Exchange::onCallerDisconnected() -> void
 {
     if (phase_ == Phase::Ended)
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -78,6 +78,7 @@
 {
     dispatcher_.setLoadBound(settings_.loadBound);
     dispatcher_.setColdTolerance(settings_.coldTolerance);
+    dispatcher_.setPolicies(settings_.policies);
     mesh_.setSeeds(settings_.seeds);
     exchangeEnvironment_.loop = &loop_;
     exchangeEnvironment_.dispatcher = &dispatcher_;
@@ -106,6 +107,7 @@
     };
     dispatcher_.setGivesLeave([this](direct::PartKey part) { return isFirstKeeper(part); });
     exchangeEnvironment_.pace = &pace_;
+    exchangeEnvironment_.patience = &patience_;
     exchangeEnvironment_.streamTimeLeft = [this] { return streamTimeLeft(); };
     exchangeEnvironment_.exitTimeLeft = [this] { return exitTimeLeft(steadyNow()); };
     metrics_.setGauges(
@@ -250,6 +252,7 @@
         .add("version", report.version)
         .add("takesUp", report.takesUp)
         .add("config", static_cast<std::int64_t>(report.configurationVersion))
+        .add("sinceFirstSentMs", core::millisecondsOf(report.sinceFirstSent))
         .add("tookMs", core::millisecondsOf(report.duration));
     if (report.firstByte)
         line.add("firstByteMs", core::millisecondsOf(*report.firstByte));
@@ -296,6 +299,10 @@
     if (digest.brief)
         return;
     digest.loads = dispatcher_.loads().ownLoads();
+    if (dispatcher_.policies().weighsPrompts) {
+        for (auto &load : digest.loads)
+            load.unreadTokens = dispatcher_.backlog().ownTokens(load.upstream);
+    }
     digest.crashes = dispatcher_.suspects().nextReports(now);
     digest.parts = dispatcher_.parts().nextReports(now);
     for (const auto &service : dispatcher_.streams().mixedServices(now))
@@ -314,6 +321,7 @@
         applyRegistry();
     dispatcher_.loads().setPeerLifetime(mesh_.table().currentAliveTimeout(now));
     dispatcher_.loads().expire(now);
+    dispatcher_.backlog().expire(mesh_.table().currentAliveTimeout(now), now);
     dispatcher_.contexts().expire(now);
     dispatcher_.streams().expire(now);
     dispatcher_.setRouters(mesh_.table().routers(now));
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -178,6 +178,7 @@
     if (!digest.brief) {
         const auto peer = PeerTable::rankOf(digest.sender);
         dispatcher_.loads().notePeer(peer, digest.loads, now);
+        dispatcher_.backlog().notePeer(peer, digest.loads, now);
         askForCrashMemory(digest, now);
         tellNewPeer(digest, now);
         dispatcher_.contexts().notePeer(digest.contexts, now);
--- a/src/gateway/peer-digest.cc
+++ b/src/gateway/peer-digest.cc
@@ -158,7 +158,7 @@
     for (const auto member : from.getMembers())
         digest.members.push_back(read(member));
     for (const auto load : from.getLoads())
-        digest.loads.push_back({load.getUpstream(), load.getRunning()});
+        digest.loads.push_back({load.getUpstream(), load.getRunning(), load.getUnreadTokens()});
     digest.crashes = readCrashes(from.getCrashes());
     digest.parts = readParts(from.getParts());
     digest.streams = readStreams(from.getStreams());
@@ -272,6 +272,7 @@
     for (unsigned i = 0; i < loads.size(); ++i) {
         loads[i].setUpstream(digest.loads[i].upstream);
         loads[i].setRunning(digest.loads[i].running);
+        loads[i].setUnreadTokens(digest.loads[i].unreadTokens);
     }
     writeCrashes(root.initCrashes(static_cast<unsigned>(digest.crashes.size())), digest.crashes);
     writeParts(root.initParts(static_cast<unsigned>(digest.parts.size())), digest.parts);
--- a/src/gateway/peer.capnp
+++ b/src/gateway/peer.capnp
@@ -12,6 +12,7 @@
 struct Load {
   upstream @0 :UInt64;
   running @1 :UInt32;
+  unreadTokens @2 :UInt32;
 }
 
 struct Crash {
--- a/src/gateway/upstream-connection.cc
+++ b/src/gateway/upstream-connection.cc
@@ -52,6 +52,7 @@
 {
     busy_ = true;
     skippedAnswers_ = 0;
+    interimAnswers_ = 0;
     request_ = std::move(request);
     hooks_ = std::move(hooks);
     beginAnswer();
@@ -106,8 +107,11 @@
             break;
         if (result == ReadState::Failed)
             return failWith("invalid response");
-        if (result == ReadState::NeedMore)
+        if (result == ReadState::NeedMore) {
+            if (bytes.size() > maxUnparsedBytes)
+                failWith("bytes without end that are no answer");
             return;
+        }
         if (!informational_ && !isStaleAnswer_) {
             // Bytes after a complete answer belong to no request, and the next answer could not be
             // distinguished from them.
@@ -115,6 +119,8 @@
                 keepAlive_ = false;
             return finish();
         }
+        if (informational_ && ++interimAnswers_ > maxInterimAnswers)
+            return failWith("too many interim answers");
         if (isStaleAnswer_ && ++skippedAnswers_ > maxSkippedAnswers)
             return failWith("too many answers to earlier requests");
         beginAnswer();
--- a/test/gateway/peers-test.cc
+++ b/test/gateway/peers-test.cc
@@ -53,7 +53,7 @@
     digest.leaving = true;
     digest.readers = {{router(4), 7, 12, 300ms}};
     digest.members = {router(5)};
-    digest.loads = {{77, 6}};
+    digest.loads = {{77, 6, 12000}};
     digest.crashes = {{88, 77, 1500ms, 2}};
     digest.crashMemoryAge = 90s;
     digest.streams = {{55, {"pool", "v1.2"}, 40ms}};
@@ -71,6 +71,7 @@
     BOOST_TEST((read->readers.at(0).age == 300ms));
     BOOST_TEST((read->members.at(0) == router(5)));
     BOOST_TEST(read->loads.at(0).running == 6U);
+    BOOST_TEST(read->loads.at(0).unreadTokens == 12000U);
     BOOST_TEST((read->crashes == digest.crashes));
     BOOST_TEST((read->crashMemoryAge == digest.crashMemoryAge));
     BOOST_TEST((read->streams == digest.streams));
--- a/test/platform/decoder-test.cc
+++ b/test/platform/decoder-test.cc
@@ -276,6 +276,23 @@
     BOOST_TEST(!readLoad("a,b,c"));
 }
 
+// Guards against believing a pace that no upstream can have.
+BOOST_AUTO_TEST_CASE(a_load_report_may_tell_the_pace)
+{
+    const auto whole = readLoad("3,1,8,250");
+    BOOST_TEST((whole->slowdown == 2.5));
+    BOOST_TEST((readLoad("3,1,8,100,7")->slowdown == 1.0));
+    BOOST_TEST(!readLoad("3,1,8")->slowdown);
+    BOOST_TEST(!readLoad("3,1")->slowdown);
+    for (const auto *none : {"3,1,8,", "3,1,8,0", "3,1,8,-250", "3,1,8,10001", "3,1,8,nan",
+                             "3,1,8,2.5", "3,1,8,99999999999999999999", "3,1,8, 250"}) {
+        BOOST_TEST((readLoad(none)->running == 3U), none);
+        BOOST_TEST(!readLoad(none)->slowdown, none);
+    }
+    for (const auto *bad : {"", ",", "3,", ",1,8,100", "-3,1,8,100"})
+        BOOST_TEST(!readLoad(bad), bad);
+}
+
 // Guards against granting a rest that was not asked for, or one without end.
 BOOST_AUTO_TEST_CASE(rest_is_granted_for_positive_seconds_alone)
 {
