Bounds for what is kept of routes and lost upstreams; the log tells what an engine had to read

Found reading the change: the time that callers give was kept for every route ever named, and a late answer of an upstream that is gone left its pace behind. The line of a request now says how many prompt tokens its engine had to read when it was chosen. direct-tests are green here; lint and format of the changed files are clean.

--- a/include/applehatch/direct/caller-patience.h
+++ b/include/applehatch/direct/caller-patience.h
@@ -23,6 +23,8 @@
     /// A request with at least this share of the usual time is taken for a new one; callers vary
     /// the time that they give.
     static constexpr double newShare = 0.8;
+    /// When more routes are known, all are forgotten: configurations drop routes for ever.
+    static constexpr std::size_t maxRoutes = 4096;
     /// Fewer samples tell nothing.
     static constexpr std::size_t minSamples = 8;
 
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -36,6 +36,7 @@
     std::uint32_t usable = 0;        ///< Number of usable upstreams at that time.
     std::uint64_t context = 0;       ///< Hash of the prompt's shared parts; 0 without a prompt.
     std::uint32_t contextTokens = 0; ///< Tokens in the prompt's shared parts.
+    std::uint32_t unreadTokens = 0;  ///< Prompt tokens that the chosen engine had to read.
     bool heldContext = false;        ///< Whether the chosen engine already had the context.
     std::string fetchedFrom;         ///< Engine named as source of the context; empty for none.
     bool resumed = false;
@@ -165,8 +166,8 @@
     /// Returns the same value for each copy of a request, whichever router it comes to.
     [[nodiscard]] auto fingerprint() const -> core::Fingerprint;
     [[nodiscard]] auto cannotFinishBeforeStop() const -> bool;
-    /// Starts an attempt at the best upstream. Returns false and sets
-    /// `refusal_` when there is none.
+    /// Starts an attempt at the best upstream. Returns false and sets `refusal_` when there is
+    /// none.
     auto startAttempt() -> bool;
     /// Starts an attempt at another upstream if there is one and the route, the retry budget and
     /// the deadline allow it. Returns whether an attempt was started.
--- a/src/direct/caller-patience.cc
+++ b/src/direct/caller-patience.cc
@@ -17,6 +17,8 @@
 
 auto CallerPatience::note(const std::string &route, Duration given) -> Duration
 {
+    if (recent_.size() >= maxRoutes && !recent_.contains(route))
+        recent_.clear();
     auto &recent = recent_[route];
     recent.given.at(recent.count % samples) = given;
     ++recent.count;
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -68,7 +68,8 @@
     const auto now = telemetry::steadyNow();
     const auto upstream = attempt_.choice.upstream.id;
     environment_.dispatcher->loads().noteReport(upstream, report->running, report->waiting, now);
-    if (!report->slowdown)
+    // An upstream that is gone may still answer; nothing is kept for it.
+    if (!report->slowdown || environment_.dispatcher->findUpstream(upstream) == nullptr)
         return;
     auto &paces = environment_.dispatcher->paces();
     if (!paces.reports(upstream))
--- a/src/gateway/exchange-attempts.cc
+++ b/src/gateway/exchange-attempts.cc
@@ -30,6 +30,7 @@
     report_.upstreamLoad = attempt_.choice.load;
     report_.usable = attempt_.choice.usable;
     report_.heldContext = attempt_.choice.holdsContext;
+    report_.unreadTokens = attempt_.choice.unreadTokens;
     const auto &from = attempt_.choice.fetchFrom;
     report_.fetchedFrom = from ? from->ip + ':' + std::to_string(from->port) : std::string();
     environment_.pool->acquire(attempt_.choice.upstream.address,
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -246,6 +246,7 @@
         .add("usable", report.usable)
         .add("context", core::hexText(report.context))
         .add("contextTokens", report.contextTokens)
+        .add("unreadTokens", report.unreadTokens)
         .add("heldContext", report.heldContext ? 1 : 0)
         .add("fetchedFrom", report.fetchedFrom)
         .add("resumed", report.resumed ? 1 : 0)
--- a/test/direct/time-left-test.cc
+++ b/test/direct/time-left-test.cc
@@ -127,6 +127,9 @@
         BOOST_TEST((patience.note("r", std::chrono::milliseconds(given(random))) == Duration(0)));
     }
     BOOST_TEST((patience.note("other", 100ms) == Duration(0)), "nothing is known of the route");
+    for (std::size_t i = 0; i < CallerPatience::maxRoutes; ++i)
+        static_cast<void>(patience.note(std::to_string(i), 1500ms));
+    BOOST_TEST((patience.note("r", 900ms) == Duration(0)), "routes of long ago are forgotten");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
