Prompts are weighed only where engines report their pace

What is new is to act only where a deployment asks for it. They are served as before now. direct-tests green.

--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -213,6 +213,8 @@
     [[nodiscard]] auto selectEngine(const Permit &permit, const RoutingInput &input,
                                     const std::vector<UpstreamView> &usable, Instant now) const
         -> const Upstream *;
+    /// Whether engines are chosen by the prompt tokens that they have to read.
+    [[nodiscard]] auto weighsPrompts(const Permit &permit) const -> bool;
     /// Whether any upstream of the service reports its pace.
     [[nodiscard]] auto reportsPace(const std::string &service) const -> bool;
     /// Returns what requests that should go to the same engine have in common: a suspected part, or
--- a/include/applehatch/direct/policies.h
+++ b/include/applehatch/direct/policies.h
@@ -10,7 +10,7 @@
     bool admitsByTimeLeft = false;
     /// The pace that upstreams report counts in choices and expected waits.
     bool followsPace = false;
-    /// The load of an engine counts the prompt tokens that it still has to read.
+    /// Engines that report their pace are chosen by the prompt tokens that they have to read.
     bool weighsPrompts = false;
 };
 
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -36,9 +36,10 @@
     std::uint32_t usable = 0;        ///< Number of usable upstreams at that time.
     std::uint64_t context = 0;       ///< Hash of the prompt's shared parts; 0 without a prompt.
     std::uint32_t contextTokens = 0; ///< Tokens in the prompt's shared parts.
-    std::uint32_t unreadTokens = 0;  ///< Prompt tokens that the chosen engine had to read.
-    bool heldContext = false;        ///< Whether the chosen engine already had the context.
-    std::string fetchedFrom;         ///< Engine named as source of the context; empty for none.
+    std::uint32_t unreadTokens =
+        0;                    ///< Prompt tokens that the engine had to read; 0 if not weighed.
+    bool heldContext = false; ///< Whether the chosen engine already had the context.
+    std::string fetchedFrom;  ///< Engine named as source of the context; empty for none.
     bool resumed = false;
     std::string version; ///< Version of the upstream's software.
     std::string takesUp; ///< Id of the request that began the stream, as the caller named it.
--- a/src/direct/dispatcher-choice.cc
+++ b/src/direct/dispatcher-choice.cc
@@ -57,6 +57,7 @@
     if (indexes == indexesByService_.end())
         return usable;
     const auto memory = permit.service == nullptr ? 0 : permit.service->memoryTokens;
+    const auto weighs = weighsPrompts(permit);
     for (const auto index : indexes->second) {
         const auto &upstream = upstreams_[index];
         const auto wasTried =
@@ -69,7 +70,7 @@
         view.failureShare = health_.failureShare(upstream.id, now);
         view.slowness = health_.slowness(upstream.id);
         view.slowdown = slowdownOf(upstream.id, now);
-        if (policies_.weighsPrompts)
+        if (weighs)
             view.unreadTokens = backlog_.tokensAt(upstream.id);
         view.paused = health_.isPaused(upstream.id, now);
         if (memory > 0)
@@ -104,8 +105,9 @@
     choice.holdsContext =
         std::find(holders.begin(), holders.end(), choice.upstream.id) != holders.end();
     const auto mayFetch = permit.service != nullptr && permit.service->sharesContexts;
-    choice.unreadTokens = promptTokens(input.prompt);
-    if (choice.holdsContext)
+    if (weighsPrompts(permit))
+        choice.unreadTokens = promptTokens(input.prompt);
+    if (choice.unreadTokens > 0 && choice.holdsContext)
         choice.unreadTokens -= sharedContext(input.prompt).tokens;
     if (mayFetch && !choice.holdsContext)
         choice.fetchFrom = fetchSource(context, choice.upstream, usable, now);
@@ -139,7 +141,7 @@
     const auto context = placementKey(input, now);
     const auto holders = contexts_.upstreamsOf(context, now);
     const auto mean = meanLoad(permit.serviceName, now);
-    if (!policies_.weighsPrompts) {
+    if (!weighsPrompts(permit)) {
         const auto usedLast = holders.empty() ? std::nullopt : std::optional(holders.front());
         return chooseEngine(context, usedLast, usable, bound_, mean);
     }
@@ -170,6 +172,11 @@
     return policies_.admitsByTimeLeft && reportsPace(permit.serviceName);
 }
 
+auto Dispatcher::weighsPrompts(const Permit &permit) const -> bool
+{
+    return policies_.weighsPrompts && reportsPace(permit.serviceName);
+}
+
 auto Dispatcher::mayRepeat(const Permit &permit, Duration sinceFirstSent, Instant now) -> bool
 {
     return !admitsByTimeLeft(permit)
--- a/test/direct/reading-test.cc
+++ b/test/direct/reading-test.cc
@@ -76,6 +76,8 @@
             Policies policies;
             policies.weighsPrompts = weighsPrompts;
             fleet_.back().setPolicies(policies);
+            for (const auto &engine : list_)
+                fleet_.back().paces().note(engine.id, 1, start);
         }
     }
 
@@ -220,6 +222,27 @@
     BOOST_TEST(after.lateShare(400ms) < before.lateShare(400ms));
 }
 
+// Guards against another choice of engines where their hosts do no other work.
+BOOST_AUTO_TEST_CASE(prompts_are_weighed_only_where_engines_report_their_pace)
+{
+    const auto list = engines(2);
+    Dispatcher dispatcher({"here", 1}, RetryLimits{}, start);
+    dispatcher.setConfiguration(poolConfiguration());
+    dispatcher.setUpstreams(list, start);
+    Policies policies;
+    policies.weighsPrompts = true;
+    dispatcher.setPolicies(policies);
+    RoutingInput input;
+    input.prompt = {{7, 1000}, {8, 100}};
+    const auto permit = std::get<Permit>(dispatcher.admit("a", "/x", std::nullopt));
+    const auto unread = [&] {
+        return std::get<Choice>(dispatcher.choose(permit, input, start)).unreadTokens;
+    };
+    BOOST_TEST(unread() == 0U);
+    dispatcher.paces().note(list[0].id, 1, start);
+    BOOST_TEST(unread() == 1100U);
+}
+
 BOOST_AUTO_TEST_CASE(a_holder_is_left_only_while_reading_again_is_sooner)
 {
     const auto list = engines(4);
