--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -78,7 +78,7 @@
     if (gateways.empty())
         finish(2);
     Entry entry(gateways);
-    sleepFor(2);
+    sleepFor(4); // Longer than stable-window-ms, so that all are in touch.
 
     const auto begin = seconds();
     double nextStop = begin + 4;
