--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -305,6 +306,7 @@
     end_.clear();
     pid_ = ::fork();
     if (pid_ == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No gateway outlives a case that is ended early.
         ::dup2(fd, STDOUT_FILENO);
         ::dup2(fd, STDERR_FILENO);
         // The platform limits the descriptors of each process to what its settings say.
