A stopping gateway takes what it can answer, and nothing else

Cause: Exchange::cannotFinishBeforeStop took a plain request as long as one second was left before the exit, whatever it takes. A service of 1.5 s had its requests cut for half a second of each stop; the same rule refused requests of 20 ms in the whole last second.

Mend: what is known of a request is weighed against the time left: its own deadline first (one that ends with it is always taken), then how long requests of its route lately took (AnswerTimes: the last 256 of a route, or of its service where the route is new, with those that still run), half as long again for upstreams that slow down while others leave. Single durations are counted, so that a service that answers most at once and a few late is seen as that. The share that may be cut depends on what a refusal and a cut cost the caller: 1 in 100 of what must not be repeated and 5 in 100 of what may be while another gateway is ready to take the refused; 5 and 25 in 100 while none is, since the refused then mostly find nobody. Nothing known: only what surely ends is taken. The same is asked again when a connection has opened and before each further attempt. Streams: one that arrives before the balancer has noticed the stop is refused if most of its route's take longer than is left; otherwise as before, and a stream that runs goes on as long as it can.

The log of a refusal tells the time left and how many of how many known requests took longer.

--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -1,6 +1,7 @@
 /// Handling of one caller's request by the gateway.
 #pragma once
 
+#include "applehatch/direct/answer-times.h"
 #include "applehatch/direct/caller-patience.h"
 #include "applehatch/direct/dispatcher.h"
 #include "applehatch/direct/stream-duration-estimator.h"
@@ -56,6 +57,14 @@
     std::string peer;
 };
 
+/// State of a process that is stopping.
+struct StopView
+{
+    Duration exitTimeLeft{0};    ///< Until the process ends, whatever is still running.
+    bool isPeerReady = false;    ///< Whether another router takes requests.
+    bool isOutOfRotation = true; ///< Whether the balancer has had time to notice the stop.
+};
+
 /// Services shared by all exchanges of a process.
 struct ExchangeEnvironment
 {
@@ -83,11 +92,9 @@
     std::function<void(const direct::PartReport &)> partNoted;
     direct::StreamDurationEstimator *pace = nullptr;
     direct::CallerPatience *patience = nullptr;
-    /// Time left for streams that begin now; none unless the process is stopping and only accepts
-    /// streams that can still finish.
-    std::function<std::optional<Duration>()> streamTimeLeft;
-    /// Time until the process ends; none unless it is stopping.
-    std::function<std::optional<Duration>()> exitTimeLeft;
+    direct::AnswerTimes *answerTimes = nullptr;
+    /// None unless the process is stopping.
+    std::function<std::optional<StopView>()> stopView;
 };
 
 /// Sends a request to an upstream, retries on others as its route allows, and relays the answer.
@@ -111,9 +118,6 @@
     static constexpr Duration finalSilenceStep = std::chrono::milliseconds(20);
     /// All connections of an upstream that crashes end within this time.
     static constexpr Duration endConfirmationTime = std::chrono::milliseconds(20);
-    /// A stopping process takes a plain request only if this much time is left, or all the time
-    /// that the request has.
-    static constexpr Duration minPlainTime = std::chrono::seconds(1);
     /// Answers of plain services up to this size are buffered until complete, so that a truncated
     /// one can be requested again from another upstream.
     static constexpr std::size_t maxBufferedBytes = 262144;
@@ -166,7 +170,16 @@
     auto bindToVersion() -> void;
     /// Returns the same value for each copy of a request, whichever router it comes to.
     [[nodiscard]] auto fingerprint() const -> core::Fingerprint;
-    [[nodiscard]] auto cannotFinishBeforeStop() const -> bool;
+    /// Why a stopping process should not begin the request; none if it should.
+    [[nodiscard]] auto stopRefusal() const -> std::optional<Failure>;
+    /// The same for a further attempt, or one that had to wait for its connection. Streams go on as
+    /// long as they can, since each event counts for their callers.
+    [[nodiscard]] auto attemptRefusal() const -> std::optional<Failure>;
+    [[nodiscard]] auto plainStopRefusal(const StopView &stop) const -> std::optional<Failure>;
+    [[nodiscard]] auto streamStopRefusal(const StopView &stop) const -> std::optional<Failure>;
+    [[nodiscard]] auto stoppingFailure(const std::string &why) const -> Failure;
+    /// Records how long the request took, for the time at which the process stops.
+    auto noteAnswerTime(bool isWhole) -> void;
     /// Starts an attempt at the best upstream. Returns false and sets `refusal_` when there is
     /// none.
     auto startAttempt() -> bool;
@@ -247,6 +260,7 @@
     std::uint32_t connectFailures_ = 0;
     direct::StreamKey ownStream_ = 0;     // The stream if this request begins it; 0 for none.
     direct::StreamKey takenUpStream_ = 0; // The stream that another request began; 0 for none.
+    bool isTimed_ = false;    // Counted among the running requests whose duration is measured.
     bool mayHaveRun_ = false; // Some upstream may have run the request, even if it failed there.
     Failure refusal_;         // Why no upstream could be chosen.
     ExchangeReport report_;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -159,7 +159,7 @@
     /// Logs how many connections were closed unread since the last call, if any.
     auto noteClosedUnread() -> void;
     auto continueStop(Instant now) -> void;
-    [[nodiscard]] auto streamTimeLeft() const -> std::optional<Duration>;
+    [[nodiscard]] auto stopView(Instant now) const -> std::optional<StopView>;
     /// Time until a stopping process ends, whatever is still running.
     [[nodiscard]] auto exitTimeLeft(Instant now) const -> std::optional<Duration>;
     [[nodiscard]] auto hasReadyPeer(Instant now) const -> bool;
@@ -176,6 +176,7 @@
     std::function<void(bool)> readerRoleHook_;
     direct::StreamDurationEstimator pace_;
     direct::CallerPatience patience_;
+    direct::AnswerTimes answerTimes_;
     UpstreamPool pool_;
     GatewayMetrics metrics_;
     PeerMesh mesh_;
--- a/src/gateway/exchange-attempts.cc
+++ b/src/gateway/exchange-attempts.cc
@@ -46,6 +46,10 @@
     if (!mayTry
         || !environment_.dispatcher->hasUntriedUpstream(permit_, demand_, telemetry::steadyNow()))
         return false;
+    if (const auto refused = attemptRefusal()) {
+        environment_.note(id_, "retry-denied", refused->detail);
+        return false;
+    }
     if (mayHaveRun_
         && !environment_.dispatcher->mayRepeat(permit_, sinceFirstSent(), telemetry::steadyNow())) {
         environment_.note(id_, "retry-gave-way", "others are refused: " + why);
@@ -80,6 +84,12 @@
     }
     const auto now = telemetry::steadyNow();
     if (connection) {
+        // Opening a connection may have taken the time that was left.
+        if (auto refused = attemptRefusal()) {
+            environment_.pool->release(attempt_.choice.upstream.address, connection);
+            refusal_ = std::move(*refused);
+            return answerAfterLastAttempt();
+        }
         // Others may have crashed upstreams, or a copy may have been sent, since the choice.
         if (auto refused = environment_.dispatcher->crashRefusal(demand_, now)) {
             environment_.pool->release(attempt_.choice.upstream.address, connection);
@@ -192,7 +202,7 @@
 {
     if (phase_ == Phase::Ended || !attempt_.sent)
         return;
-    const auto canMove = sent_ < permit_.route->attempts
+    const auto canMove = sent_ < permit_.route->attempts && !attemptRefusal()
         && environment_.dispatcher->hasUntriedUpstream(permit_, demand_, telemetry::steadyNow());
     if (!canMove || !environment_.dispatcher->takeRetry(permit_, telemetry::steadyNow()))
         return; // The upstream may still answer.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -84,10 +84,8 @@
     permit_ = std::get<direct::Permit>(std::move(admitted));
     readRequestOptions();
     environment_.dispatcher->noteRequest(permit_, arrivedAt_);
-    if (cannotFinishBeforeStop()) {
-        const auto wait = environment_.dispatcher->retryAfter();
-        return answerFailure({ErrorKind::Draining, Run::NotRun, "process is stopping", wait});
-    }
+    if (const auto refused = stopRefusal())
+        return answerFailure(*refused);
     deadlineTimer_.start(timeLeft(), [self = shared_from_this()] { self->onDeadline(); });
     const auto isResumable = permit_.route->kind == RouteKind::Stream && permit_.route->resumable;
     if (!isResumable)
@@ -101,20 +99,12 @@
 
 auto Exchange::begin() -> void
 {
+    isTimed_ = true;
+    environment_.answerTimes->noteBegun(permit_.route->name, permit_.serviceName, arrivedAt_);
     if (!startAttempt())
         answerAfterLastAttempt();
 }
 
-auto Exchange::cannotFinishBeforeStop() const -> bool
-{
-    if (permit_.route->kind != RouteKind::Stream) {
-        const auto exitTimeLeft = environment_.exitTimeLeft();
-        return exitTimeLeft && *exitTimeLeft < std::min(timeLeft(), minPlainTime);
-    }
-    const auto streamTimeLeft = environment_.streamTimeLeft();
-    return streamTimeLeft && !environment_.pace->endsWithin(maxTokens_, *streamTimeLeft);
-}
-
 auto Exchange::readRequestOptions() -> void
 {
     const auto requested =
@@ -182,6 +172,7 @@
     if (attempt_.sent && !attempt_.head)
         noteOutcome(Outcome::Failed);
     mayHaveRun_ = mayHaveRun_ || attempt_.sent;
+    noteAnswerTime(mayHaveRun_);
     closeAttempt(false);
     if (phase_ == Phase::Relaying)
         return finish("broken-off", "deadline exceeded");
@@ -216,6 +207,7 @@
     if (phase_ == Phase::Ended)
         return;
     phase_ = Phase::Ended;
+    noteAnswerTime(outcome == "answered");
     deadlineTimer_.stop();
     silenceTimer_.stop();
     if (outcome == "broken-off")
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -18,9 +18,10 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
-// A stopping process accepts new streams for this long: the balancer checks readiness each second
-// and removes a process after two failed checks, so requests keep arriving for up to three seconds.
-constexpr Duration streamAcceptTime = std::chrono::milliseconds(2500);
+// A stopping process stays in rotation for about this long: the balancer checks readiness each
+// second and removes a process after two failed checks, so requests keep arriving for up to three
+// seconds.
+constexpr Duration rotationTime = std::chrono::milliseconds(2500);
 // Delay until idle connections are closed; earlier, a caller's request could cross the close.
 constexpr Duration idleCloseDelay = std::chrono::milliseconds(2500);
 // Minimum time from the stop request to the exit; after it the process exits once no request is in
@@ -108,8 +109,8 @@
     dispatcher_.setGivesLeave([this](direct::PartKey part) { return isFirstKeeper(part); });
     exchangeEnvironment_.pace = &pace_;
     exchangeEnvironment_.patience = &patience_;
-    exchangeEnvironment_.streamTimeLeft = [this] { return streamTimeLeft(); };
-    exchangeEnvironment_.exitTimeLeft = [this] { return exitTimeLeft(steadyNow()); };
+    exchangeEnvironment_.answerTimes = &answerTimes_;
+    exchangeEnvironment_.stopView = [this] { return stopView(steadyNow()); };
     metrics_.setGauges(
         {[this] { return static_cast<double>(inFlight_); },
          [this] { return callers_ == nullptr ? 0 : static_cast<double>(callers_->connections()); },
@@ -325,6 +326,7 @@
     dispatcher_.backlog().expire(mesh_.table().currentAliveTimeout(now), now);
     dispatcher_.contexts().expire(now);
     dispatcher_.streams().expire(now);
+    answerTimes_.expire(now);
     dispatcher_.setRouters(mesh_.table().routers(now));
     dispatcher_.setFleet(fleetView(now));
     logPartChanges("time");
@@ -384,17 +386,12 @@
     log(LogLine("stopping").add("inFlight", static_cast<std::int64_t>(inFlight_)));
 }
 
-auto GatewayHost::streamTimeLeft() const -> std::optional<Duration>
+auto GatewayHost::stopView(Instant now) const -> std::optional<StopView>
 {
-    const auto now = steadyNow();
-    if (!stopRequestedAt_ || now - *stopRequestedAt_ < streamAcceptTime)
+    const auto left = exitTimeLeft(now);
+    if (!left)
         return std::nullopt;
-    // When routers are stopped one after another faster than they return, the balancer sends
-    // callers to stopping routers. These then accept streams that they can still finish; while
-    // another router is ready they accept none, so as to exit sooner.
-    if (hasReadyPeer(now))
-        return Duration(0);
-    return exitTimeLeft(now);
+    return StopView{*left, hasReadyPeer(now), now - *stopRequestedAt_ >= rotationTime};
 }
 
 auto GatewayHost::exitTimeLeft(Instant now) const -> std::optional<Duration>
@@ -415,9 +412,9 @@
     const auto since = now - *stopRequestedAt_;
     if (since >= idleCloseDelay)
         callers_->retire(true);
-    const auto idle = inFlight_ == 0 && since >= minStopTime;
+    const auto isIdle = inFlight_ == 0;
     const auto outOfTime = *exitTimeLeft(now) <= Duration(0);
-    if (!idle && !outOfTime)
+    if (!outOfTime && !(isIdle && since >= minStopTime))
         return;
     log(LogLine("stopped").add("inFlight", static_cast<std::int64_t>(inFlight_)));
     loop_.stop();
--- a/test/gateway/stop-test.cc
+++ b/test/gateway/stop-test.cc
@@ -5,6 +5,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <list>
 #include <memory>
 #include <vector>
@@ -14,6 +16,71 @@
 using namespace applehatch::gateway;
 using namespace applehatch::gateway::testing;
 
+/// Lets the loop run for a while.
+auto runFor(asio::io_context &loop, std::chrono::milliseconds time) -> void
+{
+    runUntil(
+        loop, [] { return false; }, time);
+}
+
+/// A script that answers each request after the time that `delayOf` names.
+auto answersAfter(asio::io_context &loop, std::function<std::chrono::milliseconds()> delayOf)
+    -> ScriptedConnection::Script
+{
+    return [&loop, delayOf = std::move(delayOf)](ScriptedConnection &connection,
+                                                 const std::string &request) {
+        const auto timer = std::make_shared<asio::steady_timer>(loop, delayOf());
+        timer->async_wait([timer, request, self = connection.shared_from_this()](auto) {
+            self->send(plainAnswer(request, "served"));
+        });
+    };
+}
+
+/// Callers that come one after another, each with one request.
+class CallerStream
+{
+public:
+    CallerStream(asio::io_context &loop, Gateway &gateway, std::string path)
+        : loop_(loop)
+        , gateway_(gateway)
+        , path_(std::move(path))
+    { }
+
+    auto add() -> void
+    {
+        callers_.emplace_back(loop_, gateway_.settings.callers);
+        callers_.back().send(testing::requestText(path_, "r" + std::to_string(callers_.size()),
+                                                  "Connection: close\r\n"));
+    }
+
+    /// Adds callers at this interval for as long as `condition` does not hold.
+    template <typename Condition>
+    auto addUntil(Condition condition, std::chrono::milliseconds interval) -> void
+    {
+        while (!runUntil(loop_, condition, interval))
+            add();
+    }
+
+    [[nodiscard]] auto size() const -> std::size_t { return callers_.size(); }
+
+    /// Number of callers, from the given one on, whose answer begins with this text.
+    [[nodiscard]] auto answered(const std::string &text, std::size_t from = 0) const -> std::size_t
+    {
+        return static_cast<std::size_t>(std::count_if(
+            std::next(callers_.begin(), static_cast<std::ptrdiff_t>(from)), callers_.end(),
+            [&](const Caller &caller) { return caller.received.starts_with(text); }));
+    }
+
+    /// Whether all answers with 503 say "not run", name a time and are true.
+    [[nodiscard]] auto refusalsAreTrue(const ScriptedUpstream &upstream) const -> bool;
+
+private:
+    asio::io_context &loop_;
+    Gateway &gateway_;
+    std::string path_;
+    std::list<Caller> callers_;
+};
+
 /// Whether the upstream got the request with this header line.
 auto hasReached(const ScriptedUpstream &upstream, const std::string &line) -> bool
 {
@@ -23,6 +90,17 @@
     });
 }
 
+auto CallerStream::refusalsAreTrue(const ScriptedUpstream &upstream) const -> bool
+{
+    std::size_t number = 0;
+    return std::all_of(callers_.begin(), callers_.end(), [&](const Caller &caller) {
+        const auto id = "Request-Id: r" + std::to_string(++number) + "\r\n";
+        return !caller.received.starts_with("HTTP/1.1 503")
+            || (!hasReached(upstream, id) && !headerOf(caller.received, "Retry-After").empty()
+                && caller.received.find("\"run\":\"not-run\"") != std::string::npos);
+    });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(gateway_stop)
@@ -114,4 +192,82 @@
     BOOST_TEST(answered > callers.size() / 2);
 }
 
+// Guards against requests that a stopping process sends on although their service takes longer than
+// the process has left.
+BOOST_AUTO_TEST_CASE(a_request_that_cannot_end_in_time_is_refused_at_once)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream upstream(loop, "one", answersAfter(loop, [] { return 1500ms; }));
+    Gateway gateway(loop);
+    auto entry = upstream.entry("pool");
+    entry.slots = 200;
+    gateway.applyRegistry(testConfiguration(), {entry});
+    gateway.settings.stopTimeout = 5000ms;
+    gateway.host.reload(gateway.settings);
+    CallerStream callers(loop, gateway, "/once/a");
+    const auto begin = std::chrono::steady_clock::now();
+    callers.addUntil([&] { return std::chrono::steady_clock::now() - begin > 2500ms; }, 50ms);
+    const auto before = callers.size();
+    gateway.host.stop();
+    callers.addUntil([&] { return loop.stopped(); }, 50ms);
+    const auto served = callers.answered("HTTP/1.1 200");
+    const auto refused = callers.answered("HTTP/1.1 503");
+    BOOST_TEST(served + refused == callers.size());
+    BOOST_TEST(callers.answered("HTTP/1.1 200", before) > 20U);
+    BOOST_TEST(callers.refusalsAreTrue(upstream));
+}
+
+// Guards against refusing, long before the process ends, what would have been answered easily.
+BOOST_AUTO_TEST_CASE(a_quick_request_is_taken_until_just_before_the_end)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream upstream(loop, "one", answersAfter(loop, [] { return 20ms; }));
+    Gateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    gateway.settings.stopTimeout = 3000ms;
+    gateway.host.reload(gateway.settings);
+    CallerStream callers(loop, gateway, "/once/a");
+    const auto begin = std::chrono::steady_clock::now();
+    callers.addUntil([&] { return std::chrono::steady_clock::now() - begin > 500ms; }, 20ms);
+    gateway.host.stop();
+    const auto stop = std::chrono::steady_clock::now();
+    callers.addUntil([&] { return std::chrono::steady_clock::now() - stop > 2200ms; }, 20ms);
+    BOOST_TEST(callers.answered("HTTP/1.1 503") == 0U);
+    callers.addUntil([&] { return loop.stopped(); }, 20ms);
+    BOOST_TEST(callers.answered("HTTP/1.1 200") + callers.answered("HTTP/1.1 503")
+               == callers.size());
+    BOOST_TEST(callers.refusalsAreTrue(upstream));
+}
+
+// Guards against taking a service that answers most requests at once, and some late, for a quick
+// one: what must not be repeated is refused, what may be is taken.
+BOOST_AUTO_TEST_CASE(a_service_that_is_slow_at_times_gets_only_what_may_be_repeated)
+{
+    for (const std::string path : {"/once/a", "/safe/a"}) {
+        asio::io_context loop(1);
+        int requests = 0;
+        ScriptedUpstream upstream(loop, "one", answersAfter(loop, [&requests] {
+                                      return ++requests % 8 == 0 ? 550ms : 20ms;
+                                  }));
+        Gateway gateway(loop);
+        auto entry = upstream.entry("pool");
+        entry.slots = 200;
+        gateway.applyRegistry(testConfiguration(), {entry});
+        gateway.settings.stopTimeout = 1100ms;
+        gateway.host.reload(gateway.settings);
+        CallerStream callers(loop, gateway, path);
+        const auto begin = std::chrono::steady_clock::now();
+        callers.addUntil([&] { return std::chrono::steady_clock::now() - begin > 1500ms; }, 20ms);
+        runFor(loop, 600ms);
+        gateway.host.stop();
+        runFor(loop, 150ms);
+        const auto before = callers.size();
+        for (int i = 0; i < 10; ++i)
+            callers.add();
+        runFor(loop, 100ms);
+        BOOST_TEST_CONTEXT(path)
+        BOOST_TEST(callers.answered("HTTP/1.1 503", before) == (path == "/once/a" ? 10U : 0U));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
