A gateway that ends answers what it still holds

What callers saw: a request that still ran when a stopping gateway ended got a reset; one that was read and waited for the first configuration got one too, although it had not run. A reset tells the caller nothing.

Cause: GatewayHost::continueStop ended the event loop with requests in flight and did not look at those that wait for a configuration.

Mend: the host knows its running exchanges and ends each before it stops: 502 with "run":"unknown" where the request was sent on, 503 with a Retry-After where it was not (429, 503, 408 and 421 promise "not run", so they may not be used for the former), an incomplete answer where events were relayed. This is done at the last moment, so that nothing is ended sooner than before; engines see their connection closed and stop.

Tests, both failed before: a_request_that_runs_as_the_process_ends_is_told_so, a_request_that_waits_for_a_configuration_is_answered_at_the_stop.

--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -65,6 +65,8 @@
     bool isOutOfRotation = true; ///< Whether the balancer has had time to notice the stop.
 };
 
+class Exchange;
+
 /// Services shared by all exchanges of a process.
 struct ExchangeEnvironment
 {
@@ -75,7 +77,7 @@
     /// Logs a routing decision: the request id, the event's name and its cause.
     std::function<void(const std::string &id, const std::string &event, const std::string &why)>
         note;
-    std::function<void(const ExchangeReport &)> ended;
+    std::function<void(const Exchange &, const ExchangeReport &)> ended;
     /// Tells the routers that keep a stream what began it.
     std::function<void(const direct::StreamReport &)> tellStream;
     /// Sends what is to be told at once.
@@ -128,6 +130,9 @@
     Exchange(const ExchangeEnvironment &environment, CallerPtr caller, RequestMessage request);
 
     auto run() -> void;
+    /// Ends the request since the process ends now: the caller is told whether it may have run, or
+    /// sees that the answer that it was getting is incomplete.
+    auto endBeforeExit() -> void;
 
 private:
     using Failure = core::Failure;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace applehatch::gateway {
@@ -152,13 +153,15 @@
     [[nodiscard]] auto sinceAnswerMs(Instant now) const -> std::int64_t;
     [[nodiscard]] auto isActiveReader() const -> bool;
     auto fillDigest(PeerDigest &digest) -> void;
-    auto exchangeEnded(const ExchangeReport &report) -> void;
+    auto exchangeEnded(const Exchange &exchange, const ExchangeReport &report) -> void;
     auto tick() -> void;
     /// Records how late this tick is. Returns true and logs an event if the process was stalled.
     auto noteStall(Instant now) -> bool;
     /// Logs how many connections were closed unread since the last call, if any.
     auto noteClosedUnread() -> void;
     auto continueStop(Instant now) -> void;
+    /// Ends all requests that still run, since the process ends now.
+    auto endRequests() -> void;
     [[nodiscard]] auto stopView(Instant now) const -> std::optional<StopView>;
     /// Time until a stopping process ends, whatever is still running.
     [[nodiscard]] auto exitTimeLeft(Instant now) const -> std::optional<Duration>;
@@ -207,8 +210,8 @@
     KeeperOutbox outbox_;
     Timer outboxTimer_;
     EncodedDelta lastDelta_;
-    std::deque<EarlyRequest> early_; // Ordered by arrival.
-    std::size_t inFlight_ = 0;
+    std::deque<EarlyRequest> early_;                                          // Ordered by arrival.
+    std::unordered_map<const Exchange *, std::weak_ptr<Exchange>> exchanges_; // In flight.
     std::optional<Instant> stopRequestedAt_;
     std::optional<Instant> behindSince_;
     // Became a reader because no other was known; all peers are notified of the first answer.
--- a/src/gateway/exchange-stop.cc
+++ b/src/gateway/exchange-stop.cc
@@ -1,4 +1,4 @@
-// What a stopping process does with requests: which it still begins.
+// What a stopping process does with requests: which it still begins, and how it ends the last ones.
 #include "applehatch/gateway/exchange.h"
 
 #include "applehatch/core/log-line.h"
@@ -115,4 +115,18 @@
                                         isWhole, telemetry::steadyNow());
 }
 
+auto Exchange::endBeforeExit() -> void
+{
+    if (phase_ == Phase::Ended)
+        return;
+    constexpr auto why = "process ends";
+    mayHaveRun_ = mayHaveRun_ || attempt_.sent;
+    closeAttempt(false);
+    if (phase_ == Phase::Relaying)
+        return finish("broken-off", why);
+    if (!mayHaveRun_)
+        return answerFailure(stoppingFailure(why));
+    answerFailure({ErrorKind::UpstreamFailed, Run::Unknown, why, std::nullopt});
+}
+
 } // namespace applehatch::gateway
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -217,7 +217,7 @@
     report_.reason = reason;
     report_.sent = sent_;
     report_.duration = telemetry::steadyNow() - arrivedAt_;
-    environment_.ended(report_);
+    environment_.ended(*this, report_);
 }
 
 } // namespace applehatch::gateway
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -90,7 +90,9 @@
         metrics_.noteEvent(event);
         log(LogLine(event).add("request", id).add("why", why));
     };
-    exchangeEnvironment_.ended = [this](const ExchangeReport &report) { exchangeEnded(report); };
+    exchangeEnvironment_.ended = [this](const Exchange &exchange, const ExchangeReport &report) {
+        exchangeEnded(exchange, report);
+    };
     exchangeEnvironment_.tellStream = [this](const direct::StreamReport &report) {
         tellKeepers(report);
     };
@@ -112,7 +114,7 @@
     exchangeEnvironment_.answerTimes = &answerTimes_;
     exchangeEnvironment_.stopView = [this] { return stopView(steadyNow()); };
     metrics_.setGauges(
-        {[this] { return static_cast<double>(inFlight_); },
+        {[this] { return static_cast<double>(exchanges_.size()); },
          [this] { return callers_ == nullptr ? 0 : static_cast<double>(callers_->connections()); },
          [this] { return static_cast<double>(pool_.opened()); },
          [this] { return static_cast<double>(dispatcher_.upstreams().size()); },
@@ -215,8 +217,10 @@
 
 auto GatewayHost::startExchange(const CallerPtr &caller, RequestMessage request) -> void
 {
-    ++inFlight_;
-    std::make_shared<Exchange>(exchangeEnvironment_, caller, std::move(request))->run();
+    const auto exchange =
+        std::make_shared<Exchange>(exchangeEnvironment_, caller, std::move(request));
+    exchanges_.emplace(exchange.get(), exchange);
+    exchange->run();
 }
 
 auto GatewayHost::releaseEarly(Instant now) -> void
@@ -229,9 +233,9 @@
     }
 }
 
-auto GatewayHost::exchangeEnded(const ExchangeReport &report) -> void
+auto GatewayHost::exchangeEnded(const Exchange &exchange, const ExchangeReport &report) -> void
 {
-    --inFlight_;
+    exchanges_.erase(&exchange);
     metrics_.note(report);
     LogLine line("request");
     line.add("request", report.requestId)
@@ -383,7 +387,7 @@
         return;
     stopRequestedAt_ = steadyNow();
     callers_->retire(false);
-    log(LogLine("stopping").add("inFlight", static_cast<std::int64_t>(inFlight_)));
+    log(LogLine("stopping").add("inFlight", static_cast<std::int64_t>(exchanges_.size())));
 }
 
 auto GatewayHost::stopView(Instant now) const -> std::optional<StopView>
@@ -412,12 +416,26 @@
     const auto since = now - *stopRequestedAt_;
     if (since >= idleCloseDelay)
         callers_->retire(true);
-    const auto isIdle = inFlight_ == 0;
+    const auto isIdle = exchanges_.empty() && early_.empty();
     const auto outOfTime = *exitTimeLeft(now) <= Duration(0);
     if (!outOfTime && !(isIdle && since >= minStopTime))
         return;
-    log(LogLine("stopped").add("inFlight", static_cast<std::int64_t>(inFlight_)));
+    const auto inFlight = exchanges_.size() + early_.size();
+    endRequests();
+    log(LogLine("stopped").add("inFlight", static_cast<std::int64_t>(inFlight)));
     loop_.stop();
 }
 
+auto GatewayHost::endRequests() -> void
+{
+    for (auto &early : std::exchange(early_, {})) {
+        if (early.caller->isAwaitingAnswer())
+            startExchange(early.caller, std::move(early.request));
+    }
+    for (const auto &[key, weak] : std::exchange(exchanges_, {})) {
+        if (const auto exchange = weak.lock())
+            exchange->endBeforeExit();
+    }
+}
+
 } // namespace applehatch::gateway
--- a/test/gateway/stop-test.cc
+++ b/test/gateway/stop-test.cc
@@ -270,4 +270,43 @@
     }
 }
 
+// Guards against a reset in place of an answer for requests that still run when the process ends.
+BOOST_AUTO_TEST_CASE(a_request_that_runs_as_the_process_ends_is_told_so)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream upstream(loop, "one", [](ScriptedConnection &, const std::string &) {});
+    Gateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    gateway.settings.stopTimeout = 700ms;
+    gateway.host.reload(gateway.settings);
+    auto plain = gateway.caller();
+    plain.send(testing::requestText("/once/a", "r1"));
+    auto stream = gateway.caller();
+    stream.send(testing::requestText("/stream/a", "r2"));
+    BOOST_TEST(runUntil(loop, [&] { return upstream.requests().size() == 2; }));
+    gateway.host.stop();
+    BOOST_TEST(runUntil(loop, [&] { return loop.stopped(); }));
+    for (auto *caller : {&plain, &stream}) {
+        BOOST_TEST(caller->receives("\"run\":\"unknown\"}"));
+        BOOST_TEST(caller->received.starts_with("HTTP/1.1 502"));
+        BOOST_TEST(caller->seesClose());
+    }
+}
+
+// Guards against a request that is read, waits for the first configuration and is cut by the stop.
+BOOST_AUTO_TEST_CASE(a_request_that_waits_for_a_configuration_is_answered_at_the_stop)
+{
+    asio::io_context loop(1);
+    auto gateway = std::make_unique<Gateway>(loop);
+    gateway->settings.stopTimeout = 400ms;
+    gateway->host.reload(gateway->settings);
+    auto caller = gateway->caller();
+    caller.send(testing::requestText("/once/a", "r1"));
+    runFor(loop, 50ms);
+    gateway->host.stop();
+    BOOST_TEST(runUntil(loop, [&] { return loop.stopped(); }));
+    gateway.reset();
+    BOOST_TEST(caller.receives("HTTP/1.1 503"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
