Answers that are not sent yet hold the exit; closed connections end

Cause: an exchange is over when its answer is handed to the connection, and continueStop ended the loop once no exchange was in flight; what was not handed to the kernel went with the process. Beside it, found in reading: a connection that was closed in order kept a timer that would reset it two seconds later, but the timer went with the connection object, so that it never ran: a caller that never closes its end kept the socket for ever. Had it run, it would have reset answers that were still being sent.

Mend: the exit waits, within the same time limit, until no connection has a request begun or an answer unsent. A connection closed in order lives until all is sent; then, two seconds later, or when its caller has read nothing for the idle limit, its socket is closed without a reset, so that the kernel delivers what it still has. The listener closes such connections in the same way when it ends. Streams are covered too: what a slow reader has not taken counts as unsent.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -64,7 +64,14 @@
     /// Announces the close of the connection with the next answer. With `closeIdle`, an idle
     /// connection is closed at once unless it was opened within the last second.
     auto retire(bool closeIdle) -> void;
+    /// Whether a request has begun, or its answer is not handed to the kernel completely.
+    [[nodiscard]] auto isUnfinished() const -> bool
+    {
+        return state_ == State::Answering || requestBegun_ || channel_->unsent() > 0;
+    }
     auto abort() -> void;
+    /// Closes the connection at once; what the kernel has of an answer still reaches the caller.
+    auto discard() -> void;
 
 private:
     enum class State {
@@ -78,6 +85,10 @@
     auto refuse(int status) -> void;
     auto takeRequest() -> void;
     auto finishAnswer() -> void;
+    /// Closes the connection once all is sent, and the socket a while later if the caller does not.
+    auto closeInOrder() -> void;
+    /// Closes the socket when nothing has been sent for `unchangedFor` and more time passes.
+    auto awaitClose(std::size_t unsentBefore, Duration unchangedFor) -> void;
     /// Ends the connection unless it has unread bytes, which may be a new request.
     auto closeIdle() -> void;
     auto awaitRequest() -> void;
--- a/include/applehatch/gateway/channel.h
+++ b/include/applehatch/gateway/channel.h
@@ -65,6 +65,8 @@
     auto setPaused(bool paused) -> void;
     /// Sends the queued bytes, then shuts down sending and waits for the peer to close.
     auto close() -> void;
+    /// Closes the socket; the kernel still delivers what it has.
+    auto closeNow() -> void;
     /// Closes at once; the peer sees a reset.
     auto abort() -> void;
     [[nodiscard]] auto isOpen() const -> bool { return state_ == State::Open; }
@@ -80,6 +82,8 @@
     auto waitReadable() -> void;
     auto waitWritable() -> void;
     auto readAvailable() -> void;
+    /// Drops received bytes: closing a socket with unread ones resets the connection.
+    auto dropReceived() -> void;
     auto flush() -> void;
     auto fail(boost::system::error_code error) -> void;
     auto release() -> void;
--- a/include/applehatch/gateway/listener.h
+++ b/include/applehatch/gateway/listener.h
@@ -28,7 +28,7 @@
     /// Connections that wait longer than `maxWait` are closed unread; without it, none is.
     Listener(boost::asio::io_context &loop, CallerHooks hooks,
              std::optional<core::Duration> maxWait = std::nullopt);
-    /// Aborts all connections, since each keeps itself alive while it is open.
+    /// Closes all connections, since each keeps itself alive while it is open.
     ~Listener();
     Listener(const Listener &) = delete;
     auto operator=(const Listener &) -> Listener & = delete;
@@ -38,6 +38,8 @@
     /// Retires all connections, including those accepted later; see `CallerConnection::retire`.
     auto retire(bool closeIdle) -> void;
     [[nodiscard]] auto connections() const -> std::size_t;
+    /// Number of connections on which a request has begun or an answer is not sent completely.
+    [[nodiscard]] auto unfinished() const -> std::size_t;
     [[nodiscard]] auto port() const -> std::uint16_t;
     /// Removes the entries of closed connections.
     auto sweep() -> void;
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -172,11 +172,9 @@
 {
     if (state_ != State::Answering)
         return;
-    state_ = State::Ended;
     disconnected_ = nullptr;
     flushed_ = nullptr;
-    timer_.stop();
-    channel_->close();
+    closeInOrder();
 }
 
 auto CallerConnection::finishAnswer() -> void
@@ -187,13 +185,8 @@
         state_ = State::Ended;
         return;
     }
-    if (closeAfterAnswer_) {
-        state_ = State::Ended;
-        channel_->close();
-        // A peer that never closes its end would keep the socket open for ever.
-        timer_.start(idleGrace, [channel = channel_] { channel->abort(); });
-        return;
-    }
+    if (closeAfterAnswer_)
+        return closeInOrder();
     state_ = State::Reading;
     channel_->setPaused(false);
     awaitRequest();
@@ -229,10 +222,37 @@
     const auto isNew = telemetry::steadyNow() - openedAt_ < newConnectionTime;
     if (!closeIdle || !isIdle() || isNew || channel_->hasUnread())
         return;
+    closeInOrder();
+}
+
+auto CallerConnection::closeInOrder() -> void
+{
     state_ = State::Ended;
     timer_.stop();
     channel_->close();
-    timer_.start(idleGrace, [channel = channel_] { channel->abort(); });
+    awaitClose(channel_->unsent(), Duration(0));
+}
+
+auto CallerConnection::awaitClose(std::size_t unsentBefore, Duration unchangedFor) -> void
+{
+    timer_.start(idleGrace, [self = shared_from_this(), unsentBefore, unchangedFor] {
+        const auto unsent = self->channel_->unsent();
+        if (unsent < unsentBefore)
+            return self->awaitClose(unsent, Duration(0));
+        const auto unchanged = unchangedFor + idleGrace;
+        if (unsent > 0 && unchanged < self->hooks_.limits().idleTimeout)
+            return self->awaitClose(unsent, unchanged);
+        // A caller that never closes its end, or never reads, would keep the socket for ever.
+        self->channel_->closeNow();
+    });
+}
+
+auto CallerConnection::discard() -> void
+{
+    if (state_ != State::Ended)
+        return abort();
+    timer_.stop();
+    channel_->closeNow();
 }
 
 auto CallerConnection::abort() -> void
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -20,6 +20,8 @@
 // Maximum bytes per read; an event of a stream is a few hundred bytes.
 constexpr std::size_t maxReadBytes = 32768;
 constexpr int maxMissedProbes = 2;
+// Received bytes that are dropped when a connection is closed at once; far more than one request.
+constexpr int maxDroppedReads = 64;
 
 auto setOption(int fd, int level, int name, int value) -> void
 {
@@ -168,6 +170,23 @@
     waitReadable();
 }
 
+auto Channel::closeNow() -> void
+{
+    if (state_ == State::Closed)
+        return;
+    dropReceived();
+    release();
+}
+
+auto Channel::dropReceived() -> void
+{
+    static thread_local std::array<char, maxReadBytes> buffer;
+    error_code error;
+    // A peer that goes on sending is reset in the end.
+    for (int reads = 0; reads < maxDroppedReads && !error; ++reads)
+        socket_.read_some(asio::buffer(buffer), error);
+}
+
 auto Channel::abort() -> void
 {
     if (state_ == State::Closed)
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -416,13 +416,15 @@
     const auto since = now - *stopRequestedAt_;
     if (since >= idleCloseDelay)
         callers_->retire(true);
-    const auto isIdle = exchanges_.empty() && early_.empty();
+    const auto isIdle = exchanges_.empty() && early_.empty() && callers_->unfinished() == 0;
     const auto outOfTime = *exitTimeLeft(now) <= Duration(0);
     if (!outOfTime && !(isIdle && since >= minStopTime))
         return;
     const auto inFlight = exchanges_.size() + early_.size();
     endRequests();
-    log(LogLine("stopped").add("inFlight", static_cast<std::int64_t>(inFlight)));
+    log(LogLine("stopped")
+            .add("inFlight", static_cast<std::int64_t>(inFlight))
+            .add("unfinished", static_cast<std::int64_t>(callers_->unfinished())));
     loop_.stop();
 }
 
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -36,7 +36,7 @@
 {
     for (const auto &each : connections_) {
         if (const auto connection = each.lock())
-            connection->abort();
+            connection->discard();
     }
 }
 
@@ -156,6 +156,15 @@
                       [](const auto &each) { return !each.expired(); }));
 }
 
+auto Listener::unfinished() const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(), [](const auto &each) {
+            const auto connection = each.lock();
+            return connection && connection->isUnfinished();
+        }));
+}
+
 auto Listener::port() const -> std::uint16_t
 {
     error_code error;
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -200,6 +200,14 @@
         socket_.close(error);
     }
 
+    /// Sends a byte; returns whether the connection still takes it.
+    auto canSend() -> bool
+    {
+        boost::system::error_code error;
+        asio::write(socket_, asio::buffer("x", 1), error);
+        return !error;
+    }
+
     /// Waits until `text` has been received.
     auto receives(const std::string &text) -> bool
     {
--- a/test/gateway/stop-test.cc
+++ b/test/gateway/stop-test.cc
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <list>
 #include <memory>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -81,6 +82,54 @@
     std::list<Caller> callers_;
 };
 
+/// A caller that reads an answer evenly over some time.
+class SlowReader
+{
+public:
+    SlowReader(asio::io_context &loop, std::size_t bytes, std::chrono::milliseconds time)
+        : socket_(loop)
+        , bytes_(bytes)
+        , time_(time)
+        , buffer_(std::size_t{64} * 1024, '\0')
+    { }
+
+    auto send(const applehatch::core::Address &to, const std::string &text) -> void
+    {
+        socket_.open(tcp::v4());
+        socket_.set_option(asio::socket_base::receive_buffer_size(65536));
+        socket_.connect({asio::ip::make_address(to.ip), to.port});
+        socket_.non_blocking(true);
+        asio::write(socket_, asio::buffer(text));
+    }
+
+    auto readWhatIsDue() -> void
+    {
+        const auto since = std::chrono::steady_clock::now() - begunAt_;
+        while (!hasEnded() && since > received_ * time_ / bytes_) {
+            const auto count = socket_.read_some(asio::buffer(buffer_), error_);
+            received_ += count;
+            if (count == 0)
+                return;
+        }
+    }
+
+    [[nodiscard]] auto received() const -> std::size_t { return received_; }
+    [[nodiscard]] auto hasEnded() const -> bool
+    {
+        return error_ && error_ != asio::error::would_block;
+    }
+    [[nodiscard]] auto hasEndedInOrder() const -> bool { return error_ == asio::error::eof; }
+
+private:
+    tcp::socket socket_;
+    std::size_t bytes_;
+    std::chrono::milliseconds time_;
+    std::string buffer_;
+    std::size_t received_ = 0;
+    boost::system::error_code error_;
+    std::chrono::steady_clock::time_point begunAt_ = std::chrono::steady_clock::now();
+};
+
 /// Whether the upstream got the request with this header line.
 auto hasReached(const ScriptedUpstream &upstream, const std::string &line) -> bool
 {
@@ -309,4 +358,51 @@
     BOOST_TEST(caller.receives("HTTP/1.1 503"));
 }
 
+// Guards against an answer that is cut because its caller reads it slowly while the process stops.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_not_sent_yet_holds_the_end_of_the_process)
+{
+    constexpr std::size_t bytes = std::size_t{14} * 1024 * 1024;
+    asio::io_context callerLoop(1);
+    SlowReader caller(callerLoop, bytes, 6s);
+    {
+        asio::io_context loop(1); // Ends as the process does.
+        ScriptedUpstream upstream(
+            loop, "one", [](ScriptedConnection &connection, const std::string &request) {
+                connection.send(plainAnswer(request, std::string(bytes, 'x')));
+            });
+        Gateway gateway(loop);
+        gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+        caller.send(gateway.settings.callers, testing::requestText("/once/a", "r1"));
+        BOOST_TEST(runUntil(loop, [&] { return upstream.requests().size() == 1; }));
+        gateway.host.stop();
+        const auto hasStopped = [&] { return loop.stopped(); };
+        while (!runUntil(loop, hasStopped, 2ms) && !caller.hasEnded())
+            caller.readWhatIsDue();
+    }
+    while (!caller.hasEnded()) {
+        caller.readWhatIsDue();
+        std::this_thread::sleep_for(2ms);
+    }
+    BOOST_TEST(caller.received() > bytes);
+    BOOST_TEST(caller.hasEndedInOrder());
+}
+
+// Guards against a closed connection that stays open for ever since its caller never closes it.
+BOOST_AUTO_TEST_CASE(a_caller_that_never_closes_its_end_holds_no_connection)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream upstream(loop, "one",
+                              [](ScriptedConnection &connection, const std::string &request) {
+                                  connection.send(plainAnswer(request, "served"));
+                              });
+    Gateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    auto caller = gateway.caller();
+    caller.send(testing::requestText("/once/a", "r1", "Connection: close\r\n"));
+    BOOST_TEST(caller.seesClose());
+    BOOST_TEST(caller.received.ends_with("served"));
+    // The kernel resets a connection of which no process has the other end.
+    BOOST_TEST(runUntil(loop, [&] { return !caller.canSend(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
