A failed write is reported after the call, by the event loop

Cause: Channel::write ran `ended`, and with it the whole disconnect path, inside the call when the kernel refused the bytes. Whatever the caller of `send` used afterwards could be gone: Exchange::relayEvents paused a connection that the disconnect had just cleared. In Exchange::relayHead the order of the two left the exchange and the connection holding each other in memory for ever.

Mend, of the class: a write that fails closes the socket, forgets what is unsent and posts the report, so that no owner runs in the middle of its own call; an owner that closes or aborts meanwhile gets none. Looked through: all users of Channel (CallerConnection, UpstreamConnection, and with it exchanges, fetches from peers, the registry's client). src/wire posts each send to its own loop; src/clients waits for promises; neither calls back inside a send.

--- a/include/applehatch/gateway/channel.h
+++ b/include/applehatch/gateway/channel.h
@@ -39,7 +39,8 @@
         /// are passed again, in front of new ones.
         std::function<void(std::string &)> data;
         /// Called when the peer closes the connection in order (no error) or the connection fails.
-        /// Called at most once, and never after `close` or `abort`.
+        /// Called at most once, never after `close` or `abort`, and always by the event loop: a
+        /// write that fails at once is reported later, so that its caller can go on.
         std::function<void(boost::system::error_code)> ended;
         /// Called when everything written has been handed to the kernel.
         std::function<void()> flushed;
@@ -76,6 +77,7 @@
     enum class State {
         Open,
         Closing, ///< Sending the queued bytes, then waiting for the peer to close.
+        Failed,  ///< A write failed; the event loop will call `ended`.
         Closed,
     };
 
@@ -86,6 +88,11 @@
     auto dropReceived() -> void;
     auto flush() -> void;
     auto fail(boost::system::error_code error) -> void;
+    auto failLater(boost::system::error_code error) -> void;
+    [[nodiscard]] auto hasEnded() const -> bool
+    {
+        return state_ == State::Failed || state_ == State::Closed;
+    }
     auto release() -> void;
     auto dropHooks() -> void;
 
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -65,12 +65,12 @@
 
 auto Channel::waitReadable() -> void
 {
-    if (reading_ || paused_ || state_ == State::Closed)
+    if (reading_ || paused_ || hasEnded())
         return;
     reading_ = true;
     socket_.async_wait(Socket::wait_read, [self = shared_from_this()](error_code error) {
         self->reading_ = false;
-        if (self->state_ == State::Closed)
+        if (self->hasEnded())
             return;
         if (error)
             return self->fail(error);
@@ -108,7 +108,7 @@
     error_code error;
     const auto count = socket_.write_some(asio::buffer(out_), error);
     if (error && error != asio::error::would_block && error != asio::error::try_again)
-        return fail(error);
+        return failLater(error);
     out_.erase(0, error ? 0 : count);
     if (!out_.empty())
         return waitWritable();
@@ -125,7 +125,7 @@
     writing_ = true;
     socket_.async_wait(Socket::wait_write, [self = shared_from_this()](error_code error) {
         self->writing_ = false;
-        if (self->state_ == State::Closed)
+        if (self->hasEnded())
             return;
         if (error)
             return self->fail(error);
@@ -136,12 +136,12 @@
 auto Channel::hasUnread() const -> bool
 {
     error_code error;
-    return state_ != State::Closed && socket_.available(error) > 0 && !error;
+    return !hasEnded() && socket_.available(error) > 0 && !error;
 }
 
 auto Channel::isClosedByPeer() -> bool
 {
-    if (state_ == State::Closed)
+    if (hasEnded())
         return true;
     std::array<char, 1> byte{};
     error_code error;
@@ -158,6 +158,8 @@
 
 auto Channel::close() -> void
 {
+    if (state_ == State::Failed)
+        return release();
     if (state_ != State::Open)
         return;
     state_ = State::Closing;
@@ -206,6 +208,15 @@
         ended(error);
 }
 
+auto Channel::failLater(error_code error) -> void
+{
+    state_ = State::Failed;
+    out_.clear();
+    error_code ignored;
+    socket_.close(ignored);
+    asio::post(socket_.get_executor(), [self = shared_from_this(), error] { self->fail(error); });
+}
+
 auto Channel::release() -> void
 {
     state_ = State::Closed;
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -200,6 +200,14 @@
         socket_.close(error);
     }
 
+    /// Closes the connection with a reset.
+    auto reset() -> void
+    {
+        boost::system::error_code error;
+        socket_.set_option(asio::socket_base::linger(true, 0), error);
+        socket_.close(error);
+    }
+
     /// Sends a byte; returns whether the connection still takes it.
     auto canSend() -> bool
     {
