No call reports back before it returns

Cause: UpstreamPool::open called back at once, inside the call, when no socket could be opened. PeerMesh::fetchNewer then assigned the fetch that was already over to `fetching_`, after its end had cleared it, and no other fetch ever began. GatewayHost::askForCrashMemory had the same order of events. Ruled out: that the gateway hears of no newer revision (its digests named it all the while).

Mend: one rule, kept by what they all use. A pool gives an idle connection as a return value, or opens one and calls back from the event loop, also when that fails at once; a request sent on a connection that is closed already fails in the same way (it used to wait for its deadline); a question to no peer at all too. With that, no fetch, query or registry call can be over before it has begun. A fetch that failed is repeated at another peer if there is one.

New: the gauge applehatch_registry_behind_seconds; registry-behind after a second behind a peer, once, and registry-caught-up.

--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -193,7 +193,7 @@
     auto retry(const std::string &why) -> bool;
     /// Sends the final answer when no further attempt is possible.
     auto answerAfterLastAttempt() -> void;
-    auto useConnection(const UpstreamConnectionPtr &connection, bool isNew) -> void;
+    auto useConnection(const UpstreamConnectionPtr &connection) -> void;
     auto sendRequest() -> void;
     [[nodiscard]] auto upstreamText() const -> std::string;
     auto onHead(ResponseHead &head) -> void;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -167,6 +167,8 @@
     [[nodiscard]] auto exitTimeLeft(Instant now) const -> std::optional<Duration>;
     [[nodiscard]] auto hasReadyPeer(Instant now) const -> bool;
     auto catchUp(Instant now) -> void;
+    /// Logs once that this router has been behind its peers for long, and when it has caught up.
+    auto noteBehind(std::uint64_t newest, Instant now) -> void;
     [[nodiscard]] auto callerLimits() const -> direct::CallerLimits;
 
     boost::asio::io_context &loop_;
@@ -213,7 +215,8 @@
     std::deque<EarlyRequest> early_;                                          // Ordered by arrival.
     std::unordered_map<const Exchange *, std::weak_ptr<Exchange>> exchanges_; // In flight.
     std::optional<Instant> stopRequestedAt_;
-    std::optional<Instant> behindSince_;
+    std::optional<Instant> behindSince_; // A peer has had a newer revision since.
+    bool isBehindLogged_ = false;
     // Became a reader because no other was known; all peers are notified of the first answer.
     bool reportNextAnswer_ = false;
 };
--- a/include/applehatch/gateway/gateway-metrics.h
+++ b/include/applehatch/gateway/gateway-metrics.h
@@ -19,6 +19,7 @@
     std::function<double()> configurationVersion;
     std::function<double()> registryRevision;
     std::function<double()> peers;
+    std::function<double()> registryBehindSeconds;
 };
 
 class GatewayMetrics
--- a/include/applehatch/gateway/peer-fetch.h
+++ b/include/applehatch/gateway/peer-fetch.h
@@ -20,7 +20,7 @@
     /// Called once at the end: with the body, or with none and the cause.
     using Done = std::function<void(std::optional<std::string> body, const std::string &why)>;
 
-    /// Asks `peer` for `path` and calls `done` after `timeout` at the latest.
+    /// Asks `peer` for `path`. The event loop calls `done` later, after `timeout` at the latest.
     [[nodiscard]] static auto start(boost::asio::io_context &loop, UpstreamPool &pool, Address peer,
                                     std::string path, Duration timeout, Done done)
         -> std::shared_ptr<PeerFetch>;
--- a/include/applehatch/gateway/peer-mesh.h
+++ b/include/applehatch/gateway/peer-mesh.h
@@ -72,6 +72,8 @@
     /// Returns a digest with this router's identity and state.
     [[nodiscard]] auto nextDigest(bool brief) -> PeerDigest;
     auto post(const PeerDigest &digest, const std::vector<Address> &targets) -> void;
+    /// Returns a peer with the newest revision, if that is newer than `revision`; the one that
+    /// failed last only if there is no other.
     [[nodiscard]] auto newestPeer(std::uint64_t revision) -> std::optional<Address>;
     auto noteLiveness(Instant now) -> void;
     auto takeDelta(const Address &peer, const std::optional<std::string> &body,
@@ -93,6 +95,7 @@
     Timer timer_;
     std::array<char, maxDatagramBytes> buffer_{};
     std::shared_ptr<PeerFetch> fetching_;
+    std::optional<Address> lastFailed_; // The peer from which the latest fetch failed.
     std::vector<std::string> lastAlive_;
     std::minstd_rand random_;
 };
--- a/include/applehatch/gateway/upstream-connection.h
+++ b/include/applehatch/gateway/upstream-connection.h
@@ -48,7 +48,7 @@
     explicit UpstreamConnection(Channel::Socket socket);
 
     auto start(ChannelLimits limits) -> void;
-    /// Sends a request. The connection must be idle.
+    /// Sends a request. The connection must be idle. No hook is called inside the call.
     auto send(WireRequest request, AnswerHooks hooks) -> void;
     auto setPaused(bool paused) -> void { channel_->setPaused(paused); }
     /// Resets the connection. No further callback of the current request is called.
--- a/include/applehatch/gateway/upstream-pool.h
+++ b/include/applehatch/gateway/upstream-pool.h
@@ -18,7 +18,7 @@
 using core::Instant;
 using UpstreamConnectionPtr = std::shared_ptr<UpstreamConnection>;
 
-/// Provides connections to upstreams, reusing idle ones.
+/// Provides connections to upstreams, reusing idle ones. Never calls back inside a call.
 class UpstreamPool
 {
 public:
@@ -35,15 +35,17 @@
     static constexpr Duration defaultKeepAlive = std::chrono::seconds(4);
 
     /// Receives the connection, or null if none could be opened.
-    using AcquireCallback = std::function<void(UpstreamConnectionPtr, bool isNew)>;
+    using OpenCallback = std::function<void(const UpstreamConnectionPtr &)>;
 
     explicit UpstreamPool(boost::asio::io_context &loop);
     ~UpstreamPool();
     UpstreamPool(const UpstreamPool &) = delete;
     auto operator=(const UpstreamPool &) -> UpstreamPool & = delete;
 
-    /// Passes a connection to `callback`: an idle one at once, otherwise a newly opened one.
-    auto acquire(const Address &address, const AcquireCallback &callback) -> void;
+    /// Returns an idle connection, or null if there is none; then one has to be opened.
+    [[nodiscard]] auto takeIdle(const Address &address) -> UpstreamConnectionPtr;
+    /// Opens a connection. The event loop calls `callback` later, also when that fails at once.
+    auto open(const Address &address, const OpenCallback &callback) -> void;
     /// Returns a connection to the pool after its answer is complete; aborts it if not reusable.
     auto release(const Address &address, const UpstreamConnectionPtr &connection) -> void;
     /// Closes all idle connections to an address that was found silent or gone.
@@ -62,7 +64,8 @@
     };
     struct Opening;
 
-    auto open(const Address &address, const AcquireCallback &callback) -> void;
+    /// Calls `callback` without a connection, later.
+    auto reportFailure(const OpenCallback &callback) -> void;
 
     boost::asio::io_context &loop_;
     std::map<std::string, std::vector<IdleConnection>> idle_; // Most recently used last.
--- a/src/gateway/exchange-attempts.cc
+++ b/src/gateway/exchange-attempts.cc
@@ -33,10 +33,14 @@
     report_.unreadTokens = attempt_.choice.unreadTokens;
     const auto &from = attempt_.choice.fetchFrom;
     report_.fetchedFrom = from ? from->ip + ':' + std::to_string(from->port) : std::string();
-    environment_.pool->acquire(attempt_.choice.upstream.address,
-                               [self = shared_from_this()](const auto &connection, bool isNew) {
-                                   self->useConnection(connection, isNew);
-                               });
+    const auto &address = attempt_.choice.upstream.address;
+    if (const auto idle = environment_.pool->takeIdle(address)) {
+        useConnection(idle);
+        return true;
+    }
+    environment_.pool->open(address, [self = shared_from_this()](const auto &connection) {
+        self->useConnection(connection);
+    });
     return true;
 }
 
@@ -75,7 +79,7 @@
     answerFailure(refusal_);
 }
 
-auto Exchange::useConnection(const UpstreamConnectionPtr &connection, bool /*isNew*/) -> void
+auto Exchange::useConnection(const UpstreamConnectionPtr &connection) -> void
 {
     if (phase_ == Phase::Ended) {
         if (connection)
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -123,7 +123,11 @@
              return configuration ? static_cast<double>(configuration->version) : 0;
          },
          [this] { return static_cast<double>(replica_.revision()); },
-         [this] { return static_cast<double>(mesh_.table().alive(steadyNow()).size()); }});
+         [this] { return static_cast<double>(mesh_.table().alive(steadyNow()).size()); },
+         [this] {
+             const auto since = steadyNow() - behindSince_.value_or(steadyNow());
+             return std::chrono::duration<double>(std::max(since, Duration(0))).count();
+         }});
 }
 
 GatewayHost::~GatewayHost()
--- a/src/gateway/gateway-metrics.cc
+++ b/src/gateway/gateway-metrics.cc
@@ -60,6 +60,9 @@
     add("applehatch_registry_revision", "Revision of the registry known here.",
         std::move(gauges.registryRevision));
     add("applehatch_peers", "Routers heard a moment ago.", std::move(gauges.peers));
+    add("applehatch_registry_behind_seconds",
+        "For how long a peer has named a newer revision than the one known here.",
+        std::move(gauges.registryBehindSeconds));
 }
 
 auto GatewayMetrics::note(const ExchangeReport &report) -> void
--- a/src/gateway/gateway-registry.cc
+++ b/src/gateway/gateway-registry.cc
@@ -19,6 +19,8 @@
 
 // A reader's own watch usually delivers a change sooner than this; after it a peer is asked.
 constexpr Duration catchUpDelay = std::chrono::milliseconds(250);
+// A router that is behind for this long is logged; usually it follows within some 100 ms.
+constexpr Duration behindLogDelay = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -188,16 +190,36 @@
 
 auto GatewayHost::catchUp(Instant now) -> void
 {
-    if (mesh_.newestRevision(now) <= replica_.revision()) {
-        behindSince_.reset();
-        return;
-    }
+    const auto newest = mesh_.newestRevision(now);
+    noteBehind(newest, now);
     if (!behindSince_)
-        behindSince_ = now;
+        return;
     if (!dispatcher_.ready() || !isActiveReader() || now - *behindSince_ >= catchUpDelay)
         mesh_.fetchNewer(replica_.revision());
 }
 
+auto GatewayHost::noteBehind(std::uint64_t newest, Instant now) -> void
+{
+    const auto isBehind = newest > replica_.revision();
+    const auto since = behindSince_.value_or(now);
+    if (isBehind && now - since < behindLogDelay) {
+        behindSince_ = since;
+        return;
+    }
+    if (isBehind != isBehindLogged_) {
+        const auto *event = isBehind ? "registry-behind" : "registry-caught-up";
+        metrics_.noteEvent(event);
+        log(LogLine(event)
+                .add("revision", static_cast<std::int64_t>(replica_.revision()))
+                .add("newest", static_cast<std::int64_t>(newest))
+                .add("sinceMs", core::millisecondsOf(now - since)),
+            isBehind ? LogLevel::Warning : LogLevel::Info);
+    }
+    isBehindLogged_ = isBehind;
+    if (!isBehind)
+        behindSince_.reset();
+}
+
 auto GatewayHost::isActiveReader() const -> bool
 {
     return readers_.reads() && replica_.reachable() && replica_.revision() > 0;
--- a/src/gateway/keeper-query.cc
+++ b/src/gateway/keeper-query.cc
@@ -3,6 +3,8 @@
 #include "applehatch/core/log-line.h"
 #include "applehatch/gateway/peer-digest.h"
 
+#include <boost/asio/post.hpp>
+
 #include <utility>
 
 namespace applehatch::gateway {
@@ -17,15 +19,12 @@
 {
     const auto self = shared_from_this();
     if (peers.empty())
-        return finish(std::nullopt);
+        return boost::asio::post(loop, [self] { self->finish(std::nullopt); });
     unanswered_ = peers.size();
     for (const auto &peer : peers) {
-        auto fetch = PeerFetch::start(
+        fetches_.push_back(PeerFetch::start(
             loop, pool, peer, std::string(streamPath) + core::hexText(stream_), timeout,
-            [self, peer](const auto &body, const std::string &) { self->take(peer, body); });
-        if (done_ == nullptr)
-            return fetch->cancel();
-        fetches_.push_back(std::move(fetch));
+            [self, peer](const auto &body, const std::string &) { self->take(peer, body); }));
     }
 }
 
--- a/src/gateway/peer-fetch.cc
+++ b/src/gateway/peer-fetch.cc
@@ -28,7 +28,9 @@
 {
     const auto self = shared_from_this();
     timer_.start(timeout, [self] { self->finish(std::nullopt, "no answer in time"); });
-    pool_.acquire(peer_, [self](const UpstreamConnectionPtr &connection, bool) {
+    if (const auto idle = pool_.takeIdle(peer_))
+        return send(idle);
+    pool_.open(peer_, [self](const UpstreamConnectionPtr &connection) {
         if (!connection)
             return self->finish(std::nullopt, "could not connect");
         self->send(connection);
--- a/src/gateway/peer-mesh.cc
+++ b/src/gateway/peer-mesh.cc
@@ -186,6 +186,10 @@
         consider(reader.router, reader.revision);
     if (peers.empty())
         return std::nullopt;
+    if (lastFailed_ && std::any_of(peers.begin(), peers.end(), [this](const Address &peer) {
+            return peer != *lastFailed_;
+        }))
+        std::erase(peers, *lastFailed_);
     return peers[random_() % peers.size()];
 }
 
@@ -200,6 +204,7 @@
         loop_, pool_, *peer, std::string(deltaPath) + std::to_string(revision), fetchTimeout,
         [this, peer](const std::optional<std::string> &body, const std::string &why) {
             fetching_ = nullptr;
+            lastFailed_ = body ? std::nullopt : peer;
             takeDelta(*peer, body, why);
         });
 }
--- a/src/gateway/upstream-connection.cc
+++ b/src/gateway/upstream-connection.cc
@@ -56,7 +56,13 @@
     request_ = std::move(request);
     hooks_ = std::move(hooks);
     beginAnswer();
-    const auto self = shared_from_this(); // A failed write may release the last other owner.
+    if (!channel_->isOpen()) {
+        boost::asio::post(channel_->executor(), [self = shared_from_this()] {
+            if (self->busy_)
+                self->failWith("connection was closed");
+        });
+        return;
+    }
     channel_->write(request_.text);
     request_.text.clear();
 }
--- a/src/gateway/upstream-pool.cc
+++ b/src/gateway/upstream-pool.cc
@@ -3,6 +3,7 @@
 #include "applehatch/telemetry/clock.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
@@ -47,7 +48,7 @@
     }
 }
 
-auto UpstreamPool::acquire(const Address &address, const AcquireCallback &callback) -> void
+auto UpstreamPool::takeIdle(const Address &address) -> UpstreamConnectionPtr
 {
     const auto idle = idle_.find(keyOf(address));
     const auto now = telemetry::steadyNow();
@@ -55,22 +56,27 @@
         const auto last = std::move(idle->second.back());
         idle->second.pop_back();
         if (last.until > now && last.connection->isReusable())
-            return callback(last.connection, false);
+            return last.connection;
         last.connection->abort();
     }
-    open(address, callback);
+    return nullptr;
 }
 
-auto UpstreamPool::open(const Address &address, const AcquireCallback &callback) -> void
+auto UpstreamPool::reportFailure(const OpenCallback &callback) -> void
+{
+    asio::post(loop_, [callback] { callback(nullptr); });
+}
+
+auto UpstreamPool::open(const Address &address, const OpenCallback &callback) -> void
 {
     error_code error;
     const auto ip = asio::ip::make_address(address.ip, error);
     if (error)
-        return callback(nullptr, true);
+        return reportFailure(callback);
     auto opening = std::make_shared<Opening>(loop_);
     opening->socket.open(asio::ip::tcp::v4(), error);
     if (error)
-        return callback(nullptr, true);
+        return reportFailure(callback);
     ++opened_;
     const ChannelLimits limits{unacknowledgedTimeout};
     setChannelOptions(opening->socket, limits);
@@ -85,12 +91,13 @@
         {ip, address.port}, [opening, limits, callback](error_code failed) {
             opening->settled = true;
             opening->timer.cancel();
-            if (failed)
-                return callback(nullptr, true);
+            // The timeout may have closed the socket in the turn in which it was connected.
+            if (failed || !opening->socket.is_open())
+                return callback(nullptr);
             const auto connection =
                 std::make_shared<UpstreamConnection>(std::move(opening->socket));
             connection->start(limits);
-            callback(connection, true);
+            callback(connection);
         });
 }
 
