What allows no body gets none, whoever answers

Cause: Exchange::answerFailure writes a body whatever the method, and CallerConnection::answer did not know the method. Interim answers (1xx) are never passed on.

Mend: the connection knows the method of the request that it answers and decides on body, end mark and length in one place, from the method and the status (allowsBody); so does HttpExchange. A refusal of HEAD names the length that it would have had.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -44,6 +44,8 @@
     /// Sets a callback that runs when everything written has been handed to the kernel.
     auto onFlushed(std::function<void()> flushed) -> void { flushed_ = std::move(flushed); }
 
+    // A body is sent only where the request's method and the answer's status allow one.
+
     /// Sends a complete answer.
     auto answer(ResponseHead head, std::string_view body) -> void;
     /// Sends the head of an answer whose body follows through `send` and `end`.
@@ -94,6 +96,8 @@
     auto awaitRequest() -> void;
     auto ended() -> void;
     auto writeHead(ResponseHead head) -> void;
+    /// Returns the framing of a complete answer with `body`, and sets its length.
+    auto frame(ResponseHead &head, std::string_view body) const -> Framing;
 
     Timer timer_;
     std::shared_ptr<Channel> channel_;
@@ -105,6 +109,8 @@
     std::optional<RequestReader> reader_;
     std::string input_; // Unparsed bytes, including those received during an answer.
     Framing framing_ = Framing::Length;
+    bool isHead_ = false;       // The current request is a HEAD, whose answer has no body.
+    bool sendsBody_ = true;     // The current answer has a body.
     bool requestBegun_ = false; // Bytes of the next request have arrived.
     bool closeAfterAnswer_ = false;
 };
--- a/include/applehatch/gateway/http-message.h
+++ b/include/applehatch/gateway/http-message.h
@@ -66,13 +66,18 @@
     UntilClose,
 };
 
+/// Whether a response with this status may have a body, unless it answers a HEAD.
+[[nodiscard]] auto allowsBody(int status) -> bool;
+
 struct ResponseHead
 {
     int status = 0;
     std::string reason;
     HeaderList headers;
     Framing framing = Framing::Length;
-    std::uint64_t length = 0; ///< Body size in bytes; valid with `Framing::Length`.
+    /// Body size in bytes; valid with `Framing::Length`. With `Framing::NoBody`, the size that the
+    /// answer to GET would have; 0 if not known.
+    std::uint64_t length = 0;
     bool keepAlive = true;
 };
 
--- a/include/applehatch/process/http-server.h
+++ b/include/applehatch/process/http-server.h
@@ -54,9 +54,13 @@
     [[nodiscard]] auto endStream() -> bool;
 
 private:
+    /// Whether the request's method and the status allow a body.
+    [[nodiscard]] auto sendsBody(int status) const -> bool;
+
     mg_connection *connection_;
-    int socket_ = -1;     ///< Looked up on first use; owned by the library.
-    bool chunked_ = true; ///< False for HTTP/1.0, which ends a body by closing.
+    int socket_ = -1;       ///< Looked up on first use; owned by the library.
+    bool chunked_ = true;   ///< False for HTTP/1.0, which ends a body by closing.
+    bool sendsBody_ = true; ///< The stream that was begun has a body.
 };
 
 struct HttpServerOptions
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -104,6 +104,7 @@
     requestBegun_ = false;
     auto message = reader_->take();
     reader_.reset();
+    isHead_ = message.method == "HEAD";
     if (!message.keepAlive)
         closeAfterAnswer_ = true;
     hooks_.request(shared_from_this(), std::move(message));
@@ -124,18 +125,30 @@
 {
     head.keepAlive = !closeAfterAnswer_;
     framing_ = head.framing;
+    sendsBody_ = !isHead_ && allowsBody(head.status);
     channel_->write(headText(head));
 }
 
+auto CallerConnection::frame(ResponseHead &head, std::string_view body) const -> Framing
+{
+    if (!allowsBody(head.status))
+        return Framing::NoBody;
+    // An upstream's answer to HEAD comes without a body, and perhaps with its length.
+    if (isHead_ && body.empty())
+        return head.length > 0 ? Framing::Length : Framing::NoBody;
+    head.length = body.size();
+    return Framing::Length;
+}
+
 auto CallerConnection::answer(ResponseHead head, std::string_view body) -> void
 {
     if (state_ != State::Answering)
         return;
-    head.framing = Framing::Length;
-    head.length = body.size();
+    head.framing = frame(head, body);
     head.keepAlive = !closeAfterAnswer_;
     auto text = headText(head);
-    text += body;
+    if (!isHead_ && head.framing != Framing::NoBody)
+        text += body;
     channel_->write(text);
     finishAnswer();
 }
@@ -146,12 +159,14 @@
         return;
     if (head.framing == Framing::UntilClose)
         head.framing = Framing::Chunked;
+    if (!allowsBody(head.status))
+        head.framing = Framing::NoBody;
     writeHead(std::move(head));
 }
 
 auto CallerConnection::send(std::string_view body) -> void
 {
-    if (state_ != State::Answering || body.empty())
+    if (state_ != State::Answering || body.empty() || !sendsBody_)
         return;
     if (framing_ == Framing::Chunked)
         channel_->write(chunkText(body));
@@ -163,7 +178,7 @@
 {
     if (state_ != State::Answering)
         return;
-    if (framing_ == Framing::Chunked)
+    if (framing_ == Framing::Chunked && sendsBody_)
         channel_->write(lastChunk);
     finishAnswer();
 }
--- a/src/gateway/forwarded-message.cc
+++ b/src/gateway/forwarded-message.cc
@@ -41,6 +41,7 @@
     ResponseHead forwarded;
     forwarded.status = head.status;
     forwarded.reason = head.reason;
+    forwarded.length = head.length;
     forwarded.headers = headersWithout(head.headers, dropped);
     return forwarded;
 }
--- a/src/gateway/http-message.cc
+++ b/src/gateway/http-message.cc
@@ -91,10 +91,7 @@
 
 auto framingOf(int status, bool isHead, bool isChunked, bool hasLength) -> Framing
 {
-    constexpr int firstFinal = 200;
-    constexpr int noContent = 204;
-    constexpr int notModified = 304;
-    if (isHead || status < firstFinal || status == noContent || status == notModified)
+    if (isHead || !allowsBody(status))
         return Framing::NoBody;
     if (isChunked)
         return Framing::Chunked;
@@ -103,6 +100,14 @@
 
 } // namespace
 
+auto allowsBody(int status) -> bool
+{
+    constexpr int firstFinal = 200;
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    return status >= firstFinal && status != noContent && status != notModified;
+}
+
 auto equalsIgnoringCase(std::string_view a, std::string_view b) -> bool
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -29,6 +29,14 @@
     return text;
 }
 
+auto allowsBody(int status) -> bool
+{
+    constexpr int firstFinal = 200;
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    return status >= firstFinal && status != noContent && status != notModified;
+}
+
 auto view(const char *text) -> std::string_view
 {
     return text == nullptr ? std::string_view() : std::string_view(text);
@@ -117,11 +125,18 @@
     return count < 0 || isTruncated ? BodyRead::Incomplete : BodyRead::Complete;
 }
 
+auto HttpExchange::sendsBody(int status) const -> bool
+{
+    return method() != "HEAD" && allowsBody(status);
+}
+
 auto HttpExchange::respond(int status, const core::Headers &headers, std::string_view body) -> bool
 {
     auto text = headText(connection_, status, headers);
-    text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    if (method() != "HEAD")
+    if (allowsBody(status))
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    text += "\r\n";
+    if (sendsBody(status))
         text += body;
     return writeAll(connection_, text);
 }
@@ -129,6 +144,8 @@
 auto HttpExchange::beginStream(int status, const core::Headers &headers) -> bool
 {
     auto text = headText(connection_, status, headers);
+    sendsBody_ = sendsBody(status);
+    chunked_ = chunked_ && allowsBody(status);
     if (chunked_)
         text += "Transfer-Encoding: chunked\r\n";
     return writeAll(connection_, text + "\r\n");
@@ -136,7 +153,7 @@
 
 auto HttpExchange::streamPart(std::string_view data) -> bool
 {
-    if (data.empty())
+    if (data.empty() || !sendsBody_)
         return true;
     if (!chunked_)
         return writeAll(connection_, data);
@@ -152,7 +169,7 @@
 
 auto HttpExchange::endStream() -> bool
 {
-    return !chunked_ || writeAll(connection_, "0\r\n\r\n");
+    return !chunked_ || !sendsBody_ || writeAll(connection_, "0\r\n\r\n");
 }
 
 struct HttpServer::State
