--- a/test/gateway-held-up/callers-test.cc
+++ b/test/gateway-held-up/callers-test.cc
@@ -25,10 +25,7 @@
 BOOST_AUTO_TEST_CASE(a_request_whose_caller_left_in_a_hold_up_is_not_sent_on)
 {
     asio::io_context loop(1);
-    ScriptedUpstream upstream(loop, "one",
-                              [](ScriptedConnection &connection, const std::string &request) {
-                                  connection.send(plainAnswer(request, "served"));
-                              });
+    ScriptedUpstream upstream(loop, "one", answersWith("served"));
     Gateway gateway(loop);
     gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
     std::vector<std::unique_ptr<Caller>> callers;
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -434,6 +434,14 @@
         + "\r\nRan-By: proof\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// A script that gives each request the complete plain answer `body`.
+inline auto answersWith(std::string body) -> ScriptedConnection::Script
+{
+    return [body = std::move(body)](ScriptedConnection &connection, const std::string &request) {
+        connection.send(plainAnswer(request, body));
+    };
+}
+
 /// The head of the streamed answer of a correct upstream to `request`.
 inline auto streamHead(const std::string &request) -> std::string
 {
--- a/test/gateway/stop-test.cc
+++ b/test/gateway/stop-test.cc
@@ -366,10 +366,7 @@
     SlowReader caller(callerLoop, bytes, 6s);
     {
         asio::io_context loop(1); // Ends as the process does.
-        ScriptedUpstream upstream(
-            loop, "one", [](ScriptedConnection &connection, const std::string &request) {
-                connection.send(plainAnswer(request, std::string(bytes, 'x')));
-            });
+        ScriptedUpstream upstream(loop, "one", answersWith(std::string(bytes, 'x')));
         Gateway gateway(loop);
         gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
         caller.send(gateway.settings.callers, testing::requestText("/once/a", "r1"));
@@ -391,10 +388,7 @@
 BOOST_AUTO_TEST_CASE(a_caller_that_never_closes_its_end_holds_no_connection)
 {
     asio::io_context loop(1);
-    ScriptedUpstream upstream(loop, "one",
-                              [](ScriptedConnection &connection, const std::string &request) {
-                                  connection.send(plainAnswer(request, "served"));
-                              });
+    ScriptedUpstream upstream(loop, "one", answersWith("served"));
     Gateway gateway(loop);
     gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
     auto caller = gateway.caller();
