A refused request whose caller keeps its end open does not hold the stop

Test: a_refused_request_does_not_hold_the_end; before the change the loop had not ended after 1.5 s more.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -69,7 +69,8 @@
     /// Whether a request has begun, or its answer is not handed to the kernel completely.
     [[nodiscard]] auto isUnfinished() const -> bool
     {
-        return state_ == State::Answering || requestBegun_ || channel_->unsent() > 0;
+        const auto isReading = state_ == State::Reading && requestBegun_;
+        return isReading || state_ == State::Answering || channel_->unsent() > 0;
     }
     auto abort() -> void;
     /// Closes the connection at once; what the kernel has of an answer still reaches the caller.
--- a/src/gateway/exchange-stop.cc
+++ b/src/gateway/exchange-stop.cc
@@ -21,9 +21,9 @@
 // What the answer's way back takes, besides.
 constexpr Duration answerMargin = std::chrono::milliseconds(100);
 
-/// Largest share of requests that may end without their answer for the sake of the others. A caller
-/// that is refused comes back a moment later, and is served if another router is ready; one whose
-/// request may have run must not send it again unless it may be repeated.
+// Largest share of requests that may end without their answer for the sake of the others. A caller
+// that is refused comes back a moment later, and is served if another router is ready; one whose
+// request may have run must not send it again unless it may be repeated.
 auto toleratedShare(bool mayRepeat, bool isPeerReady) -> double
 {
     if (mayRepeat)
@@ -31,8 +31,8 @@
     return isPeerReady ? 0.01 : 0.05;
 }
 
-/// A stream that reaches a router just after it began to stop is refused if more than this share of
-/// the route's streams take longer than the process has left.
+// A stream that reaches a router just after it began to stop is refused if more than this share of
+// the route's streams take longer than the process has left.
 constexpr double toleratedLongStreams = 0.5;
 
 auto shareOf(const direct::LongerShare &share) -> double
--- a/test/gateway/stop-test.cc
+++ b/test/gateway/stop-test.cc
@@ -384,6 +384,22 @@
     BOOST_TEST(caller.hasEndedInOrder());
 }
 
+// Guards against a refused request, whose caller keeps its end open, holding the end of the
+// process.
+BOOST_AUTO_TEST_CASE(a_refused_request_does_not_hold_the_end)
+{
+    asio::io_context loop(1);
+    Gateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {});
+    gateway.host.stop();
+    runFor(loop, 2800ms);
+    auto caller = gateway.caller();
+    caller.send("no request\r\n\r\n");
+    BOOST_TEST(caller.receives("HTTP/1.1 400"));
+    BOOST_TEST(runUntil(
+        loop, [&] { return loop.stopped(); }, 1500ms));
+}
+
 // Guards against a closed connection that stays open for ever since its caller never closes it.
 BOOST_AUTO_TEST_CASE(a_caller_that_never_closes_its_end_holds_no_connection)
 {
--- a/test/process/http-server-test.cc
+++ b/test/process/http-server-test.cc
@@ -18,7 +18,8 @@
     process::HttpServerOptions options;
     options.address = {"127.0.0.1", 0};
     core::Address bound;
-    BOOST_TEST(!server.start(options, std::move(handler), bound));
+    const auto error = server.start(options, std::move(handler), bound);
+    BOOST_TEST(!error);
     auto socket = experiment::Socket::connect(bound);
     BOOST_TEST(socket.sendAll(method + " /x HTTP/1.1\r\nHost: x\r\n\r\n"));
     std::string answer;
