--- a/test/gateway/caller-resets-test.cc
+++ b/test/gateway/caller-resets-test.cc
@@ -85,7 +85,7 @@
 
 BOOST_AUTO_TEST_SUITE(gateway_caller_resets)
 
-// Guards against a write that runs the disconnect path inside the call, under its caller's feet.
+// Guards against a write that runs the disconnect path inside the call.
 BOOST_AUTO_TEST_CASE(a_write_that_fails_is_reported_after_the_call)
 {
     asio::io_context loop(1);
