The gauge of a gateway that is behind reads one clock once

What an operator saw: applehatch_registry_behind_seconds was now and then a microsecond where it had to be 0. Cause: it took the time twice, in an order that the language leaves open. A comment in exchange.h says what the flag stands for.

--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -265,7 +265,7 @@
     std::uint32_t connectFailures_ = 0;
     direct::StreamKey ownStream_ = 0;     // The stream if this request begins it; 0 for none.
     direct::StreamKey takenUpStream_ = 0; // The stream that another request began; 0 for none.
-    bool isTimed_ = false;    // Counted among the running requests whose duration is measured.
+    bool isTimed_ = false;                // Counted as running in `answerTimes`.
     bool mayHaveRun_ = false; // Some upstream may have run the request, even if it failed there.
     Failure refusal_;         // Why no upstream could be chosen.
     ExchangeReport report_;
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -114,8 +114,8 @@
          [this] { return static_cast<double>(replica_.revision()); },
          [this] { return static_cast<double>(mesh_.table().alive(steadyNow()).size()); },
          [this] {
-             const auto since = steadyNow() - behindSince_.value_or(steadyNow());
-             return std::chrono::duration<double>(std::max(since, Duration(0))).count();
+             const auto now = steadyNow();
+             return std::chrono::duration<double>(now - behindSince_.value_or(now)).count();
          }});
 }
 
