--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -96,9 +96,9 @@
     auto closeIdle() -> void;
     auto awaitRequest() -> void;
     auto ended() -> void;
-    auto writeHead(ResponseHead head) -> void;
-    /// Returns the framing of a complete answer with `body`, and sets its length.
-    auto frame(ResponseHead &head, std::string_view body) const -> Framing;
+    /// Sets what follows from the request and the status: whether the connection is kept, and
+    /// whether there is a body.
+    auto prepare(ResponseHead &head) -> void;
 
     Timer timer_;
     std::shared_ptr<Channel> channel_;
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -60,9 +60,9 @@
 /// State of a process that is stopping.
 struct StopView
 {
-    Duration exitTimeLeft{0};    ///< Until the process ends, whatever is still running.
-    bool isPeerReady = false;    ///< Whether another router takes requests.
-    bool isOutOfRotation = true; ///< Whether the balancer has had time to notice the stop.
+    Duration exitTimeLeft{0};     ///< Until the process ends, whatever is still running.
+    bool isPeerReady = false;     ///< Whether another router takes requests.
+    bool isOutOfRotation = false; ///< Whether the balancer has had time to notice the stop.
 };
 
 class Exchange;
@@ -182,6 +182,8 @@
     [[nodiscard]] auto attemptRefusal() const -> std::optional<Failure>;
     [[nodiscard]] auto plainStopRefusal(const StopView &stop) const -> std::optional<Failure>;
     [[nodiscard]] auto streamStopRefusal(const StopView &stop) const -> std::optional<Failure>;
+    /// Counts the known requests that took longer than `limit`.
+    [[nodiscard]] auto knownLongerThan(Duration limit) const -> direct::LongerShare;
     [[nodiscard]] auto stoppingFailure(const std::string &why) const -> Failure;
     /// Records how long the request took, for the time at which the process stops.
     auto noteAnswerTime(bool isWhole) -> void;
--- a/include/applehatch/gateway/http-message.h
+++ b/include/applehatch/gateway/http-message.h
@@ -66,9 +66,6 @@
     UntilClose,
 };
 
-/// Whether a response with this status may have a body, unless it answers a HEAD.
-[[nodiscard]] auto allowsBody(int status) -> bool;
-
 struct ResponseHead
 {
     int status = 0;
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -1,5 +1,6 @@
 #include "applehatch/gateway/caller-connection.h"
 
+#include "applehatch/core/http-status.h"
 #include "applehatch/telemetry/clock.h"
 
 #include <boost/asio/post.hpp>
@@ -121,33 +122,28 @@
     answer(std::move(head), {});
 }
 
-auto CallerConnection::writeHead(ResponseHead head) -> void
+auto CallerConnection::prepare(ResponseHead &head) -> void
 {
     head.keepAlive = !closeAfterAnswer_;
+    if (!core::allowsBody(head.status))
+        head.framing = Framing::NoBody;
     framing_ = head.framing;
-    sendsBody_ = !isHead_ && allowsBody(head.status);
-    channel_->write(headText(head));
-}
-
-auto CallerConnection::frame(ResponseHead &head, std::string_view body) const -> Framing
-{
-    if (!allowsBody(head.status))
-        return Framing::NoBody;
-    // An upstream's answer to HEAD comes without a body, and perhaps with its length.
-    if (isHead_ && body.empty())
-        return head.length > 0 ? Framing::Length : Framing::NoBody;
-    head.length = body.size();
-    return Framing::Length;
+    sendsBody_ = !isHead_ && core::allowsBody(head.status);
 }
 
 auto CallerConnection::answer(ResponseHead head, std::string_view body) -> void
 {
     if (state_ != State::Answering)
         return;
-    head.framing = frame(head, body);
-    head.keepAlive = !closeAfterAnswer_;
+    // An upstream's answer to HEAD comes without a body, and perhaps with its length.
+    const auto hasOwnLength = isHead_ && body.empty();
+    if (!hasOwnLength)
+        head.length = body.size();
+    const auto isUnknown = hasOwnLength && head.length == 0;
+    head.framing = isUnknown ? Framing::NoBody : Framing::Length;
+    prepare(head);
     auto text = headText(head);
-    if (!isHead_ && head.framing != Framing::NoBody)
+    if (sendsBody_)
         text += body;
     channel_->write(text);
     finishAnswer();
@@ -159,9 +155,8 @@
         return;
     if (head.framing == Framing::UntilClose)
         head.framing = Framing::Chunked;
-    if (!allowsBody(head.status))
-        head.framing = Framing::NoBody;
-    writeHead(std::move(head));
+    prepare(head);
+    channel_->write(headText(head));
 }
 
 auto CallerConnection::send(std::string_view body) -> void
--- a/src/gateway/exchange-stop.cc
+++ b/src/gateway/exchange-stop.cc
@@ -41,10 +41,10 @@
         / static_cast<double>(std::max<std::size_t>(share.known, 1));
 }
 
-auto shareText(const direct::LongerShare &share) -> std::string
+auto tookLongerText(const StopView &stop, const direct::LongerShare &longer) -> std::string
 {
-    return std::to_string(share.longer) + " of " + std::to_string(share.known)
-        + " known took longer";
+    return core::millisecondsText(stop.exitTimeLeft) + " left, " + std::to_string(longer.longer)
+        + " of " + std::to_string(longer.known) + " known took longer";
 }
 
 } // namespace
@@ -63,32 +63,33 @@
     return permit_.route->kind == RouteKind::Stream ? std::nullopt : stopRefusal();
 }
 
+auto Exchange::knownLongerThan(Duration limit) const -> direct::LongerShare
+{
+    return environment_.answerTimes->longerThan(permit_.route->name, permit_.serviceName, limit,
+                                                telemetry::steadyNow());
+}
+
 auto Exchange::plainStopRefusal(const StopView &stop) const -> std::optional<Failure>
 {
     if (stop.exitTimeLeft >= timeLeft())
         return std::nullopt;
     const auto usable =
         std::chrono::duration_cast<Duration>((stop.exitTimeLeft - answerMargin) / slowdownMargin);
-    const auto &times = *environment_.answerTimes;
-    const auto longer =
-        times.longerThan(permit_.route->name, permit_.serviceName, usable, telemetry::steadyNow());
+    const auto longer = knownLongerThan(usable);
     const auto isKnown = longer.known >= direct::AnswerTimes::minKnown;
     if (isKnown && shareOf(longer) <= toleratedShare(mayRepeat(), stop.isPeerReady))
         return std::nullopt;
-    return stoppingFailure(core::millisecondsText(stop.exitTimeLeft) + " left, "
-                           + shareText(longer));
+    return stoppingFailure(tookLongerText(stop, longer));
 }
 
 auto Exchange::streamStopRefusal(const StopView &stop) const -> std::optional<Failure>
 {
     if (!stop.isOutOfRotation) {
         // A caller that is refused now is served elsewhere; one whose stream is cut starts over.
-        const auto longer = environment_.answerTimes->longerThan(
-            permit_.route->name, permit_.serviceName, stop.exitTimeLeft, telemetry::steadyNow());
+        const auto longer = knownLongerThan(stop.exitTimeLeft);
         if (longer.known < direct::AnswerTimes::minKnown || shareOf(longer) <= toleratedLongStreams)
             return std::nullopt;
-        return stoppingFailure(core::millisecondsText(stop.exitTimeLeft) + " left, "
-                               + shareText(longer));
+        return stoppingFailure(tookLongerText(stop, longer));
     }
     // When routers are stopped one after another faster than they return, the balancer sends
     // callers to stopping routers. These then accept streams that they can still finish; while
--- a/src/gateway/http-message.cc
+++ b/src/gateway/http-message.cc
@@ -1,5 +1,7 @@
 #include "applehatch/gateway/http-message.h"
 
+#include "applehatch/core/http-status.h"
+
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -91,7 +93,7 @@
 
 auto framingOf(int status, bool isHead, bool isChunked, bool hasLength) -> Framing
 {
-    if (isHead || !allowsBody(status))
+    if (isHead || !core::allowsBody(status))
         return Framing::NoBody;
     if (isChunked)
         return Framing::Chunked;
@@ -100,14 +102,6 @@
 
 } // namespace
 
-auto allowsBody(int status) -> bool
-{
-    constexpr int firstFinal = 200;
-    constexpr int noContent = 204;
-    constexpr int notModified = 304;
-    return status >= firstFinal && status != noContent && status != notModified;
-}
-
 auto equalsIgnoringCase(std::string_view a, std::string_view b) -> bool
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -1,5 +1,7 @@
 #include "applehatch/process/http-server.h"
 
+#include "applehatch/core/http-status.h"
+
 #include "caller-socket.h"
 
 #include <civetweb.h>
@@ -29,14 +31,6 @@
     return text;
 }
 
-auto allowsBody(int status) -> bool
-{
-    constexpr int firstFinal = 200;
-    constexpr int noContent = 204;
-    constexpr int notModified = 304;
-    return status >= firstFinal && status != noContent && status != notModified;
-}
-
 auto view(const char *text) -> std::string_view
 {
     return text == nullptr ? std::string_view() : std::string_view(text);
@@ -127,13 +121,13 @@
 
 auto HttpExchange::sendsBody(int status) const -> bool
 {
-    return method() != "HEAD" && allowsBody(status);
+    return method() != "HEAD" && core::allowsBody(status);
 }
 
 auto HttpExchange::respond(int status, const core::Headers &headers, std::string_view body) -> bool
 {
     auto text = headText(connection_, status, headers);
-    if (allowsBody(status))
+    if (core::allowsBody(status))
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n";
     if (sendsBody(status))
@@ -145,7 +139,7 @@
 {
     auto text = headText(connection_, status, headers);
     sendsBody_ = sendsBody(status);
-    chunked_ = chunked_ && allowsBody(status);
+    chunked_ = chunked_ && core::allowsBody(status);
     if (chunked_)
         text += "Transfer-Encoding: chunked\r\n";
     return writeAll(connection_, text + "\r\n");
--- a/test/gateway-crashing-parts/parts-test.cc
+++ b/test/gateway-crashing-parts/parts-test.cc
@@ -100,11 +100,7 @@
         return caller.received;
     }
 
-    auto rest(std::chrono::milliseconds time) -> void
-    {
-        runUntil(
-            loop, [] { return false; }, time);
-    }
+    auto rest(std::chrono::milliseconds time) -> void { runFor(loop, time); }
 
     asio::io_context loop{1};
     FragileEngines engines;
--- a/test/gateway-descriptors/descriptors-test.cc
+++ b/test/gateway-descriptors/descriptors-test.cc
@@ -64,8 +64,7 @@
         BOOST_TEST(failed == 0);
     }
     BOOST_TEST(runUntil(loop, [&] { return failed == 1; }));
-    runUntil(
-        loop, [] { return false; }, 50ms);
+    runFor(loop, 50ms);
     BOOST_TEST(failed == 1);
 }
 
@@ -84,13 +83,11 @@
     {
         const NoDescriptors none;
         reader.applyRegistry(testConfiguration(2), {});
-        runUntil(
-            loop, [] { return false; }, 1500ms);
+        runFor(loop, 1500ms);
         BOOST_TEST(versionAt(follower) == 1U);
     }
     BOOST_TEST(runUntil(loop, [&] { return versionAt(follower) == 2; }));
-    runUntil(
-        loop, [] { return false; }, 200ms);
+    runFor(loop, 200ms);
     const auto metrics = scrape(loop, follower);
     BOOST_TEST(metrics.find("applehatch_registry_behind_seconds 0") != std::string::npos);
     BOOST_TEST(metrics.find("event=\"registry-behind\"") != std::string::npos);
--- a/test/gateway-held-up/callers-test.cc
+++ b/test/gateway-held-up/callers-test.cc
@@ -35,8 +35,7 @@
         callers.back()->disconnect();
     }
     std::this_thread::sleep_for(2s);
-    runUntil(
-        loop, [] { return false; }, 500ms);
+    runFor(loop, 500ms);
     BOOST_TEST(upstream.requests().size() <= maxForwarded);
 }
 
--- a/test/gateway/caller-resets-test.cc
+++ b/test/gateway/caller-resets-test.cc
@@ -42,12 +42,6 @@
     int ended = 0;
 };
 
-auto runBriefly(asio::io_context &loop) -> void
-{
-    runUntil(
-        loop, [] { return false; }, 100ms);
-}
-
 /// Plays an answer that comes in `parts`; the caller resets its connection just before the gateway
 /// reads the last one. Returns what is left open afterwards.
 auto metricsAfterReset(const std::vector<std::string> &parts) -> std::string
@@ -68,7 +62,7 @@
         running->send(part);
         if (isLast)
             caller.reset();
-        runBriefly(loop);
+        runFor(loop, 100ms);
     }
     return scrape(loop, gateway);
 }
@@ -98,7 +92,7 @@
     pair.channel->write("more");
     pair.channel->setPaused(true);
     pair.channel->setPaused(false);
-    runBriefly(loop);
+    runFor(loop, 100ms);
     BOOST_TEST(pair.ended == 1);
 }
 
@@ -111,7 +105,7 @@
         pair.resetPeer();
         pair.channel->write(std::string(largeEvent, 'x'));
         (pair.channel.get()->*close)();
-        runBriefly(loop);
+        runFor(loop, 100ms);
         BOOST_TEST(pair.ended == 0);
     }
 }
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -40,6 +40,13 @@
     return condition();
 }
 
+/// Lets the loop run for `time`.
+inline auto runFor(asio::io_context &loop, std::chrono::milliseconds time) -> void
+{
+    runUntil(
+        loop, [] { return false; }, time);
+}
+
 /// Whether `text` contains a complete message: its head and as many bytes as its Content-Length.
 inline auto isWholeRequest(const std::string &text) -> bool
 {
@@ -378,6 +385,13 @@
 
     auto caller() -> Caller { return {loop_, settings.callers}; }
 
+    /// Sets the time from the stop request to the end of the process.
+    auto setStopTimeout(Duration timeout) -> void
+    {
+        settings.stopTimeout = timeout;
+        host.reload(settings);
+    }
+
     DecodedRegistry registry;
 
 private:
--- a/test/gateway/process-test.cc
+++ b/test/gateway/process-test.cc
@@ -121,11 +121,9 @@
     auto disconnected = gateway.caller();
     caller.send(testing::requestText("/safe/a", "r1"));
     disconnected.send(testing::requestText("/safe/b", "r2"));
-    runUntil(
-        loop, [] { return false; }, 50ms);
+    runFor(loop, 50ms);
     disconnected.disconnect();
-    runUntil(
-        loop, [] { return false; }, 50ms);
+    runFor(loop, 50ms);
     gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
     BOOST_TEST(caller.receives("served"));
     BOOST_TEST(upstream.requests().size() == 1);
@@ -306,8 +304,7 @@
     BOOST_REQUIRE(runUntil(loop, [&] { return knowsAllPeers(loop, stalled); }));
     for (int times = 0; times < 3; ++times) {
         std::this_thread::sleep_for(2 * PeerTable::aliveTimeout);
-        runUntil(
-            loop, [] { return false; }, 300ms);
+        runFor(loop, 300ms);
     }
     const auto metrics = scrape(loop, stalled);
     BOOST_TEST(metrics.find("event=\"held-up\"") != std::string::npos);
@@ -352,8 +349,7 @@
     const auto &to = gateway.settings.peers;
     socket.send_to(asio::buffer(encodeDigest(digest)), {asio::ip::make_address(to.ip), to.port});
     BOOST_REQUIRE(runUntil(loop, [&] { return !peer.requests().empty(); }));
-    runUntil(
-        loop, [] { return false; }, 500ms);
+    runFor(loop, 500ms);
     BOOST_TEST(peer.requests().size() > 1U, "the peer is asked again");
     BOOST_TEST(peer.requests().size() < 10U,
                "the peer is asked at each check for newer revisions, ten a second");
@@ -375,8 +371,7 @@
     kept.send(testing::requestText("/safe/a", "r1"));
     BOOST_TEST(kept.receives("served"));
     kept.received.clear();
-    runUntil(
-        loop, [] { return false; }, 1900ms);
+    runFor(loop, 1900ms);
     fresh.send(testing::requestText("/safe/a", "r2"));
     kept.send(testing::requestText("/safe/a", "r3"));
     std::this_thread::sleep_for(500ms);
--- a/test/gateway/stop-test.cc
+++ b/test/gateway/stop-test.cc
@@ -17,13 +17,6 @@
 using namespace applehatch::gateway;
 using namespace applehatch::gateway::testing;
 
-/// Lets the loop run for a while.
-auto runFor(asio::io_context &loop, std::chrono::milliseconds time) -> void
-{
-    runUntil(
-        loop, [] { return false; }, time);
-}
-
 /// A script that answers each request after the time that `delayOf` names.
 auto answersAfter(asio::io_context &loop, std::function<std::chrono::milliseconds()> delayOf)
     -> ScriptedConnection::Script
@@ -195,8 +188,7 @@
     Gateway gateway(loop);
     gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
     gateway.host.stop();
-    runUntil(
-        loop, [] { return false; }, 2600ms);
+    runFor(loop, 2600ms);
     auto shortStream = gateway.caller();
     shortStream.send(testing::requestText("/stream/a", "r1", "Token-Counts: 20\r\n"));
     BOOST_TEST(shortStream.receives("piece-1"));
@@ -221,8 +213,7 @@
         });
     Gateway gateway(loop);
     gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
-    gateway.settings.stopTimeout = 4500ms;
-    gateway.host.reload(gateway.settings);
+    gateway.setStopTimeout(4500ms);
     gateway.host.stop();
     std::list<Caller> callers;
     const auto hasEnded = [&] { return loop.stopped(); };
@@ -251,8 +242,7 @@
     auto entry = upstream.entry("pool");
     entry.slots = 200;
     gateway.applyRegistry(testConfiguration(), {entry});
-    gateway.settings.stopTimeout = 5000ms;
-    gateway.host.reload(gateway.settings);
+    gateway.setStopTimeout(5000ms);
     CallerStream callers(loop, gateway, "/once/a");
     const auto begin = std::chrono::steady_clock::now();
     callers.addUntil([&] { return std::chrono::steady_clock::now() - begin > 2500ms; }, 50ms);
@@ -273,8 +263,7 @@
     ScriptedUpstream upstream(loop, "one", answersAfter(loop, [] { return 20ms; }));
     Gateway gateway(loop);
     gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
-    gateway.settings.stopTimeout = 3000ms;
-    gateway.host.reload(gateway.settings);
+    gateway.setStopTimeout(3000ms);
     CallerStream callers(loop, gateway, "/once/a");
     const auto begin = std::chrono::steady_clock::now();
     callers.addUntil([&] { return std::chrono::steady_clock::now() - begin > 500ms; }, 20ms);
@@ -302,8 +291,7 @@
         auto entry = upstream.entry("pool");
         entry.slots = 200;
         gateway.applyRegistry(testConfiguration(), {entry});
-        gateway.settings.stopTimeout = 2350ms;
-        gateway.host.reload(gateway.settings);
+        gateway.setStopTimeout(2350ms);
         CallerStream callers(loop, gateway, path);
         const auto begin = std::chrono::steady_clock::now();
         callers.addUntil([&] { return std::chrono::steady_clock::now() - begin > 1500ms; }, 20ms);
@@ -326,8 +314,7 @@
     ScriptedUpstream upstream(loop, "one", [](ScriptedConnection &, const std::string &) {});
     Gateway gateway(loop);
     gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
-    gateway.settings.stopTimeout = 700ms;
-    gateway.host.reload(gateway.settings);
+    gateway.setStopTimeout(700ms);
     auto plain = gateway.caller();
     plain.send(testing::requestText("/once/a", "r1"));
     auto stream = gateway.caller();
@@ -347,8 +334,7 @@
 {
     asio::io_context loop(1);
     auto gateway = std::make_unique<Gateway>(loop);
-    gateway->settings.stopTimeout = 400ms;
-    gateway->host.reload(gateway->settings);
+    gateway->setStopTimeout(400ms);
     auto caller = gateway->caller();
     caller.send(testing::requestText("/once/a", "r1"));
     runFor(loop, 50ms);
