A refusal after HEAD on the same connection has its length

Found in reading the change: the connection still knew the method of the request before as it refused one that it could not read, so that a 400 after a HEAD had no Content-Length. Bytes of a new request make the method unknown again. Test: a_refusal_after_head_has_its_length; before, the header was missing.

--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -78,6 +78,7 @@
     const auto limits = hooks_.limits();
     if (!requestBegun_ && !input_.empty()) {
         requestBegun_ = true;
+        isHead_ = false; // Not known yet; the request may be refused before it is.
         reader_.emplace(limits.headerBytes, limits.bodyBytes);
         timer_.start(limits.headerTimeout,
                      [self = shared_from_this()] { self->refuse(requestTimeout); });
--- a/test/gateway/bodyless-test.cc
+++ b/test/gateway/bodyless-test.cc
@@ -103,6 +103,22 @@
     BOOST_TEST(rest.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a refusal without a length since the request before it was a HEAD.
+BOOST_AUTO_TEST_CASE(a_refusal_after_head_has_its_length)
+{
+    asio::io_context loop(1);
+    ScriptedUpstream upstream(loop, "one", silent);
+    Gateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    auto caller = gateway.caller();
+    caller.send(headRequest("/none/a"));
+    BOOST_TEST(caller.receives("\r\n\r\n"));
+    caller.received.clear();
+    caller.send("no request\r\n\r\n");
+    BOOST_TEST(caller.receives("\r\n\r\n"));
+    BOOST_TEST(headerOf(caller.received, "Content-Length") == "0");
+}
+
 // Guards against a length where the status allows no body.
 BOOST_AUTO_TEST_CASE(a_status_without_body_has_no_length)
 {
