Test: a stream that would be cut is refused as the stop begins

On the code before the stream of 1.5 s was taken with 1 s left; the one of 20 ms is taken before and after.

--- a/test/gateway/stop-test.cc
+++ b/test/gateway/stop-test.cc
@@ -277,6 +277,39 @@
     BOOST_TEST(callers.refusalsAreTrue(upstream));
 }
 
+// Guards against streams that a process takes as its stop begins and cuts at its end, although all
+// their callers could be served elsewhere.
+BOOST_AUTO_TEST_CASE(a_stream_that_would_be_cut_is_refused_as_the_stop_begins)
+{
+    for (const auto length : {20ms, 1500ms}) {
+        asio::io_context loop(1);
+        ScriptedUpstream upstream(
+            loop, "one", [&](ScriptedConnection &connection, const std::string &request) {
+                connection.send(streamHead(request) + eventChunk(1));
+                const auto timer = std::make_shared<asio::steady_timer>(loop, length);
+                timer->async_wait([timer, self = connection.shared_from_this()](auto) {
+                    self->send(std::string(lastChunk));
+                });
+            });
+        Gateway gateway(loop);
+        auto entry = upstream.entry("pool");
+        entry.slots = 200;
+        gateway.applyRegistry(testConfiguration(), {entry});
+        CallerStream callers(loop, gateway, "/stream/a");
+        for (int i = 0; i < 12; ++i)
+            callers.add();
+        runFor(loop, 1900ms);
+        gateway.setStopTimeout(1350ms);
+        gateway.host.stop();
+        const auto before = callers.size();
+        callers.add();
+        runFor(loop, 200ms);
+        const auto *status = length == 20ms ? "HTTP/1.1 200" : "HTTP/1.1 503";
+        BOOST_TEST(callers.answered(status, before) == 1U, length.count());
+        BOOST_TEST(callers.refusalsAreTrue(upstream));
+    }
+}
+
 // Guards against taking a service that answers most requests at once, and some late, for a quick
 // one: what must not be repeated is refused, what may be is taken.
 BOOST_AUTO_TEST_CASE(a_service_that_is_slow_at_times_gets_only_what_may_be_repeated)
