--- a/test/gateway-descriptors/descriptors-test.cc
+++ b/test/gateway-descriptors/descriptors-test.cc
@@ -94,6 +94,24 @@
     BOOST_TEST(metrics.find("event=\"registry-caught-up\"") != std::string::npos);
 }
 
+// Guards against an alarm at a router that keeps up while one change follows another.
+BOOST_AUTO_TEST_CASE(a_router_that_follows_many_changes_is_not_behind)
+{
+    asio::io_context loop(1);
+    Gateway reader(loop);
+    Gateway follower(loop, {reader.settings.peers});
+    std::uint64_t version = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - begin < 4s) {
+        ++version;
+        follower.registry.configuration = testConfiguration(version);
+        reader.applyRegistry(testConfiguration(version), {});
+        runFor(loop, 20ms);
+    }
+    BOOST_TEST(runUntil(loop, [&] { return versionAt(follower) == version; }));
+    BOOST_TEST(scrape(loop, follower).find("event=\"registry-behind\"") == std::string::npos);
+}
+
 // Guards against a request that waits for its deadline on a connection that was closed while idle.
 BOOST_AUTO_TEST_CASE(a_request_on_a_closed_connection_fails_at_once)
 {
