--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -90,7 +90,9 @@
     auto finishAnswer() -> void;
     /// Closes the connection once all is sent, and the socket a while later if the caller does not.
     auto closeInOrder() -> void;
-    /// Closes the socket when nothing has been sent for `unchangedFor` and more time passes.
+    /// Waits for the caller to close, and closes the socket if it does not: soon once all is sent,
+    /// or when it takes nothing for the idle limit. So far `unsentBefore` bytes have been unsent
+    /// for `unchangedFor`.
     auto awaitClose(std::size_t unsentBefore, Duration unchangedFor) -> void;
     /// Ends the connection unless it has unread bytes, which may be a new request.
     auto closeIdle() -> void;
