A gateway that has just begun no longer takes one version for the only one that served

What callers saw: all gateways end while engines of two versions serve, or just after the last of the old ones left; they come back, and streams that callers take up are answered 200 and go on at another version than the one that began them.

Cause: a new gateway saw the versions in its first list and believed that no other had served (`AnyVersion`). "I know of none" counted as "there is none". A peer that knew better was believed only once its digest came.

Now a gateway records since when it knows each version that served: from its own list, from the changes that the registry still holds (searched for backwards when the first unknown stream is taken up, one to a dozen calls once per process), or from a peer whose list is at least as new and whose digest tells how far its own knowledge reaches and for how long services count as mixed. An unknown stream goes on only if that reaches back over all the time in which it can have begun: the route's timeout and two seconds in which an engine that left may still get requests. An engine that left and whose version the history does not name counts as another version. A stream that goes on at the only version is bound to it, so that a further attempt cannot reach one that has come meanwhile.

Bound: the registry promises its history for `history-s`; it may drop it sooner, which cannot be told from a calm registry.

The fixture of gateway-versions answers what the store holds of the past, by default a calm one.

Ruled out: reading more often or waiting after a start; nothing in the list tells what left it.

--- a/include/applehatch/direct/registry-replica.h
+++ b/include/applehatch/direct/registry-replica.h
@@ -46,6 +46,14 @@
     std::vector<RegistryChange> changes;
 };
 
+/// The changes that the registry still held when a router asked for its past.
+struct RegistryHistory
+{
+    std::vector<RegistryChange> changes; ///< Oldest first.
+    Duration reach{0};                   ///< No change of this long before is missing.
+    std::uint32_t calls = 0;             ///< Made to find it.
+};
+
 /// An entry that is currently in force.
 struct ReplicaItem
 {
--- a/include/applehatch/direct/stream-versions.h
+++ b/include/applehatch/direct/stream-versions.h
@@ -57,12 +57,25 @@
     Refuse,     ///< Its version cannot be known.
 };
 
+/// A service of which several versions serve, or did a while ago.
+struct MixedService
+{
+    std::uint64_t service = 0; ///< Its `StreamVersions::serviceKey`.
+    Duration left{0};          ///< For how long it goes on to count if no further version comes.
+
+    auto operator==(const MixedService &) const -> bool = default;
+};
+
 /// Which versions serve, and at which of them streams began that may still be taken up.
 ///
 /// While one version of a service serves, this router records its own streams only. While several
 /// do, the routers that keep a stream are told of it when it is sent, so that it outlives the
-/// router that serves it. One known version proves nothing to a router that may have missed the
-/// next: peers tell one another which services have several, and an isolated router trusts nothing.
+/// router that serves it.
+///
+/// One known version proves nothing to a router that may have missed another: before it began, or
+/// while it was isolated. So a router knows since when it has been told of each version that
+/// served, from its own list, from the registry's history or from a peer that has run for longer. A
+/// stream that may have begun before that goes on nowhere until its version is found.
 class StreamVersions
 {
 public:
@@ -73,17 +86,31 @@
     static constexpr Duration completedLifetime = std::chrono::seconds(5);
     static constexpr std::size_t capacity = 32768;
     static constexpr std::size_t maxServices = 1024;
-    /// A peer that stops saying that a service has several versions is believed for this long.
+    /// A peer that does not tell for how long a service counts as having several versions is
+    /// believed for this long.
     static constexpr Duration peerWordLifetime = std::chrono::seconds(5);
 
     /// Replaces the upstreams. Returns the services that have several versions from now on.
     auto setUpstreams(const UpstreamList &upstreams, Instant now) -> std::vector<std::string>;
-    /// Records that a peer knows of several versions of a service, named by its `serviceKey`.
-    auto notePeerMixed(std::uint64_t service, Instant now) -> void;
+    /// Records that an upstream of this service and version has served until now at the latest.
+    auto noteServed(const StreamOrigin &origin, Instant now) -> void;
+    /// Records that every version that has served since `since` is recorded.
+    auto noteKnownSince(Instant since) -> void;
+    /// The same for a time before that, for which a peer recorded them, with all services that it
+    /// knows to be mixed. Returns whether that is much more than was known.
+    auto notePeerKnownSince(Instant since) -> bool;
+    /// How far back this router itself knows each version that served, at most `lifetime`.
+    [[nodiscard]] auto ownKnowledge(Instant now) const -> Duration;
+    /// The same with what peers know.
+    [[nodiscard]] auto knowledge(Instant now) const -> Duration;
+    /// Records that a peer knows of several versions of a service.
+    auto notePeerMixed(MixedService mixed, Instant now) -> void;
     /// Whether upstreams of several versions of the service serve, or did so within `lifetime`.
     [[nodiscard]] auto isMixed(const std::string &service, Instant now) const -> bool;
     /// The services that are mixed by this router's own list.
     [[nodiscard]] auto mixedServices(Instant now) const -> std::vector<std::string>;
+    /// The same as peers are told.
+    [[nodiscard]] auto mixedReports(Instant now) const -> std::vector<MixedService>;
     [[nodiscard]] static auto serviceKey(std::string_view service) -> std::uint64_t;
     /// The versions of the service that serve, or did so within `lifetime`, for the log.
     [[nodiscard]] auto versionsOf(const std::string &service, Instant now) const
@@ -108,9 +135,10 @@
     }
 
     /// Decides for a stream of the service that is taken up; `stream` is 0 if the caller does not
-    /// name the request that began it. `isIsolated` tells that changes may have been missed.
+    /// name the request that began it. `isIsolated` tells that changes may have been missed, and
+    /// `maxAge` how long ago the stream may have begun.
     [[nodiscard]] auto decide(StreamKey stream, const std::string &service, bool isIsolated,
-                              Instant now) const -> ResumeRule;
+                              Instant now, Duration maxAge) const -> ResumeRule;
 
     /// Drops what is too old, at most some of it in each call.
     auto expire(Instant now) -> void;
@@ -121,7 +149,9 @@
 
     [[nodiscard]] auto isMixedByList(const std::string &service, Instant now) const -> bool;
 
-    std::map<std::string, Versions> versions_;          // By service.
+    std::map<std::string, Versions> versions_; // By service.
+    std::optional<Instant> knownSince_;        // None before the first list.
+    std::optional<Instant> peersKnowSince_;
     core::ExpiringMap<bool> mixedByPeers_{maxServices}; // By `serviceKey`.
     core::ExpiringMap<KnownStream> streams_{capacity};
 };
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -86,6 +86,8 @@
     /// them knows.
     std::function<void(direct::StreamKey, std::function<void(std::optional<KeptStream>)>)>
         askKeepers;
+    /// Finds out which versions served before this process began; calls back once.
+    std::function<void(std::function<void()>)> learnHistory;
     /// Whether this router may have missed changes that all others know.
     std::function<bool()> isIsolated;
     /// Called when a break counts as a possible crash.
@@ -167,7 +169,13 @@
     /// Finds out at which version the stream that the caller takes up may go on, then begins.
     auto takeUp() -> void;
     auto takeUpAt(const direct::StreamReport &report, const std::string &knownBy) -> void;
+    /// The same for a stream that no router knows.
+    auto takeUpUnknown() -> void;
+    auto takeUpBy(direct::ResumeRule rule) -> void;
+    [[nodiscard]] auto resumeRule() const -> direct::ResumeRule;
     auto refuseUnknownStream() -> void;
+    /// How long ago a stream may have begun that this request takes up.
+    [[nodiscard]] auto maxStreamAge() const -> Duration;
     /// Records which version runs the stream, so that it is found if this process ends.
     auto noteStreamSent() -> void;
     auto noteStreamCompleted() -> void;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -95,6 +95,11 @@
     /// Called for each successful answer of the registry, with or without a change.
     auto registryAnswered() -> void;
 
+    /// Sets a callback that runs when what the registry still holds of the past is to be read.
+    auto onHistoryWanted(std::function<void()> hook) -> void { historyHook_ = std::move(hook); }
+    auto registryHistoryRead(const direct::RegistryHistory &history) -> void;
+    auto registryHistoryFailed(const std::string &why) -> void;
+
     [[nodiscard]] auto isReady() const -> bool;
     [[nodiscard]] auto pool() -> UpstreamPool & { return pool_; }
     [[nodiscard]] auto dispatcher() -> direct::Dispatcher & { return dispatcher_; }
@@ -139,6 +144,12 @@
     auto tellNewPeer(const PeerDigest &digest, Instant now) -> void;
     auto askKeepers(direct::StreamKey stream, std::function<void(std::optional<KeptStream>)> done)
         -> void;
+    /// Finds out what served before this process began; calls back once, when that is known or will
+    /// not be for a while.
+    auto learnHistory(std::function<void()> done) -> void;
+    auto endHistoryRead() -> void;
+    /// Records the versions in the history. Returns whether it names every version that served.
+    auto noteHistory(const direct::RegistryHistory &history, Instant now) -> bool;
     /// What a peer is told that asks for the stream with this key, in hexadecimal.
     [[nodiscard]] auto streamAnswer(std::string_view key) const -> std::string;
     /// Whether the registry has been silent for long, and most routers as well.
@@ -209,6 +220,13 @@
     std::shared_ptr<PeerFetch> crashMemoryFetch_;
     std::vector<std::weak_ptr<KeeperQuery>> queries_;         // Running, and some that have ended.
     std::map<std::uint64_t, std::uint64_t> peerIncarnations_; // By rank.
+    std::optional<std::uint64_t> firstRevision_; // Of this process's first list of upstreams.
+    std::function<void()> historyHook_;
+    std::vector<std::function<void()>> historyWaiters_;
+    Timer historyTimer_;
+    bool isHistoryRead_ = false;
+    bool isReadingHistory_ = false;
+    std::optional<Instant> nextHistoryRead_; // Not before this, since the last one failed.
     KeeperOutbox outbox_;
     Timer outboxTimer_;
     EncodedDelta lastDelta_;
--- a/include/applehatch/gateway/peer-digest.h
+++ b/include/applehatch/gateway/peer-digest.h
@@ -41,8 +41,10 @@
     std::vector<direct::CrashReport> crashes;
     std::vector<direct::PartReport> parts;
     std::vector<direct::StreamReport> streams; ///< Streams that the receiver is to keep.
-    /// Keys of the services of which several versions serve, by the sender's own list.
-    std::vector<std::uint64_t> mixedServices;
+    /// The services of which several versions serve, by the sender's own list.
+    std::vector<direct::MixedService> mixedServices;
+    /// For how long the sender has known all versions that served; 0 if it does not tell.
+    Duration versionsAge{0};
     /// How far back the sender's memory of crashes reaches; 0 if it does not tell.
     Duration crashMemoryAge{0};
     std::vector<direct::ContextPlacement> contexts; ///< Recently used contexts.
--- a/src/direct/stream-versions.cc
+++ b/src/direct/stream-versions.cc
@@ -1,6 +1,7 @@
 #include "applehatch/direct/stream-versions.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace applehatch::direct {
 
@@ -8,6 +9,8 @@
 
 // Hash buckets visited by one call of `expire`, so that a large map does not hold up the loop.
 constexpr std::size_t bucketsPerExpiry = 1024;
+// Less is not worth a line in the log.
+constexpr Duration minKnowledgeGain = std::chrono::seconds(1);
 
 } // namespace
 
@@ -33,6 +36,7 @@
     }
     for (const auto &upstream : upstreams)
         versions_[upstream.service][upstream.version] = std::nullopt;
+    noteKnownSince(now);
     auto turned = mixedServices(now);
     std::erase_if(turned, [&](const std::string &service) {
         return std::find(before.begin(), before.end(), service) != before.end();
@@ -40,9 +44,43 @@
     return turned;
 }
 
-auto StreamVersions::notePeerMixed(std::uint64_t service, Instant now) -> void
+auto StreamVersions::noteServed(const StreamOrigin &origin, Instant now) -> void
 {
-    mixedByPeers_.put(service, true, now + peerWordLifetime);
+    auto &versions = versions_[origin.service];
+    const auto [version, isNew] = versions.try_emplace(origin.version, now);
+    if (!isNew && version->second)
+        version->second = now;
+}
+
+auto StreamVersions::noteKnownSince(Instant since) -> void
+{
+    knownSince_ = std::min(knownSince_.value_or(since), since);
+}
+
+auto StreamVersions::notePeerKnownSince(Instant since) -> bool
+{
+    const auto before =
+        std::min(peersKnowSince_.value_or(Instant::max()), knownSince_.value_or(Instant::max()));
+    peersKnowSince_ = std::min(peersKnowSince_.value_or(since), since);
+    return before == Instant::max() || before - since >= minKnowledgeGain;
+}
+
+auto StreamVersions::ownKnowledge(Instant now) const -> Duration
+{
+    return knownSince_ ? std::min(lifetime, now - *knownSince_) : Duration(0);
+}
+
+auto StreamVersions::knowledge(Instant now) const -> Duration
+{
+    // Before the first list of its own, a router knows nothing of what serves now.
+    if (!knownSince_ || !peersKnowSince_)
+        return ownKnowledge(now);
+    return std::min(lifetime, now - std::min(*knownSince_, *peersKnowSince_));
+}
+
+auto StreamVersions::notePeerMixed(MixedService mixed, Instant now) -> void
+{
+    mixedByPeers_.put(mixed.service, true, now + std::min(mixed.left, lifetime));
 }
 
 auto StreamVersions::versionsOf(const std::string &service, Instant now) const
@@ -79,6 +117,20 @@
     return mixed;
 }
 
+auto StreamVersions::mixedReports(Instant now) const -> std::vector<MixedService>
+{
+    std::vector<MixedService> reports;
+    for (const auto &service : mixedServices(now)) {
+        // It is mixed until all versions but the one seen last are too old.
+        std::vector<Instant> seen;
+        for (const auto &[version, lastSeen] : versions_.at(service))
+            seen.push_back(lastSeen.value_or(now));
+        std::nth_element(seen.begin(), seen.begin() + 1, seen.end(), std::greater<>());
+        reports.push_back({serviceKey(service), lifetime - (now - seen[1])});
+    }
+    return reports;
+}
+
 auto StreamVersions::noteSent(StreamKey stream, const StreamOrigin &origin, Instant now) -> bool
 {
     if (stream == 0)
@@ -128,11 +180,12 @@
 }
 
 auto StreamVersions::decide(StreamKey stream, const std::string &service, bool isIsolated,
-                            Instant now) const -> ResumeRule
+                            Instant now, Duration maxAge) const -> ResumeRule
 {
     if (stream != 0 && find(stream, now) != nullptr)
         return ResumeRule::AtOrigin;
-    if (!isIsolated && !isMixed(service, now))
+    const auto knowsAll = !isIsolated && knowledge(now) >= std::min(maxAge, lifetime);
+    if (knowsAll && !isMixed(service, now))
         return ResumeRule::AnyVersion;
     return stream == 0 ? ResumeRule::Refuse : ResumeRule::AskKeepers;
 }
--- a/src/gateway/exchange-resume.cc
+++ b/src/gateway/exchange-resume.cc
@@ -10,34 +10,81 @@
 using core::Run;
 using direct::ResumeRule;
 
+namespace {
+
+// An upstream that is gone from the list may still get requests for this long.
+constexpr Duration maxVersionLag = std::chrono::seconds(2);
+
+} // namespace
+
 auto Exchange::takeUp() -> void
 {
-    const auto now = telemetry::steadyNow();
     if (const auto *named = request_.headers.find(environment_.vocabulary->resumes))
         report_.takesUp = *named;
     takenUpStream_ = direct::streamKey(permit_.customer, report_.takesUp);
-    auto &streams = environment_.dispatcher->streams();
-    switch (streams.decide(takenUpStream_, permit_.serviceName, environment_.isIsolated(), now)) {
-    case ResumeRule::AnyVersion:
-        return begin();
-    case ResumeRule::Refuse:
-        return refuseUnknownStream();
-    case ResumeRule::AtOrigin:
-        return takeUpAt(*streams.report(takenUpStream_, now),
-                        streams.find(takenUpStream_, now)->own ? "this gateway" : "a peer's note");
-    case ResumeRule::AskKeepers:
-        break;
-    }
+    const auto rule = resumeRule();
+    if (rule == ResumeRule::AnyVersion || rule == ResumeRule::AtOrigin)
+        return takeUpBy(rule);
+    if (rule == ResumeRule::Refuse)
+        return takeUpUnknown();
     environment_.askKeepers(takenUpStream_,
                             [self = shared_from_this()](const std::optional<KeptStream> &kept) {
                                 if (self->phase_ == Phase::Ended)
                                     return;
                                 if (kept)
                                     return self->takeUpAt(kept->report, kept->peer);
-                                self->refuseUnknownStream();
+                                self->takeUpUnknown();
                             });
 }
 
+auto Exchange::resumeRule() const -> ResumeRule
+{
+    return environment_.dispatcher->streams().decide(takenUpStream_, permit_.serviceName,
+                                                     environment_.isIsolated(),
+                                                     telemetry::steadyNow(), maxStreamAge());
+}
+
+auto Exchange::maxStreamAge() const -> Duration
+{
+    return permit_.route->timeout + maxVersionLag;
+}
+
+auto Exchange::takeUpBy(ResumeRule rule) -> void
+{
+    const auto now = telemetry::steadyNow();
+    const auto &streams = environment_.dispatcher->streams();
+    if (rule == ResumeRule::AtOrigin) {
+        const auto isOwn = streams.find(takenUpStream_, now)->own;
+        return takeUpAt(*streams.report(takenUpStream_, now),
+                        isOwn ? "this gateway" : "a peer's note");
+    }
+    if (rule != ResumeRule::AnyVersion)
+        return refuseUnknownStream();
+    // Another version may come before the first event.
+    const auto versions = streams.versionsOf(permit_.serviceName, now);
+    if (!versions.empty())
+        demand_.version = versions.front();
+    environment_.note(id_, "stream-taken-up",
+                      report_.takesUp + ": began at the only version, "
+                          + demand_.version.value_or("") + ", known for "
+                          + core::millisecondsText(streams.knowledge(now)));
+    begin();
+}
+
+auto Exchange::takeUpUnknown() -> void
+{
+    const auto &streams = environment_.dispatcher->streams();
+    const auto now = telemetry::steadyNow();
+    const auto mayLearn = !environment_.isIsolated() && !streams.isMixed(permit_.serviceName, now)
+        && streams.knowledge(now) < maxStreamAge();
+    if (!mayLearn)
+        return refuseUnknownStream();
+    environment_.learnHistory([self = shared_from_this()] {
+        if (self->phase_ != Phase::Ended)
+            self->takeUpBy(self->resumeRule());
+    });
+}
+
 auto Exchange::takeUpAt(const direct::StreamReport &report, const std::string &knownBy) -> void
 {
     environment_.note(id_, "stream-taken-up",
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -64,6 +64,7 @@
                  log(LogLine(event).add("peer", peer));
              }})
     , tick_(loop.get_executor())
+    , historyTimer_(loop.get_executor())
     , outboxTimer_(loop.get_executor())
 {
     dispatcher_.setLoadBound(settings_.loadBound);
@@ -89,6 +90,7 @@
     exchangeEnvironment_.askKeepers = [this](direct::StreamKey stream, auto done) {
         askKeepers(stream, std::move(done));
     };
+    exchangeEnvironment_.learnHistory = [this](auto done) { learnHistory(std::move(done)); };
     exchangeEnvironment_.isIsolated = [this] { return isIsolated(steadyNow()); };
     exchangeEnvironment_.crashCounted = [this](const direct::CrashReport &report) {
         tellKeepers(report);
@@ -304,8 +306,8 @@
     }
     digest.crashes = dispatcher_.suspects().nextReports(now);
     digest.parts = dispatcher_.parts().nextReports(now);
-    for (const auto &service : dispatcher_.streams().mixedServices(now))
-        digest.mixedServices.push_back(direct::StreamVersions::serviceKey(service));
+    digest.mixedServices = dispatcher_.streams().mixedReports(now);
+    digest.versionsAge = dispatcher_.streams().ownKnowledge(now);
     digest.crashMemoryAge = dispatcher_.suspects().memoryAge(now);
     // A peer receives a digest only once per round, so the uses of a whole round are included.
     digest.contexts = dispatcher_.contexts().recentUses(
--- a/src/gateway/gateway-streams.cc
+++ b/src/gateway/gateway-streams.cc
@@ -6,13 +6,17 @@
 #include "applehatch/direct/keepers.h"
 #include "applehatch/telemetry/clock.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <charconv>
+#include <set>
 #include <utility>
 
 namespace applehatch::gateway {
 
 using core::LogLine;
+using telemetry::LogLevel;
 using telemetry::steadyNow;
 
 namespace {
@@ -21,6 +25,9 @@
 constexpr std::size_t keepersToAsk = direct::keeperCount + 2;
 // Usually some gateway has an answer of the registry each second.
 constexpr Duration maxRegistrySilence = std::chrono::seconds(3);
+// Callers wait at most this long for the registry's history; usually it takes some calls of 4 ms.
+constexpr Duration maxHistoryWait = std::chrono::milliseconds(500);
+constexpr Duration historyRetryDelay = std::chrono::milliseconds(1000);
 
 auto joined(const std::vector<std::string> &texts) -> std::string
 {
@@ -35,6 +42,8 @@
 auto GatewayHost::noteVersions(const direct::UpstreamList &upstreams, Instant now) -> void
 {
     auto &streams = dispatcher_.streams();
+    if (!firstRevision_)
+        firstRevision_ = replica_.revision();
     for (const auto &service : streams.setUpstreams(upstreams, now)) {
         const auto running = streams.ownReports(service, now);
         metrics_.noteEvent("several-versions");
@@ -51,8 +60,15 @@
 auto GatewayHost::notePeerStreams(const PeerDigest &digest, Instant now) -> void
 {
     auto &streams = dispatcher_.streams();
-    for (const auto service : digest.mixedServices)
+    for (const auto &service : digest.mixedServices)
         streams.notePeerMixed(service, now);
+    // An older list may not have the versions that this router knows yet.
+    const auto isAsNew = firstRevision_ && digest.revision >= *firstRevision_;
+    if (!digest.brief && isAsNew && streams.notePeerKnownSince(now - digest.versionsAge))
+        log(LogLine("versions-known-by-peer")
+                .add("peer", digest.sender.ip)
+                .add("reachesMs", core::millisecondsOf(digest.versionsAge))
+                .add("mixedServices", static_cast<std::int64_t>(digest.mixedServices.size())));
     for (const auto &report : digest.streams)
         streams.notePeer(report, now);
 }
@@ -97,6 +113,75 @@
     query->start(loop_, pool_, keepers);
 }
 
+auto GatewayHost::learnHistory(std::function<void()> done) -> void
+{
+    historyWaiters_.push_back(std::move(done));
+    const auto now = steadyNow();
+    if (isHistoryRead_ || !historyHook_ || now < nextHistoryRead_.value_or(now))
+        return endHistoryRead();
+    if (std::exchange(isReadingHistory_, true))
+        return;
+    historyTimer_.start(maxHistoryWait, [this] { endHistoryRead(); });
+    historyHook_();
+}
+
+auto GatewayHost::endHistoryRead() -> void
+{
+    for (auto &waiter : std::exchange(historyWaiters_, {}))
+        boost::asio::post(loop_, std::move(waiter));
+}
+
+auto GatewayHost::registryHistoryRead(const direct::RegistryHistory &history) -> void
+{
+    const auto now = steadyNow();
+    isReadingHistory_ = false;
+    isHistoryRead_ = true;
+    auto &streams = dispatcher_.streams();
+    const auto isWhole = noteHistory(history, now);
+    if (isWhole)
+        streams.noteKnownSince(now - history.reach);
+    metrics_.noteEvent("versions-history");
+    log(LogLine("versions-history")
+            .add("outcome", isWhole ? "known" : "an engine left whose version is not known")
+            .add("reachesMs", core::millisecondsOf(streams.ownKnowledge(now)))
+            .add("changes", static_cast<std::int64_t>(history.changes.size()))
+            .add("calls", static_cast<std::int64_t>(history.calls))
+            .add("revision", static_cast<std::int64_t>(replica_.revision())));
+    historyTimer_.stop();
+    endHistoryRead();
+}
+
+auto GatewayHost::registryHistoryFailed(const std::string &why) -> void
+{
+    isReadingHistory_ = false;
+    nextHistoryRead_ = steadyNow() + historyRetryDelay;
+    metrics_.noteEvent("versions-history-failed");
+    log(LogLine("versions-history-failed").add("why", why), LogLevel::Warning);
+    historyTimer_.stop();
+    endHistoryRead();
+}
+
+auto GatewayHost::noteHistory(const direct::RegistryHistory &history, Instant now) -> bool
+{
+    // A copy, so that the cache of the other keeps to what is in force.
+    auto decoder = decoder_;
+    std::set<std::string> written;
+    auto isWhole = true;
+    for (const auto &change : history.changes) {
+        const auto &item = change.item;
+        if (change.removed) {
+            isWhole = isWhole && written.contains(item.key);
+            continue;
+        }
+        written.insert(item.key);
+        const auto decoded = decoder({{item.key, {item.value, item.revision, std::nullopt}}});
+        isWhole = isWhole && decoded.problems.empty();
+        for (const auto &upstream : decoded.upstreams)
+            dispatcher_.streams().noteServed({upstream.service, upstream.version}, now);
+    }
+    return isWhole;
+}
+
 auto GatewayHost::streamAnswer(std::string_view key) const -> std::string
 {
     direct::StreamKey stream = 0;
--- a/src/gateway/peer-digest.cc
+++ b/src/gateway/peer-digest.cc
@@ -141,6 +141,20 @@
     return parts;
 }
 
+// A sender of an earlier release does not tell for how long.
+auto readMixed(capnp::List<std::uint64_t>::Reader services,
+               capnp::List<std::uint32_t>::Reader milliseconds) -> std::vector<direct::MixedService>
+{
+    std::vector<direct::MixedService> mixed;
+    for (unsigned i = 0; i < services.size(); ++i) {
+        const auto isTold = i < milliseconds.size();
+        mixed.push_back({services[i],
+                         isTold ? core::Duration(std::chrono::milliseconds(milliseconds[i]))
+                                : direct::StreamVersions::peerWordLifetime});
+    }
+    return mixed;
+}
+
 auto readDigest(schema::PeerDigest::Reader from) -> PeerDigest
 {
     PeerDigest digest;
@@ -162,8 +176,8 @@
     digest.crashes = readCrashes(from.getCrashes());
     digest.parts = readParts(from.getParts());
     digest.streams = readStreams(from.getStreams());
-    for (const auto service : from.getMixedServices())
-        digest.mixedServices.push_back(service);
+    digest.mixedServices = readMixed(from.getMixedServices(), from.getMixedMs());
+    digest.versionsAge = std::chrono::milliseconds(from.getVersionsMs());
     digest.crashMemoryAge = std::chrono::milliseconds(from.getCrashMemoryMs());
     for (const auto context : from.getContexts())
         digest.contexts.push_back(
@@ -278,8 +292,14 @@
     writeParts(root.initParts(static_cast<unsigned>(digest.parts.size())), digest.parts);
     writeStreams(root.initStreams(static_cast<unsigned>(digest.streams.size())), digest.streams);
     auto mixed = root.initMixedServices(static_cast<unsigned>(digest.mixedServices.size()));
-    for (unsigned i = 0; i < mixed.size(); ++i)
-        mixed.set(i, digest.mixedServices[i]);
+    auto mixedMs = root.initMixedMs(mixed.size());
+    for (unsigned i = 0; i < mixed.size(); ++i) {
+        mixed.set(i, digest.mixedServices[i].service);
+        mixedMs.set(i, ageMs(digest.mixedServices[i].left));
+    }
+    // Rounded down, so that nobody believes to know of more than the sender does.
+    root.setVersionsMs(static_cast<std::uint32_t>(
+        std::chrono::floor<std::chrono::milliseconds>(digest.versionsAge).count()));
     root.setCrashMemoryMs(ageMs(digest.crashMemoryAge));
     auto contexts = root.initContexts(static_cast<unsigned>(digest.contexts.size()));
     for (unsigned i = 0; i < contexts.size(); ++i) {
--- a/src/gateway/peer.capnp
+++ b/src/gateway/peer.capnp
@@ -52,6 +52,8 @@
   streams @13 :List(Stream);
   mixedServices @14 :List(UInt64);
   parts @15 :List(Part);
+  mixedMs @16 :List(UInt32); # For how long each of `mixedServices` goes on to count.
+  versionsMs @17 :UInt32;
 }
 
 struct Part {
--- a/test/gateway-versions/version-fleet.h
+++ b/test/gateway-versions/version-fleet.h
@@ -10,9 +10,11 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,8 +24,9 @@
 /// How an engine ends its answers.
 enum class Ending {
     Whole,
-    Reset,  ///< After the first event the connection is reset.
-    Silent, ///< After the first event nothing more comes.
+    Reset,       ///< After the first event the connection is reset.
+    ResetAtOnce, ///< The same before anything came.
+    Silent,      ///< After the first event nothing more comes.
 };
 
 /// Answers a stream of three events, or what is left of it after `Last-Event-Id`.
@@ -55,6 +58,7 @@
 
     std::string version;
     Ending ending = Ending::Whole;
+    std::function<void()> answered; ///< Called as the engine answers.
     ScriptedUpstream upstream;
 
 private:
@@ -69,6 +73,10 @@
             + "\r\nX-Response-Seal: seal\r\nContent-Type: text/event-stream\r\n"
               "Transfer-Encoding: chunked\r\n\r\n";
         const auto first = isResume(request) ? 2 : 1;
+        if (answered)
+            answered();
+        if (ending == Ending::ResetAtOnce)
+            return connection.sendThenReset("");
         if (ending == Ending::Reset)
             return connection.sendThenReset(head + eventChunk(first));
         if (ending == Ending::Silent)
@@ -80,14 +88,25 @@
     }
 };
 
+/// What the store still holds of the past when a gateway asks; none if it does not answer.
+using History = std::optional<direct::RegistryHistory>;
+
+/// A calm store: nothing has changed for longer than a stream lasts.
+inline const History calmHistory = direct::RegistryHistory{{}, 20s, 1};
+
 /// A gateway that reads its list of engines and its configuration from the entries given to it.
 class VersionedGateway
 {
 public:
-    explicit VersionedGateway(std::vector<core::Address> seeds = {})
+    explicit VersionedGateway(const History &history, std::vector<core::Address> seeds = {})
         : settings(testSettings(std::move(seeds)))
         , host(loop, settings, platform::platformVocabulary(), platform::DirectoryDecoder())
     {
+        host.onHistoryWanted([this, &history] {
+            if (history)
+                return host.registryHistoryRead(*history);
+            host.registryHistoryFailed("status 410");
+        });
         const auto error = host.start();
         if (error)
             throw boost::system::system_error(error);
@@ -115,8 +134,8 @@
 {
 public:
     VersionFleet()
-        : first(std::make_unique<VersionedGateway>())
-        , second(std::make_unique<VersionedGateway>(std::vector{first->settings.peers}))
+        : first(std::make_unique<VersionedGateway>(history))
+        , second(std::make_unique<VersionedGateway>(history, std::vector{first->settings.peers}))
     { }
 
     auto addEngine(const std::string &version) -> VersionedEngine &
@@ -145,9 +164,26 @@
     /// Starts another process in the place of the second gateway.
     auto restartSecond() -> void
     {
-        second = std::make_unique<VersionedGateway>(std::vector{first->settings.peers});
+        second = std::make_unique<VersionedGateway>(history, std::vector{first->settings.peers});
         second->read(entries(), revision_);
     }
+    /// Ends both gateways and starts others, which know nothing but what the store tells.
+    auto restartAll() -> void
+    {
+        first = std::make_unique<VersionedGateway>(history);
+        first->read(entries(), revision_);
+        restartSecond();
+    }
+    /// The entry as it was written in the store's history.
+    [[nodiscard]] static auto written(const VersionedEngine &engine, const std::string &state)
+        -> direct::RegistryChange
+    {
+        return {{"servers/" + engine.upstream.name, engine.entry(state), 1}, false};
+    }
+    [[nodiscard]] static auto removed(const VersionedEngine &engine) -> direct::RegistryChange
+    {
+        return {{"servers/" + engine.upstream.name, {}, 1}, true};
+    }
 
     template <typename Condition>
     auto runUntil(Condition condition, std::chrono::milliseconds limit = testTimeout) -> bool
@@ -224,6 +260,7 @@
 
     asio::io_context loop{1};
     std::list<VersionedEngine> engines;
+    History history = calmHistory;
     std::unique_ptr<VersionedGateway> first;
     std::unique_ptr<VersionedGateway> second;
     std::string key = "key-1";
--- a/test/gateway-versions/versions-test.cc
+++ b/test/gateway-versions/versions-test.cc
@@ -7,6 +7,7 @@
 
 namespace {
 
+using namespace applehatch;
 using namespace applehatch::gateway;
 using namespace applehatch::gateway::testing;
 
@@ -47,6 +48,32 @@
     auto v2() -> VersionedEngine & { return engines.back(); }
 };
 
+/// A stream began at the first version; since then all engines are of the second.
+class ReplacedVersion : public TwoVersions
+{
+public:
+    ReplacedVersion()
+    {
+        beginAndBreak(*first, "a", v1());
+        openAll();
+        for (auto &engine : engines) {
+            if (engine.version == v1().version)
+                setState(engine, "");
+        }
+        publish();
+    }
+
+    auto expectNothingTakenUp() -> void
+    {
+        for (int i = 0; i < streams; ++i) {
+            BOOST_TEST(isRefused(resume(*first, nameOf("b", i), "a")));
+            BOOST_TEST(isRefused(resume(*second, nameOf("c", i), "a")));
+            BOOST_TEST(isRefused(ask(*second, nameOf("d", i), "Last-Event-Id: 1\r\n")));
+        }
+        BOOST_TEST(resumedAt("v2") == 0U);
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(gateway_versions)
@@ -200,6 +227,84 @@
     }
 }
 
+// Guards against taking the version that is left, when all gateways ended, for the only one.
+BOOST_AUTO_TEST_CASE(a_stream_of_a_version_that_left_as_all_gateways_ended_is_refused)
+{
+    ReplacedVersion fleet;
+    fleet.history = direct::RegistryHistory{{fleet.removed(fleet.v1())}, 20s, 1};
+    fleet.restartAll();
+    fleet.expectNothingTakenUp();
+    BOOST_REQUIRE(fleet.meet()); // Two that know nothing do not become sure together.
+    fleet.expectNothingTakenUp();
+}
+
+// Guards against reading only the list, where the store's history names the version that left.
+BOOST_AUTO_TEST_CASE(a_stream_of_a_version_that_the_history_names_is_refused)
+{
+    ReplacedVersion fleet;
+    fleet.history = direct::RegistryHistory{
+        {fleet.written(fleet.v1(), "draining"), fleet.removed(fleet.v1())}, 20s, 1};
+    fleet.restartAll();
+    fleet.expectNothingTakenUp();
+    BOOST_REQUIRE(fleet.meet());
+    fleet.expectNothingTakenUp();
+}
+
+// Guards against trusting a store that has forgotten its history, or does not answer.
+BOOST_AUTO_TEST_CASE(a_stream_is_refused_while_the_history_cannot_be_read)
+{
+    ReplacedVersion fleet;
+    fleet.history = std::nullopt;
+    fleet.restartAll();
+    fleet.expectNothingTakenUp();
+}
+
+// Guards against a history that is shorter than streams last.
+BOOST_AUTO_TEST_CASE(a_history_that_is_too_short_proves_nothing)
+{
+    ReplacedVersion fleet;
+    fleet.history = direct::RegistryHistory{{}, 1s, 1};
+    fleet.restartAll();
+    fleet.expectNothingTakenUp();
+}
+
+// Guards against refusing the streams of a fleet that never had another version.
+BOOST_AUTO_TEST_CASE(with_one_version_every_stream_is_taken_up_after_all_gateways_ended)
+{
+    VersionFleet fleet;
+    auto &engine = fleet.addEngine("v1");
+    fleet.addEngine("v1");
+    fleet.publish();
+    BOOST_REQUIRE(fleet.meet());
+    fleet.beginAndBreak(*fleet.first, "a", engine);
+    fleet.openAll();
+    fleet.history = direct::RegistryHistory{{fleet.written(engine, "ready")}, 20s, 1};
+    fleet.restartAll();
+    BOOST_TEST(isAnswered(fleet.resume(*fleet.first, "b", "a")));
+    for (int i = 0; i < streams; ++i) {
+        BOOST_TEST(isAnswered(fleet.resume(*fleet.second, nameOf("c", i), "a")));
+        BOOST_TEST(isAnswered(fleet.ask(*fleet.second, nameOf("d", i), "Last-Event-Id: 1\r\n")));
+    }
+}
+
+// Guards against a stream that is taken up at the only version and sent again to one that has come.
+BOOST_AUTO_TEST_CASE(a_stream_taken_up_at_the_only_version_stays_there_when_another_comes)
+{
+    VersionFleet fleet;
+    auto &engine = fleet.addEngine("v1");
+    fleet.publish();
+    BOOST_REQUIRE(fleet.meet());
+    engine.ending = Ending::ResetAtOnce;
+    engine.answered = [&] {
+        fleet.addEngine("v2");
+        fleet.publish();
+        engine.answered = nullptr;
+    };
+    fleet.ask(*fleet.first, "b", "Last-Event-Id: 1\r\nResumes: a\r\n", "/thrice/");
+    BOOST_TEST(fleet.resumedAt("v1") > 0U);
+    BOOST_TEST(fleet.resumedAt("v2") == 0U);
+}
+
 // Guards against mixing engines that tell their version with engines that do not.
 BOOST_AUTO_TEST_CASE(engines_that_tell_no_version_are_a_version_of_their_own)
 {
--- a/test/gateway/peers-test.cc
+++ b/test/gateway/peers-test.cc
@@ -57,7 +57,8 @@
     digest.crashes = {{88, 77, 1500ms, 2}};
     digest.crashMemoryAge = 90s;
     digest.streams = {{55, {"pool", "v1.2"}, 40ms}};
-    digest.mixedServices = {direct::StreamVersions::serviceKey("pool")};
+    digest.mixedServices = {{direct::StreamVersions::serviceKey("pool"), 70s}};
+    digest.versionsAge = 20s;
     digest.isNote = true;
     digest.contexts = {{99, 77, 10500}};
     const auto read = decodeDigest(encodeDigest(digest));
@@ -76,6 +77,7 @@
     BOOST_TEST((read->crashMemoryAge == digest.crashMemoryAge));
     BOOST_TEST((read->streams == digest.streams));
     BOOST_TEST((read->mixedServices == digest.mixedServices));
+    BOOST_TEST((read->versionsAge == digest.versionsAge));
     BOOST_TEST((read->contexts == digest.contexts));
 }
 
