Nobody waits longer for the registry's history than its first reader

A caller that came after the wait for a slow history had ended, while the read went on, had no timer and waited for the read: up to 16 answers of half a second each. Found in reading; what is left of a read is waited for no more. The test nobody_waits_long_for_a_history_that_does_not_come is green now; it was not run on the code before.

--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -226,6 +226,7 @@
     Timer historyTimer_;
     bool isHistoryRead_ = false;
     bool isReadingHistory_ = false;
+    Instant historyWaitEnd_;                 // Of the read that runs.
     std::optional<Instant> nextHistoryRead_; // Not before this, since the last one failed.
     KeeperOutbox outbox_;
     Timer outboxTimer_;
--- a/src/gateway/gateway-streams.cc
+++ b/src/gateway/gateway-streams.cc
@@ -117,10 +117,14 @@
 {
     historyWaiters_.push_back(std::move(done));
     const auto now = steadyNow();
-    if (isHistoryRead_ || !historyHook_ || now < nextHistoryRead_.value_or(now))
+    // The read goes on after its waiters were told; nobody waits for what is left of it.
+    const auto isLate = isReadingHistory_ && now >= historyWaitEnd_;
+    const auto isTooSoon = now < nextHistoryRead_.value_or(now);
+    if (isHistoryRead_ || !historyHook_ || isLate || isTooSoon)
         return endHistoryRead();
     if (std::exchange(isReadingHistory_, true))
         return;
+    historyWaitEnd_ = now + maxHistoryWait;
     historyTimer_.start(maxHistoryWait, [this] { endHistoryRead(); });
     historyHook_();
 }
--- a/test/gateway-versions/versions-test.cc
+++ b/test/gateway-versions/versions-test.cc
@@ -259,6 +259,19 @@
     fleet.expectNothingTakenUp();
 }
 
+// Guards against callers that wait for a store that is slow in telling its history.
+BOOST_AUTO_TEST_CASE(nobody_waits_long_for_a_history_that_does_not_come)
+{
+    ReplacedVersion fleet;
+    fleet.restartAll();
+    fleet.first->host.onHistoryWanted([] {});
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < streams; ++i)
+        BOOST_TEST(isRefused(fleet.resume(*fleet.first, nameOf("b", i), "a")));
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < 3s));
+    BOOST_TEST(fleet.resumedAt("v2") == 0U);
+}
+
 // Guards against a history that is shorter than streams last.
 BOOST_AUTO_TEST_CASE(a_history_that_is_too_short_proves_nothing)
 {
