--- a/test/gateway-versions/versions-test.cc
+++ b/test/gateway-versions/versions-test.cc
@@ -48,6 +48,21 @@
     auto v2() -> VersionedEngine & { return engines.back(); }
 };
 
+/// One engine of each of the versions, and gateways that know each other.
+class MetFleet : public VersionFleet
+{
+public:
+    explicit MetFleet(const std::vector<std::string> &versions)
+    {
+        for (const auto &version : versions)
+            addEngine(version);
+        publish();
+        BOOST_REQUIRE(meet());
+    }
+
+    auto firstEngine() -> VersionedEngine & { return engines.front(); }
+};
+
 /// A stream began at the first version; since then all engines are of the second.
 class ReplacedVersion : public TwoVersions
 {
@@ -216,11 +231,7 @@
 // Guards against refusing streams where there is only one version.
 BOOST_AUTO_TEST_CASE(with_one_version_every_stream_is_taken_up)
 {
-    VersionFleet fleet;
-    fleet.addEngine("v1");
-    fleet.addEngine("v1");
-    fleet.publish();
-    BOOST_REQUIRE(fleet.meet());
+    MetFleet fleet({"v1", "v1"});
     for (int i = 0; i < streams; ++i) {
         BOOST_TEST(isAnswered(fleet.resume(*fleet.first, nameOf("b", i), "never-sent")));
         BOOST_TEST(isAnswered(fleet.ask(*fleet.second, nameOf("c", i), "Last-Event-Id: 1\r\n")));
@@ -284,11 +295,8 @@
 // Guards against refusing the streams of a fleet that never had another version.
 BOOST_AUTO_TEST_CASE(with_one_version_every_stream_is_taken_up_after_all_gateways_ended)
 {
-    VersionFleet fleet;
-    auto &engine = fleet.addEngine("v1");
-    fleet.addEngine("v1");
-    fleet.publish();
-    BOOST_REQUIRE(fleet.meet());
+    MetFleet fleet({"v1", "v1"});
+    auto &engine = fleet.firstEngine();
     fleet.beginAndBreak(*fleet.first, "a", engine);
     fleet.openAll();
     fleet.history = direct::RegistryHistory{{fleet.written(engine, "ready")}, 20s, 1};
@@ -303,10 +311,8 @@
 // Guards against a stream that is taken up at the only version and sent again to one that has come.
 BOOST_AUTO_TEST_CASE(a_stream_taken_up_at_the_only_version_stays_there_when_another_comes)
 {
-    VersionFleet fleet;
-    auto &engine = fleet.addEngine("v1");
-    fleet.publish();
-    BOOST_REQUIRE(fleet.meet());
+    MetFleet fleet({"v1"});
+    auto &engine = fleet.firstEngine();
     engine.ending = Ending::ResetAtOnce;
     engine.answered = [&] {
         fleet.addEngine("v2");
@@ -321,12 +327,8 @@
 // Guards against mixing engines that tell their version with engines that do not.
 BOOST_AUTO_TEST_CASE(engines_that_tell_no_version_are_a_version_of_their_own)
 {
-    VersionFleet fleet;
-    auto &silent = fleet.addEngine("");
-    fleet.addEngine("v1");
-    fleet.publish();
-    BOOST_REQUIRE(fleet.meet());
-    fleet.beginAndBreak(*fleet.first, "a", silent);
+    MetFleet fleet({"", "v1"});
+    fleet.beginAndBreak(*fleet.first, "a", fleet.firstEngine());
     fleet.openAll();
     for (int i = 0; i < streams; ++i)
         BOOST_TEST(isAnswered(fleet.resume(*fleet.second, nameOf("b", i), "a")));
--- a/test/platform/decoder-test.cc
+++ b/test/platform/decoder-test.cc
@@ -241,6 +241,26 @@
     BOOST_TEST(settings->registry.ip == "10.9.0.1");
 }
 
+// Guards against a promise of the registry that is misread and believed.
+BOOST_AUTO_TEST_CASE(the_promised_history_is_read)
+{
+    const auto parse = [](const std::string &promise, std::string &problem) {
+        auto text = settingsText;
+        const std::string address = R"("addr": "10.9.0.1)";
+        const auto at = text.find(address);
+        BOOST_REQUIRE(at != std::string::npos);
+        text.insert(at, promise);
+        return parseSettings(text, problem);
+    };
+    std::string problem;
+    BOOST_TEST((parse("", problem)->registryHistory == 0s));
+    BOOST_TEST((parse(R"("history-s": 20, )", problem)->registryHistory == 20s));
+    BOOST_TEST((parse(R"("history-s": 1e300, )", problem)->registryHistory == 120s));
+    BOOST_TEST(!parse(R"("history-s": -1, )", problem));
+    BOOST_TEST(problem.find("/platform/history-s") != std::string::npos);
+    BOOST_TEST(!parse(R"("history-s": "20", )", problem));
+}
+
 BOOST_AUTO_TEST_CASE(bad_settings_name_what_is_wrong)
 {
     std::string problem;
