--- a/test/platform/registry-history-test.cc
+++ b/test/platform/registry-history-test.cc
@@ -5,6 +5,7 @@
 
 #include "applehatch/telemetry/clock.h"
 #include "gateway/gateway-fixture.h"
+#include "support/base64.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -16,6 +17,7 @@
 using namespace applehatch;
 using namespace applehatch::gateway::testing;
 using applehatch::telemetry::steadyNow;
+using applehatch::testing::base64;
 
 /// Revision of the store when the gateway reads its list.
 constexpr std::uint64_t newest = 1000;
@@ -28,21 +30,6 @@
         + version + "\"}";
 }
 
-auto base64(const std::string &text) -> std::string
-{
-    constexpr std::string_view digits =
-        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-    std::string encoded;
-    for (std::size_t i = 0; i < text.size(); i += 3) {
-        std::uint32_t bits = 0;
-        for (std::size_t j = i; j < i + 3; ++j)
-            bits = bits << 8U | (j < text.size() ? static_cast<unsigned char>(text[j]) : 0U);
-        for (std::size_t j = 0; j < 4; ++j)
-            encoded += i + j > text.size() ? '=' : digits[bits >> (18U - 6U * j) & 63U];
-    }
-    return encoded;
-}
-
 /// A store that holds the changes after one revision, and a gateway whose list has one engine of
 /// version v2.
 class Past
