Log: a process that ends by a signal or an exception says so, and what was in flight

What callers saw: seven requests passed on by a gateway and never answered, both sides closed within 1 ms. Whether that process crashed, was killed or ended by itself could not be told from a log: a crash and a kill both end it without a line.

--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -3,6 +3,7 @@
 #include "gateway-log.h"
 
 #include "applehatch/telemetry/clock.h"
+#include "applehatch/telemetry/last-words.h"
 
 #include <algorithm>
 #include <charconv>
@@ -225,6 +226,7 @@
     const auto exchange =
         std::make_shared<Exchange>(exchangeEnvironment_, caller, std::move(request));
     exchanges_.emplace(exchange.get(), exchange);
+    telemetry::noteRequestsInFlight(exchanges_.size());
     exchange->run();
 }
 
@@ -241,6 +243,7 @@
 auto GatewayHost::exchangeEnded(const Exchange &exchange, const ExchangeReport &report) -> void
 {
     exchanges_.erase(&exchange);
+    telemetry::noteRequestsInFlight(exchanges_.size());
     metrics_.note(report);
     LogLine line("request");
     line.add("request", report.requestId)
--- a/test/gateway-processes/process-fleet.h
+++ b/test/gateway-processes/process-fleet.h
@@ -41,6 +41,12 @@
             experiment::programPath("applehatch-gateway"), "--settings", settings_.path()});
     }
     auto kill() -> void { process_->kill(); }
+    auto signal(int number) -> void { process_->signal(number); }
+    /// None while it runs.
+    [[nodiscard]] auto exitStatus() const -> std::optional<experiment::ExitStatus>
+    {
+        return process_->wait(std::chrono::milliseconds(0));
+    }
     auto pause() -> void { process_->pause(); }
     auto resume() -> void { process_->resume(); }
     [[nodiscard]] auto isRunning() const -> bool { return process_->running(); }
