Streams that a stopping process takes are judged by how long their like took

What callers saw: streams of few tokens, taken 3.9 s and later after SIGTERM by the last gateway, cut in the middle as it ended.

Cause: a guess. Streams were judged by tokens alone, and streams of fewer than 50 tokens taught the estimator nothing, so that its 16 ms a token of the start stayed in force. What the route's latest streams had taken was known beside it, and not asked.

Mend: AnswerForecast is the one home of the question whether an answer ends in time, for plain answers and streams, at arrival and at each attempt. A stream of which its caller has nothing yet is asked about again at each attempt, as plain requests are.

Ruled out: teaching the estimator short streams. Their time hardly depends on tokens.

--- a/include/applehatch/direct/answer-times.h
+++ b/include/applehatch/direct/answer-times.h
@@ -44,9 +44,11 @@
     auto noteEnded(const std::string &route, const std::string &service, Instant at, bool isWhole,
                    Instant now) -> void;
     /// Counts the requests that took longer than `limit`, among them those that have run for longer
-    /// already. `known` stays below `minKnown` if little is known of the service, too.
+    /// already. `known` stays below `minKnown` if little is known of the service, too. Of those
+    /// that have ended, at most the `latest` count.
     [[nodiscard]] auto longerThan(const std::string &route, const std::string &service,
-                                  Duration limit, Instant now) const -> LongerShare;
+                                  Duration limit, Instant now, std::size_t latest = maxKept) const
+        -> LongerShare;
     /// Forgets what is too old.
     auto expire(Instant now) -> void;
 
@@ -67,7 +69,7 @@
 
     static auto end(Row &row, Instant begunAt, bool isWhole, Instant now) -> void;
     [[nodiscard]] static auto count(const Rows &rows, const std::string &name, Duration limit,
-                                    Instant now) -> LongerShare;
+                                    Instant now, std::size_t latest) -> LongerShare;
     static auto expire(Rows &rows, Instant now) -> void;
 
     Rows routes_;
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -1,10 +1,9 @@
 /// Handling of one caller's request by the gateway.
 #pragma once
 
-#include "applehatch/direct/answer-times.h"
+#include "applehatch/direct/answer-forecast.h"
 #include "applehatch/direct/caller-patience.h"
 #include "applehatch/direct/dispatcher.h"
-#include "applehatch/direct/stream-duration-estimator.h"
 #include "applehatch/gateway/caller-connection.h"
 #include "applehatch/gateway/event-splitter.h"
 #include "applehatch/gateway/timer.h"
@@ -97,9 +96,8 @@
     std::function<void(const direct::CrashReport &)> crashCounted;
     /// Called with what is to be told of a part of a prompt.
     std::function<void(const direct::PartReport &)> partNoted;
-    direct::StreamDurationEstimator *pace = nullptr;
     direct::CallerPatience *patience = nullptr;
-    direct::AnswerTimes *answerTimes = nullptr;
+    direct::AnswerForecast *forecast = nullptr;
     /// None unless the process is stopping.
     std::function<std::optional<StopView>()> stopView;
 };
@@ -194,13 +192,14 @@
     [[nodiscard]] auto fingerprint() const -> core::Fingerprint;
     /// Why a stopping process should not begin the request; none if it should.
     [[nodiscard]] auto stopRefusal() const -> std::optional<Failure>;
-    /// The same for a further attempt, or one that had to wait for its connection. Streams go on as
-    /// long as they can, since each event counts for their callers.
+    /// The same for a further attempt, or one that had to wait for its connection. A stream of
+    /// which the caller has a part goes on as long as it can, since each event counts.
     [[nodiscard]] auto attemptRefusal() const -> std::optional<Failure>;
-    [[nodiscard]] auto plainStopRefusal(const StopView &stop) const -> std::optional<Failure>;
-    [[nodiscard]] auto streamStopRefusal(const StopView &stop) const -> std::optional<Failure>;
-    /// Counts the known requests that took longer than `limit`.
-    [[nodiscard]] auto knownLongerThan(Duration limit) const -> direct::LongerShare;
+    /// Why the answer would probably not end before the process does; none if it would.
+    [[nodiscard]] auto lateRefusal(const StopView &stop) const -> std::optional<Failure>;
+    /// The same for a stream of which the caller can still be sent elsewhere by the balancer.
+    [[nodiscard]] auto earlyStreamRefusal(const StopView &stop) const -> std::optional<Failure>;
+    [[nodiscard]] auto answerKind() const -> direct::AnswerKind;
     [[nodiscard]] auto stoppingFailure(const std::string &why) const -> Failure;
     /// Records how long the request took, for the time at which the process stops.
     auto noteAnswerTime(bool isWhole) -> void;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -201,9 +201,8 @@
     direct::RegistryReplica replica_;
     direct::RegistryReaders readers_;
     std::function<void(bool)> readerRoleHook_;
-    direct::StreamDurationEstimator pace_;
     direct::CallerPatience patience_;
-    direct::AnswerTimes answerTimes_;
+    direct::AnswerForecast forecast_;
     UpstreamPool pool_;
     GatewayMetrics metrics_;
     PeerMesh mesh_;
--- a/src/direct/answer-times.cc
+++ b/src/direct/answer-times.cc
@@ -32,14 +32,14 @@
 }
 
 auto AnswerTimes::longerThan(const std::string &route, const std::string &service, Duration limit,
-                             Instant now) const -> LongerShare
+                             Instant now, std::size_t latest) const -> LongerShare
 {
-    const auto ofRoute = count(routes_, route, limit, now);
-    return ofRoute.known >= minKnown ? ofRoute : count(services_, service, limit, now);
+    const auto ofRoute = count(routes_, route, limit, now, latest);
+    return ofRoute.known >= minKnown ? ofRoute : count(services_, service, limit, now, latest);
 }
 
-auto AnswerTimes::count(const Rows &rows, const std::string &name, Duration limit, Instant now)
-    -> LongerShare
+auto AnswerTimes::count(const Rows &rows, const std::string &name, Duration limit, Instant now,
+                        std::size_t latest) -> LongerShare
 {
     const auto row = rows.find(name);
     if (row == rows.end())
@@ -49,12 +49,14 @@
     share.longer =
         static_cast<std::size_t>(std::distance(running.begin(), running.lower_bound(now - limit)));
     share.known = share.longer;
-    for (const auto &each : ended) {
-        if (now - each.at > memory)
-            continue;
-        ++share.known;
-        share.longer += each.took > limit ? 1 : 0;
-    }
+    const auto counted = std::min(latest, ended.size());
+    std::for_each(ended.end() - static_cast<std::ptrdiff_t>(counted), ended.end(),
+                  [&](const Ended &each) {
+                      if (now - each.at > memory)
+                          return;
+                      ++share.known;
+                      share.longer += each.took > limit ? 1 : 0;
+                  });
     return share;
 }
 
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -205,8 +205,8 @@
     noteSoundAnswer();
     environment_.dispatcher->suspects().noteServed(demand_.fingerprint, telemetry::steadyNow());
     if (report_.firstByte)
-        environment_.pace->noteStream(maxTokens_,
-                                      telemetry::steadyNow() - arrivedAt_ - *report_.firstByte);
+        environment_.forecast->noteStream(maxTokens_,
+                                          telemetry::steadyNow() - arrivedAt_ - *report_.firstByte);
     closeAttempt(true);
     caller_->end();
     finish("answered", "");
--- a/src/gateway/exchange-stop.cc
+++ b/src/gateway/exchange-stop.cc
@@ -4,7 +4,7 @@
 #include "applehatch/core/log-line.h"
 #include "applehatch/telemetry/clock.h"
 
-#include <algorithm>
+#include <string>
 #include <utility>
 
 namespace applehatch::gateway {
@@ -16,11 +16,6 @@
 
 namespace {
 
-// Upstreams may slow down by this factor while other routers and upstreams are replaced.
-constexpr double slowdownMargin = 1.5;
-// What the answer's way back takes, besides.
-constexpr Duration answerMargin = std::chrono::milliseconds(100);
-
 // Largest share of requests that may end without their answer for the sake of the others. A caller
 // that is refused comes back a moment later, and is served if another router is ready; one whose
 // request may have run must not send it again unless it may be repeated.
@@ -31,75 +26,80 @@
     return isPeerReady ? 0.01 : 0.05;
 }
 
+// The same for streams that reach a router after the balancer has noticed its stop: what their
+// callers have of them is lost with the rest.
+constexpr double toleratedCutStreams = 0.01;
+
 // A stream that reaches a router just after it began to stop is refused if more than this share of
 // the route's streams take longer than the process has left.
 constexpr double toleratedLongStreams = 0.5;
 
-auto shareOf(const direct::LongerShare &share) -> double
-{
-    return static_cast<double>(share.longer)
-        / static_cast<double>(std::max<std::size_t>(share.known, 1));
-}
+} // namespace
 
-auto tookLongerText(const StopView &stop, const direct::LongerShare &longer) -> std::string
+auto Exchange::answerKind() const -> direct::AnswerKind
 {
-    return core::millisecondsText(stop.exitTimeLeft) + " left, " + std::to_string(longer.longer)
-        + " of " + std::to_string(longer.known) + " known took longer";
+    return {permit_.route->name, permit_.serviceName, permit_.route->kind == RouteKind::Stream,
+            maxTokens_};
 }
 
-} // namespace
-
 auto Exchange::stopRefusal() const -> std::optional<Failure>
 {
     const auto stop = environment_.stopView();
     if (!stop)
         return std::nullopt;
-    return permit_.route->kind == RouteKind::Stream ? streamStopRefusal(*stop)
-                                                    : plainStopRefusal(*stop);
+    if (permit_.route->kind != RouteKind::Stream)
+        return lateRefusal(*stop);
+    if (!stop->isOutOfRotation)
+        return earlyStreamRefusal(*stop);
+    // When routers are stopped one after another faster than they return, the balancer sends
+    // callers to stopping routers. These then accept streams that they can still finish; while
+    // another router is ready they accept none, so as to exit sooner.
+    if (stop->isPeerReady)
+        return stoppingFailure("another router is ready");
+    return lateRefusal(*stop);
 }
 
 auto Exchange::attemptRefusal() const -> std::optional<Failure>
 {
-    return permit_.route->kind == RouteKind::Stream ? std::nullopt : stopRefusal();
-}
-
-auto Exchange::knownLongerThan(Duration limit) const -> direct::LongerShare
-{
-    return environment_.answerTimes->longerThan(permit_.route->name, permit_.serviceName, limit,
-                                                telemetry::steadyNow());
+    const auto stop = environment_.stopView();
+    if (!stop)
+        return std::nullopt;
+    const auto isStream = permit_.route->kind == RouteKind::Stream;
+    if (isStream && (phase_ == Phase::Relaying || !stop->isOutOfRotation))
+        return std::nullopt;
+    return lateRefusal(*stop);
 }
 
-auto Exchange::plainStopRefusal(const StopView &stop) const -> std::optional<Failure>
+auto Exchange::earlyStreamRefusal(const StopView &stop) const -> std::optional<Failure>
 {
-    if (stop.exitTimeLeft >= timeLeft())
+    if (stop.exitTimeLeft <= Duration(0))
+        return stoppingFailure("no time is left");
+    // A caller that is refused now is served elsewhere; one whose stream is cut starts over.
+    const auto longer =
+        environment_.forecast->longerThan(answerKind(), stop.exitTimeLeft, telemetry::steadyNow());
+    const auto known = static_cast<double>(longer.known);
+    if (longer.known < direct::AnswerTimes::minKnown
+        || static_cast<double>(longer.longer) <= toleratedLongStreams * known)
         return std::nullopt;
-    const auto usable =
-        std::chrono::duration_cast<Duration>((stop.exitTimeLeft - answerMargin) / slowdownMargin);
-    const auto longer = knownLongerThan(usable);
-    const auto isKnown = longer.known >= direct::AnswerTimes::minKnown;
-    if (isKnown && shareOf(longer) <= toleratedShare(mayRepeat(), stop.isPeerReady))
-        return std::nullopt;
-    return stoppingFailure(tookLongerText(stop, longer));
+    return stoppingFailure(core::millisecondsText(stop.exitTimeLeft) + " left, "
+                           + std::to_string(longer.longer) + " of " + std::to_string(longer.known)
+                           + " known took longer");
 }
 
-auto Exchange::streamStopRefusal(const StopView &stop) const -> std::optional<Failure>
+auto Exchange::lateRefusal(const StopView &stop) const -> std::optional<Failure>
 {
-    if (!stop.isOutOfRotation) {
-        // A caller that is refused now is served elsewhere; one whose stream is cut starts over.
-        const auto longer = knownLongerThan(stop.exitTimeLeft);
-        if (longer.known < direct::AnswerTimes::minKnown || shareOf(longer) <= toleratedLongStreams)
-            return std::nullopt;
-        return stoppingFailure(tookLongerText(stop, longer));
-    }
-    // When routers are stopped one after another faster than they return, the balancer sends
-    // callers to stopping routers. These then accept streams that they can still finish; while
-    // another router is ready they accept none, so as to exit sooner.
-    if (stop.isPeerReady)
-        return stoppingFailure("another router is ready");
-    if (environment_.pace->endsWithin(maxTokens_, stop.exitTimeLeft))
+    if (stop.exitTimeLeft <= Duration(0))
+        return stoppingFailure("no time is left");
+    const auto isStream = permit_.route->kind == RouteKind::Stream;
+    if (!isStream && stop.exitTimeLeft >= timeLeft())
+        return std::nullopt;
+    const auto tolerated =
+        isStream ? toleratedCutStreams : toleratedShare(mayRepeat(), stop.isPeerReady);
+    const auto why = environment_.forecast->whyNotWithin(answerKind(), stop.exitTimeLeft, tolerated,
+                                                         telemetry::steadyNow());
+    if (!why)
         return std::nullopt;
-    return stoppingFailure(core::millisecondsText(stop.exitTimeLeft) + " left for "
-                           + std::to_string(maxTokens_) + " tokens");
+    return stoppingFailure(*why);
 }
 
 auto Exchange::stoppingFailure(const std::string &why) const -> Failure
@@ -112,8 +112,7 @@
 {
     if (!std::exchange(isTimed_, false))
         return;
-    environment_.answerTimes->noteEnded(permit_.route->name, permit_.serviceName, arrivedAt_,
-                                        isWhole, telemetry::steadyNow());
+    environment_.forecast->noteEnded(answerKind(), arrivedAt_, isWhole, telemetry::steadyNow());
 }
 
 auto Exchange::endBeforeExit() -> void
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -100,7 +100,7 @@
 auto Exchange::begin() -> void
 {
     isTimed_ = true;
-    environment_.answerTimes->noteBegun(permit_.route->name, permit_.serviceName, arrivedAt_);
+    environment_.forecast->noteBegun(answerKind(), arrivedAt_);
     if (!startAttempt())
         answerAfterLastAttempt();
 }
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -111,9 +111,8 @@
         logPartChanges("this gateway");
     };
     dispatcher_.setGivesLeave([this](direct::PartKey part) { return isFirstKeeper(part); });
-    exchangeEnvironment_.pace = &pace_;
     exchangeEnvironment_.patience = &patience_;
-    exchangeEnvironment_.answerTimes = &answerTimes_;
+    exchangeEnvironment_.forecast = &forecast_;
     exchangeEnvironment_.stopView = [this] { return stopView(steadyNow()); };
     metrics_.setGauges(
         {[this] { return static_cast<double>(exchanges_.size()); },
@@ -338,7 +337,7 @@
     dispatcher_.backlog().expire(mesh_.table().currentAliveTimeout(now), now);
     dispatcher_.contexts().expire(now);
     dispatcher_.streams().expire(now);
-    answerTimes_.expire(now);
+    forecast_.expire(now);
     dispatcher_.setRouters(mesh_.table().routers(now));
     dispatcher_.setFleet(fleetView(now));
     logPartChanges("time");
