A connection is closed only behind an answer that announced it

What callers saw: a request sent right behind the end of a streamed answer, on a connection that the answer's head had said is kept, went without an answer.

Cause: a stop marked the connection in the middle of an answer whose head was out, and closed it behind that answer. The caller learned of it with its next request on its way.

Mend: what the head of an answer said decides what follows it; a connection whose answer was under way as the stop began announces its close with the next one.

Test: gateway_stop/a_connection_is_not_closed_behind_an_answer_that_did_not_say_so; its second request got no answer with the old condition in place.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -112,10 +112,11 @@
     std::optional<RequestReader> reader_;
     std::string input_; // Unparsed bytes, including those received during an answer.
     Framing framing_ = Framing::Length;
-    bool isHead_ = false;       // The current request is a HEAD, whose answer has no body.
-    bool sendsBody_ = true;     // The current answer has a body.
-    bool requestBegun_ = false; // Bytes of the next request have arrived.
-    bool closeAfterAnswer_ = false;
+    bool isHead_ = false;           // The current request is a HEAD, whose answer has no body.
+    bool sendsBody_ = true;         // The current answer has a body.
+    bool requestBegun_ = false;     // Bytes of the next request have arrived.
+    bool closeAfterAnswer_ = false; // Announced by each answer that begins from now on.
+    bool isCloseAnnounced_ = false; // By the current answer.
 };
 
 } // namespace applehatch::gateway
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -125,7 +125,8 @@
 
 auto CallerConnection::prepare(ResponseHead &head) -> void
 {
-    head.keepAlive = !closeAfterAnswer_;
+    isCloseAnnounced_ = closeAfterAnswer_;
+    head.keepAlive = !isCloseAnnounced_;
     if (!core::allowsBody(head.status))
         head.framing = Framing::NoBody;
     framing_ = head.framing;
@@ -196,7 +197,8 @@
         state_ = State::Ended;
         return;
     }
-    if (closeAfterAnswer_)
+    // A caller that was not told of the close may have sent its next request already.
+    if (isCloseAnnounced_)
         return closeInOrder();
     state_ = State::Reading;
     channel_->setPaused(false);
--- a/test/gateway/stop-test.cc
+++ b/test/gateway/stop-test.cc
@@ -175,6 +175,33 @@
     BOOST_TEST(runUntil(loop, [&] { return loop.stopped(); }));
 }
 
+// Guards against a close that its caller learns of only once the next request is on its way: the
+// answer that runs as the stop begins was announced as one that keeps the connection.
+BOOST_AUTO_TEST_CASE(a_connection_is_not_closed_behind_an_answer_that_did_not_say_so)
+{
+    asio::io_context loop(1);
+    std::shared_ptr<ScriptedConnection> running;
+    ScriptedUpstream upstream(loop, "one",
+                              [&](ScriptedConnection &connection, const std::string &request) {
+                                  if (request.starts_with("POST /once/"))
+                                      return connection.send(plainAnswer(request, "served"));
+                                  connection.send(streamHead(request) + eventChunk(1));
+                                  running = connection.shared_from_this();
+                              });
+    Gateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    auto caller = gateway.caller();
+    caller.send(testing::requestText("/stream/a", "r1"));
+    BOOST_TEST(caller.receives("piece-1"));
+    gateway.host.stop();
+    running->send(std::string(lastChunk));
+    BOOST_TEST(caller.receives(std::string(lastChunk)));
+    caller.send(testing::requestText("/once/a", "r2"));
+    BOOST_TEST(caller.receives("served"));
+    BOOST_TEST(caller.received.find("Connection: close") != std::string::npos);
+    BOOST_TEST(caller.seesClose());
+}
+
 // All routers are stopped in turn, faster than they restart. The load balancer finds none ready and
 // sends callers to routers that are stopping. A short stream is served there; one that would be cut
 // when the process ends is refused at once, and its caller is told that it did not run.
