A process ends once all that has come is answered, read or not

What callers saw: requests reset as a stopping gateway ended, sent up to 0.3 s before, on kept connections and new ones, with time left and another gateway ready, or as its time ran out.

Cause: the end asked which requests had been read. A process that was held up comes to itself with its timers due and its sockets full; the timer's turn found nothing in flight and ended the process over what lay in the sockets, in the listener's queue and in the kernel's.

Mend: an end in order. It stops listening, so that whoever comes then is refused by the kernel and goes elsewhere at once; takes and reads what the kernel holds; answers it, 'not run' where no time is left; closes each connection behind its answer or when idle; looks at the sockets at least three times more; and ends 0.1 s before the kill at the latest.

Three older tests of stops connect until the loop has ended; the process listens until 0.1 to 0.35 s before that now. A caller that is refused a connection has sent nothing; the tests count it apart, and check that it happens in the last 0.35 s only. That all who connect are answered is checked as before.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -63,9 +63,18 @@
     /// Whether a request is being answered and the caller is still connected.
     [[nodiscard]] auto isAwaitingAnswer() const -> bool { return state_ == State::Answering; }
     [[nodiscard]] auto isIdle() const -> bool { return state_ == State::Reading && !requestBegun_; }
-    /// Announces the close of the connection with the next answer. With `closeIdle`, an idle
-    /// connection is closed at once unless it was opened within the last second.
-    auto retire(bool closeIdle) -> void;
+    /// Announces the close of the connection with the next answer that begins.
+    auto announceClose() -> void { closeAfterAnswer_ = true; }
+    /// Closes the connection in order if it has been idle for `minQuiet` and nothing lies unread.
+    /// One that was just opened for its first request is spared.
+    auto closeIfIdle(Duration minQuiet) -> void;
+    /// Refuses a request of which only a part has come.
+    auto refuseIncomplete() -> void;
+    /// Whether a request may lie unread in the socket.
+    [[nodiscard]] auto hasUnread() const -> bool
+    {
+        return state_ == State::Reading && channel_->hasUnread();
+    }
     /// Whether a request has begun, or its answer is not handed to the kernel completely.
     [[nodiscard]] auto isUnfinished() const -> bool
     {
@@ -105,7 +114,7 @@
     Timer timer_;
     std::shared_ptr<Channel> channel_;
     CallerHooks hooks_;
-    core::Instant openedAt_;
+    core::Instant idleSince_; // When it was opened, or its last answer ended.
     std::function<void()> disconnected_;
     std::function<void()> flushed_;
     State state_ = State::Reading;
@@ -115,6 +124,7 @@
     bool isHead_ = false;           // The current request is a HEAD, whose answer has no body.
     bool sendsBody_ = true;         // The current answer has a body.
     bool requestBegun_ = false;     // Bytes of the next request have arrived.
+    bool isUsed_ = false;           // A request has been answered.
     bool closeAfterAnswer_ = false; // Announced by each answer that begins from now on.
     bool isCloseAnnounced_ = false; // By the current answer.
 };
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -182,6 +182,15 @@
     /// Logs how many connections were closed unread since the last call, if any.
     auto noteClosedUnread() -> void;
     auto continueStop(Instant now) -> void;
+    /// Whether all that has come, read or not, is answered.
+    [[nodiscard]] auto hasNothingToAnswer() -> bool;
+    [[nodiscard]] auto mayEndEarly(Instant now) -> bool;
+    /// Takes no new connections, answers what has come, and closes each connection behind its
+    /// answer.
+    auto beginClosing(Instant now) -> void;
+    /// Looks again, at least `minTurns` times, until nothing is left to answer.
+    auto continueClosing(int minTurns) -> void;
+    auto end() -> void;
     /// Ends all requests that still run, since the process ends now.
     auto endRequests() -> void;
     [[nodiscard]] auto stopView(Instant now) const -> std::optional<StopView>;
@@ -239,6 +248,8 @@
     std::deque<EarlyRequest> early_;                                          // Ordered by arrival.
     std::unordered_map<const Exchange *, std::weak_ptr<Exchange>> exchanges_; // In flight.
     std::optional<Instant> stopRequestedAt_;
+    std::optional<Instant> closingSince_;
+    Timer closing_;
     std::optional<Instant> behindSince_; // A peer has had a newer revision since.
     bool isBehindLogged_ = false;
     // Became a reader because no other was known; all peers are notified of the first answer.
--- a/include/applehatch/gateway/listener.h
+++ b/include/applehatch/gateway/listener.h
@@ -35,8 +35,17 @@
 
     /// Binds to `address` and starts accepting connections.
     [[nodiscard]] auto open(const core::Address &address) -> boost::system::error_code;
-    /// Retires all connections, including those accepted later; see `CallerConnection::retire`.
-    auto retire(bool closeIdle) -> void;
+    /// Announces the close of all connections, including those accepted later.
+    auto announceClose() -> void;
+    /// Closes the connections that have been idle for `minQuiet`.
+    auto closeIdle(Duration minQuiet) -> void;
+    /// Listens no longer. What the kernel has accepted is taken and read; whoever comes later is
+    /// refused by the kernel and goes elsewhere at once.
+    auto stopListening() -> void;
+    /// Whether anything has come that is not read yet, on a connection or as a new one.
+    [[nodiscard]] auto hasUnread() -> bool;
+    /// Refuses all requests of which only a part has come.
+    auto refuseIncomplete() -> void;
     [[nodiscard]] auto connections() const -> std::size_t;
     /// Number of connections on which a request has begun or an answer is not sent completely.
     [[nodiscard]] auto unfinished() const -> std::size_t;
@@ -63,6 +72,7 @@
     /// Begins to read the next connection when the loop has done what is ready now.
     auto scheduleNext() -> void;
     auto startNext() -> void;
+    [[nodiscard]] auto openConnections() const -> std::vector<CallerPtr>;
 
     boost::asio::io_context &loop_;
     boost::asio::ip::tcp::acceptor acceptor_;
@@ -74,7 +84,7 @@
     std::optional<core::Instant> turnAt_; // When `workTime_` was set.
     std::size_t closedUnread_ = 0;
     std::vector<std::weak_ptr<CallerConnection>> connections_;
-    bool retired_ = false;
+    bool announcesClose_ = false;
     /// Expires with the listener, so that no callback outlives it.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -25,6 +25,7 @@
 constexpr int requestTimeout = 408;
 constexpr int bodyTooLarge = 413;
 constexpr int headerTooLarge = 431;
+constexpr int unavailable = 503;
 
 auto statusOf(RequestFault fault) -> int
 {
@@ -45,7 +46,7 @@
     : timer_(socket.get_executor())
     , channel_(std::make_shared<Channel>(std::move(socket)))
     , hooks_(std::move(hooks))
-    , openedAt_(telemetry::steadyNow())
+    , idleSince_(telemetry::steadyNow())
 { }
 
 auto CallerConnection::start() -> void
@@ -201,6 +202,8 @@
     if (isCloseAnnounced_)
         return closeInOrder();
     state_ = State::Reading;
+    isUsed_ = true;
+    idleSince_ = telemetry::steadyNow();
     channel_->setPaused(false);
     awaitRequest();
     if (input_.empty())
@@ -229,13 +232,18 @@
     return channel_->unsent() > congestionThreshold;
 }
 
-auto CallerConnection::retire(bool closeIdle) -> void
+auto CallerConnection::closeIfIdle(Duration minQuiet) -> void
 {
-    closeAfterAnswer_ = true;
-    const auto isNew = telemetry::steadyNow() - openedAt_ < newConnectionTime;
-    if (!closeIdle || !isIdle() || isNew || channel_->hasUnread())
-        return;
-    closeInOrder();
+    const auto quiet = telemetry::steadyNow() - idleSince_;
+    const auto isNew = !isUsed_ && quiet < newConnectionTime;
+    if (isIdle() && !isNew && quiet >= minQuiet && !channel_->hasUnread())
+        closeInOrder();
+}
+
+auto CallerConnection::refuseIncomplete() -> void
+{
+    if (requestBegun_)
+        refuse(unavailable);
 }
 
 auto CallerConnection::closeInOrder() -> void
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -71,6 +71,7 @@
                      core::stableHash(settings_.name, telemetry::wallMicroseconds())),
                  confirmerHooks())
     , outboxTimer_(loop.get_executor())
+    , closing_(loop.get_executor())
 {
     dispatcher_.setLoadBound(settings_.loadBound);
     dispatcher_.setColdTolerance(settings_.coldTolerance);
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -34,10 +34,8 @@
 
 Listener::~Listener()
 {
-    for (const auto &each : connections_) {
-        if (const auto connection = each.lock())
-            connection->discard();
-    }
+    for (const auto &connection : openConnections())
+        connection->discard();
 }
 
 auto Listener::open(const core::Address &address) -> error_code
@@ -69,14 +67,15 @@
         if (error) {
             pause_.expires_after(pauseAfterFailure);
             pause_.async_wait([this](error_code aborted) {
-                if (!aborted)
+                if (!aborted && acceptor_.is_open())
                     accept();
             });
             return;
         }
         add(std::move(socket));
         acceptAll();
-        accept();
+        if (acceptor_.is_open())
+            accept();
     });
 }
 
@@ -128,8 +127,8 @@
         std::make_shared<CallerConnection>(std::move(waiting_.front().socket), hooks_);
     waiting_.pop_front();
     connections_.push_back(connection);
-    if (retired_)
-        connection->retire(false);
+    if (announcesClose_)
+        connection->announceClose();
     connection->start();
     if (!waiting_.empty())
         scheduleNext();
@@ -140,29 +139,64 @@
     return std::exchange(closedUnread_, 0);
 }
 
-auto Listener::retire(bool closeIdle) -> void
+auto Listener::openConnections() const -> std::vector<CallerPtr>
 {
-    retired_ = true;
+    std::vector<CallerPtr> all;
     for (const auto &each : connections_) {
-        if (const auto connection = each.lock())
-            connection->retire(closeIdle);
+        if (auto connection = each.lock())
+            all.push_back(std::move(connection));
     }
+    return all;
+}
+
+auto Listener::announceClose() -> void
+{
+    announcesClose_ = true;
+    for (const auto &connection : openConnections())
+        connection->announceClose();
+}
+
+auto Listener::closeIdle(core::Duration minQuiet) -> void
+{
+    for (const auto &connection : openConnections())
+        connection->closeIfIdle(minQuiet);
+}
+
+auto Listener::stopListening() -> void
+{
+    acceptAll();
+    error_code error;
+    acceptor_.close(error);
+    pause_.cancel();
+    maxWait_.reset();
+}
+
+auto Listener::hasUnread() -> bool
+{
+    if (acceptor_.is_open())
+        acceptAll();
+    const auto all = openConnections();
+    return !waiting_.empty() || std::any_of(all.begin(), all.end(), [](const auto &connection) {
+        return connection->hasUnread();
+    });
+}
+
+auto Listener::refuseIncomplete() -> void
+{
+    for (const auto &connection : openConnections())
+        connection->refuseIncomplete();
 }
 
 auto Listener::connections() const -> std::size_t
 {
-    return static_cast<std::size_t>(
-        std::count_if(connections_.begin(), connections_.end(),
-                      [](const auto &each) { return !each.expired(); }));
+    return openConnections().size();
 }
 
 auto Listener::unfinished() const -> std::size_t
 {
-    return static_cast<std::size_t>(
-        std::count_if(connections_.begin(), connections_.end(), [](const auto &each) {
-            const auto connection = each.lock();
-            return connection && connection->isUnfinished();
-        }));
+    const auto all = openConnections();
+    return static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(), [](const auto &connection) { return connection->isUnfinished(); }));
 }
 
 auto Listener::port() const -> std::uint16_t
--- a/test/gateway-processes/stop-test.cc
+++ b/test/gateway-processes/stop-test.cc
@@ -218,4 +218,37 @@
     BOOST_TEST(fleet.count(2600ms, [](const Try &each) { return each.hasStatus("200"); }) > 40U);
 }
 
+// Guards against requests that lie unread in the sockets of a process that ends as it comes to
+// itself.
+BOOST_AUTO_TEST_CASE(what_lies_unread_as_a_held_up_process_may_end_is_answered)
+{
+    for (const std::string path : {"/once/x", "/stream/x"}) {
+        StopFleet fleet(2, always(20ms));
+        fleet.addCallers(60, path, always(100ms));
+        fleet.stopFirst(3200ms, 300ms);
+        BOOST_TEST_CONTEXT(path)
+        BOOST_TEST(fleet.lost() == 0U);
+    }
+}
+
+// Guards against the same as the time of a process runs out.
+BOOST_AUTO_TEST_CASE(what_lies_unread_as_time_runs_out_is_answered)
+{
+    StopFleet fleet(1, always(20ms));
+    fleet.addCallers(60, "/once/x", between(1ms, 40ms));
+    fleet.stopFirst(7500ms, 300ms);
+    BOOST_TEST(fleet.lost() == 0U);
+    BOOST_TEST((fleet.goneAt - fleet.stoppedAt < grace));
+}
+
+// Guards against a process that waits for its time to run out though nobody needs it.
+BOOST_AUTO_TEST_CASE(a_gateway_ends_soon_when_another_is_ready)
+{
+    StopFleet fleet(2, always(20ms));
+    fleet.addCallers(1, "/once/x", always(300ms));
+    fleet.stopFirst();
+    BOOST_TEST((fleet.goneAt - fleet.stoppedAt < 5s));
+    BOOST_TEST(fleet.lost() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/gateway/stop-test.cc
+++ b/test/gateway/stop-test.cc
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <list>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -42,11 +43,28 @@
 
     auto add() -> void
     {
-        callers_.emplace_back(loop_, gateway_.settings.callers);
+        try {
+            callers_.emplace_back(loop_, gateway_.settings.callers);
+        } catch (const boost::system::system_error &error) {
+            BOOST_TEST((error.code() == asio::error::connection_refused));
+            if (!turnedAwaySince_)
+                turnedAwaySince_ = std::chrono::steady_clock::now();
+            return;
+        }
         callers_.back().send(testing::requestText(path_, "r" + std::to_string(callers_.size()),
                                                   "Connection: close\r\n"));
     }
 
+    /// Adds callers until the process has ended. Those that come in its last moment, when it no
+    /// longer listens, can connect to another one at once.
+    auto addUntilEnd(std::chrono::milliseconds interval) -> void
+    {
+        constexpr auto lastMoment = 350ms;
+        addUntil([this] { return loop_.stopped(); }, interval);
+        const auto now = std::chrono::steady_clock::now();
+        BOOST_TEST((now - turnedAwaySince_.value_or(now) < lastMoment));
+    }
+
     /// Adds callers at this interval for as long as `condition` does not hold.
     template <typename Condition>
     auto addUntil(Condition condition, std::chrono::milliseconds interval) -> void
@@ -56,6 +74,7 @@
     }
 
     [[nodiscard]] auto size() const -> std::size_t { return callers_.size(); }
+    [[nodiscard]] auto all() const -> const std::list<Caller> & { return callers_; }
 
     /// Number of callers, from the given one on, whose answer begins with this text.
     [[nodiscard]] auto answered(const std::string &text, std::size_t from = 0) const -> std::size_t
@@ -72,7 +91,8 @@
     asio::io_context &loop_;
     Gateway &gateway_;
     std::string path_;
-    std::list<Caller> callers_;
+    std::list<Caller> callers_; // Those that could connect.
+    std::optional<std::chrono::steady_clock::time_point> turnedAwaySince_;
 };
 
 /// A caller that reads an answer evenly over some time.
@@ -242,16 +262,11 @@
     gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
     gateway.setStopTimeout(4500ms);
     gateway.host.stop();
-    std::list<Caller> callers;
-    const auto hasEnded = [&] { return loop.stopped(); };
-    while (!runUntil(loop, hasEnded, 20ms)) {
-        callers.emplace_back(loop, gateway.settings.callers);
-        callers.back().send(testing::requestText("/once/a", "r" + std::to_string(callers.size()),
-                                                 "Connection: close\r\n"));
-    }
+    CallerStream callers(loop, gateway, "/once/a");
+    callers.addUntilEnd(20ms);
     std::size_t number = 0;
     std::size_t answered = 0;
-    for (const auto &caller : callers) {
+    for (const auto &caller : callers.all()) {
         const auto id = "Request-Id: r" + std::to_string(++number) + "\r\n";
         answered += caller.received.starts_with("HTTP/1.1 200") ? 1 : 0;
         BOOST_TEST((!caller.received.empty() || !hasReached(upstream, id)), id);
@@ -275,7 +290,7 @@
     callers.addUntil([&] { return std::chrono::steady_clock::now() - begin > 2500ms; }, 50ms);
     const auto before = callers.size();
     gateway.host.stop();
-    callers.addUntil([&] { return loop.stopped(); }, 50ms);
+    callers.addUntilEnd(50ms);
     const auto served = callers.answered("HTTP/1.1 200");
     const auto refused = callers.answered("HTTP/1.1 503");
     BOOST_TEST(served + refused == callers.size());
@@ -298,7 +313,7 @@
     const auto stop = std::chrono::steady_clock::now();
     callers.addUntil([&] { return std::chrono::steady_clock::now() - stop > 1900ms; }, 20ms);
     BOOST_TEST(callers.answered("HTTP/1.1 503") == 0U);
-    callers.addUntil([&] { return loop.stopped(); }, 20ms);
+    callers.addUntilEnd(20ms);
     BOOST_TEST(callers.answered("HTTP/1.1 200") + callers.answered("HTTP/1.1 503")
                == callers.size());
     BOOST_TEST(callers.refusalsAreTrue(upstream));
