--- a/test/gateway-processes/stop-test.cc
+++ b/test/gateway-processes/stop-test.cc
@@ -251,4 +251,29 @@
     BOOST_TEST(fleet.lost() == 0U);
 }
 
+// Guards against a gateway that a reload or a stop ends by the signal, since it listens before it
+// can take signals.
+BOOST_AUTO_TEST_CASE(a_signal_that_comes_as_the_gateway_begins_to_listen_does_not_end_it)
+{
+    ProcessFleet fleet(1);
+    auto &gateway = *fleet.gateways.front();
+    constexpr int starts = 30;
+    for (const int signal : {SIGHUP, SIGTERM}) {
+        for (int i = 0; i < starts; ++i) {
+            gateway.kill();
+            gateway.start();
+            const tcp::endpoint ready(asio::ip::make_address(gateway.callers.ip), 8220);
+            boost::system::error_code error;
+            do {
+                tcp::socket probe(fleet.loop);
+                probe.connect(ready, error);
+            } while (error);
+            gateway.signal(signal);
+            runFor(fleet.loop, 30ms);
+            const auto ended = gateway.exitStatus();
+            BOOST_TEST((!ended || !ended->signalled), i);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
