What comes once a process has stopped listening is taken only if it is quick

A stream taken then would have kept it from coming back for seconds, while nobody can connect. It takes what ends within half a second, and tells the others to come back. Connections that are owed nothing are closed without a reset as the process exits.

--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -270,9 +270,11 @@
 
 auto CallerConnection::discard() -> void
 {
-    if (state_ != State::Ended)
+    const auto owesNothing = state_ == State::Ended || (isIdle() && !channel_->hasUnread());
+    if (!owesNothing)
         return abort();
     timer_.stop();
+    state_ = State::Ended;
     channel_->closeNow();
 }
 
--- a/src/gateway/gateway-stop.cc
+++ b/src/gateway/gateway-stop.cc
@@ -31,6 +31,9 @@
 // long before.
 constexpr Duration killMargin = std::chrono::milliseconds(350);
 constexpr Duration exitMargin = std::chrono::milliseconds(100);
+// What comes once the process has stopped listening is taken if it ends within this time: nobody
+// can connect meanwhile.
+constexpr Duration lastAnswersTime = std::chrono::milliseconds(500);
 // Callers get this long to read their last answers and to close their ends.
 constexpr Duration lingerTime = std::chrono::milliseconds(100);
 constexpr Duration closingInterval = std::chrono::milliseconds(10);
@@ -50,9 +53,11 @@
 
 auto GatewayHost::stopView(Instant now) const -> std::optional<StopView>
 {
-    const auto left = exitTimeLeft(now);
+    auto left = exitTimeLeft(now);
     if (!left)
         return std::nullopt;
+    if (closingSince_)
+        left = std::min(*left, *closingSince_ + lastAnswersTime - now);
     return StopView{*left, hasReadyPeer(now), now - *stopRequestedAt_ >= rotationTime};
 }
 
