--- a/test/gateway-processes/stop-test.cc
+++ b/test/gateway-processes/stop-test.cc
@@ -88,7 +88,7 @@
 
     /// Lets callers come to the first gateway, one request of `path` after another.
     auto addCallers(std::size_t count, const std::string &path,
-                    std::function<std::chrono::milliseconds()> pause) -> void
+                    const std::function<std::chrono::milliseconds()> &pause) -> void
     {
         for (std::size_t i = 0; i < count; ++i) {
             callers_.push_back(std::make_shared<ReturningCaller>(
