--- a/include/applehatch/direct/answer-forecast.h
+++ b/include/applehatch/direct/answer-forecast.h
@@ -19,6 +19,9 @@
     std::uint32_t maxTokens = 0; ///< Most tokens of a streamed answer; 0 if unknown.
 };
 
+/// How many known answers took longer than is left, in words for the log.
+[[nodiscard]] auto tookLongerText(Duration left, const LongerShare &longer) -> std::string;
+
 /// Foresees whether an answer ends in time from how long the latest of its kind took.
 ///
 /// Streams of one route differ by their tokens, so those of a route that are allowed between a
--- a/src/direct/answer-forecast.cc
+++ b/src/direct/answer-forecast.cc
@@ -25,14 +25,14 @@
     return static_cast<double>(share.longer) > tolerated * static_cast<double>(share.known);
 }
 
-auto text(Duration left, const LongerShare &share) -> std::string
+} // namespace
+
+auto tookLongerText(Duration left, const LongerShare &longer) -> std::string
 {
-    return core::millisecondsText(left) + " left, " + std::to_string(share.longer) + " of "
-        + std::to_string(share.known) + " known took longer";
+    return core::millisecondsText(left) + " left, " + std::to_string(longer.longer) + " of "
+        + std::to_string(longer.known) + " known took longer";
 }
 
-} // namespace
-
 auto AnswerForecast::noteBegun(const AnswerKind &kind, Instant at) -> void
 {
     times_.noteBegun(nameOf(kind), kind.service, at);
@@ -63,17 +63,17 @@
     const auto longer = longerThan(kind, usable, now);
     if (longer.known < AnswerTimes::minKnown) {
         if (!kind.isStream || longer.longer > 0)
-            return text(left, longer);
+            return tookLongerText(left, longer);
         if (pace_.endsWithin(kind.maxTokens, left))
             return std::nullopt;
         return core::millisecondsText(left) + " left for " + std::to_string(kind.maxTokens)
             + " tokens";
     }
     if (isMoreThan(longer, toleratedShare))
-        return text(left, longer);
+        return tookLongerText(left, longer);
     const auto lately = times_.longerThan(nameOf(kind), kind.service, usable, now, latestAnswers);
     if (lately.longer >= slowAnswers && isMoreThan(lately, toleratedShare))
-        return text(left, lately);
+        return tookLongerText(left, lately);
     return std::nullopt;
 }
 
--- a/src/gateway/exchange-stop.cc
+++ b/src/gateway/exchange-stop.cc
@@ -1,10 +1,8 @@
 // What a stopping process does with requests: which it still begins, and how it ends the last ones.
 #include "applehatch/gateway/exchange.h"
 
-#include "applehatch/core/log-line.h"
 #include "applehatch/telemetry/clock.h"
 
-#include <string>
 #include <utility>
 
 namespace applehatch::gateway {
@@ -81,9 +79,7 @@
     if (longer.known < direct::AnswerTimes::minKnown
         || static_cast<double>(longer.longer) <= toleratedLongStreams * known)
         return std::nullopt;
-    return stoppingFailure(core::millisecondsText(stop.exitTimeLeft) + " left, "
-                           + std::to_string(longer.longer) + " of " + std::to_string(longer.known)
-                           + " known took longer");
+    return stoppingFailure(direct::tookLongerText(stop.exitTimeLeft, longer));
 }
 
 auto Exchange::lateRefusal(const StopView &stop) const -> std::optional<Failure>
