A connection to an upstream is read again once its request has ended

What callers saw: a request that was passed on over a kept connection to a sound engine got no answer until its deadline: 504 after the route's whole time.

Cause: a gateway stops reading from an engine while the caller reads slowly, and the exchange goes on once all is sent. When the stream ended in the very read that made it stop, the connection went back to the pool paused, and the exchange that would have gone on had let it go. Neither the next answer nor a close was ever read there.

Ruled out: the engine has the request and answers it (the test's engine does); the pool's own checks look at state and unsent bytes, which are sound.

--- a/src/gateway/upstream-connection.cc
+++ b/src/gateway/upstream-connection.cc
@@ -138,6 +138,8 @@
 auto UpstreamConnection::finish() -> void
 {
     busy_ = false;
+    // Whoever paused this answer does not know the next one.
+    channel_->setPaused(false);
     const auto hooks = std::exchange(hooks_, AnswerHooks());
     hooks.done();
 }
