What a gateway keeps of messages is bounded in sum

Cause: each message has a limit, their sum had none; a body was kept four times while it was sent, and buffers of kept connections stayed as large as what they had carried.

Mend: `ByteBudget`, one for bodies of requests and one for buffered answers, a quarter each of `limits.memory-mb` (256 MiB if the settings have none). A body takes its announced length at once or is not read on, and is refused after a second (503, not run). Answers are not read on; while there is no room the largest is given up each 20 ms (502). What is up to 128 KiB never waits. Messages are moved to the connection, and empty buffers shrink.

Two budgets, not one: a request is kept until its answer is whole, so that answers would wait for bodies that wait for answers. Reserved by announced length: half-read bodies would wait for one another. Not taken: relaying large answers as they come, since a truncated one could not be asked for again.

`gateway_memory` is new with what it tests.

Sound streams are not counted: each is bounded by its caller's pace.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -25,6 +25,8 @@
     std::function<void(const CallerPtr &, RequestMessage)> request;
     /// Returns the limits currently in force for callers.
     std::function<direct::CallerLimits()> limits;
+    /// What request bodies may take together; null for no limit.
+    ByteBudget *bodies = nullptr;
 };
 
 /// Reads requests and writes their answers, one request at a time: the next one is parsed after the
@@ -46,8 +48,8 @@
 
     // A body is sent only where the request's method and the answer's status allow one.
 
-    /// Sends a complete answer.
-    auto answer(ResponseHead head, std::string_view body) -> void;
+    /// Sends a complete answer. `kept` counts its body until all is sent.
+    auto answer(ResponseHead head, std::string_view body, ByteShare kept = {}) -> void;
     /// Sends the head of an answer whose body follows through `send` and `end`.
     auto begin(ResponseHead head) -> void;
     auto send(std::string_view body) -> void;
@@ -94,6 +96,13 @@
 
     auto takeBytes(std::string &bytes) -> void;
     auto read() -> void;
+    /// Goes on with a request whose head is read and whose body is not.
+    auto awaitBody(bool wasHeadRead) -> void;
+    /// Takes room for the body, as far as it is known. Returns false if there is none now.
+    [[nodiscard]] auto takeRoom() -> bool;
+    /// Stops reading until there is room for the body, and refuses the request if there is none for
+    /// `maxRoomWait`, of which `waited` has passed.
+    auto awaitRoom(bool wasHeadRead, Duration waited) -> void;
     auto refuse(int status) -> void;
     auto takeRequest() -> void;
     auto finishAnswer() -> void;
--- a/include/applehatch/gateway/channel.h
+++ b/include/applehatch/gateway/channel.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "applehatch/core/identity.h"
+#include "applehatch/gateway/byte-budget.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -55,6 +56,8 @@
 
     auto start(Hooks hooks, ChannelLimits limits) -> void;
     auto write(std::string_view bytes) -> void;
+    /// Writes a whole message without a copy of it. `kept` is given back once all is sent.
+    auto writeWhole(std::string message, ByteShare kept = {}) -> void;
     /// Whether received bytes are still unread; closing now would lose them.
     [[nodiscard]] auto hasUnread() const -> bool;
     /// Whether the peer has closed the connection and all that it sent has been read. Known before
@@ -100,6 +103,7 @@
     Hooks hooks_;
     std::string in_;
     std::string out_;
+    ByteShare outKept_; // What `out_` takes of a budget.
     State state_ = State::Open;
     bool reading_ = false;
     bool writing_ = false;
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -4,6 +4,7 @@
 #include "applehatch/direct/answer-forecast.h"
 #include "applehatch/direct/caller-patience.h"
 #include "applehatch/direct/dispatcher.h"
+#include "applehatch/gateway/byte-budget.h"
 #include "applehatch/gateway/caller-connection.h"
 #include "applehatch/gateway/event-splitter.h"
 #include "applehatch/gateway/timer.h"
@@ -100,6 +101,8 @@
     direct::AnswerForecast *forecast = nullptr;
     /// None unless the process is stopping.
     std::function<std::optional<StopView>()> stopView;
+    /// What buffered answers may take together.
+    ByteBudget *answers = nullptr;
 };
 
 /// Sends a request to an upstream, retries on others as its route allows, and relays the answer.
@@ -123,10 +126,9 @@
     static constexpr Duration finalSilenceStep = std::chrono::milliseconds(20);
     /// All connections of an upstream that crashes end within this time.
     static constexpr Duration endConfirmationTime = std::chrono::milliseconds(20);
-    /// Answers of plain services up to this size are buffered until complete, so that a truncated
-    /// one can be requested again from another upstream.
-    static constexpr std::size_t maxBufferedBytes = 262144;
-    /// A longer answer of a plain service, or a longer event, counts as one without end.
+    /// A longer answer that is not a stream, or a longer event, counts as one without end. Such
+    /// answers are buffered until complete, so that a truncated one can be requested again from
+    /// another upstream.
     static constexpr std::size_t maxPlainAnswerBytes = std::size_t{16} * 1024 * 1024;
     static constexpr std::size_t maxEventBytes = std::size_t{1024} * 1024;
 
@@ -162,6 +164,7 @@
         bool isSound = false; ///< The answer went so far that no part of the prompt crashes.
         std::optional<ResponseHead> head;
         std::string bufferedBody; ///< Body of an answer that is not streamed.
+        ByteShare kept;           ///< What `bufferedBody` takes of the memory for answers.
     };
 
     auto readRequestOptions() -> void;
@@ -224,6 +227,10 @@
 
     auto relayHead(const ResponseHead &head) -> void;
     auto relayEvents(std::string_view bytes) -> void;
+    /// Stops reading the answer until there is room for it among those that are buffered.
+    auto awaitRoom() -> void;
+    /// Ends the attempt since its answer is the largest of those that leave no room.
+    auto giveUpAnswer() -> void;
     /// Ends the attempt at an upstream that violates the protocol.
     auto breakOffUpstream(const std::string &why) -> void;
     /// Takes the end of an answer that is complete.
@@ -278,6 +285,7 @@
     Timer deadlineTimer_;
     Timer silenceTimer_;
     Timer endTimer_;
+    Timer roomTimer_;
     std::uint32_t maxTokens_ = 0; // Maximum tokens of the answer; 0 if unknown.
     std::uint32_t sent_ = 0;
     std::uint32_t connectFailures_ = 0;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -45,6 +45,8 @@
     Duration maxPropagationTime = std::chrono::seconds(2);
     direct::ColdTolerance coldTolerance;
     direct::Policies policies;
+    /// Memory that the process may use, in bytes.
+    std::size_t maxMemory = std::size_t{256} * 1024 * 1024;
 };
 
 /// Registry contents decoded into routing types.
@@ -181,6 +183,10 @@
     auto noteStall(Instant now) -> bool;
     /// Logs how many connections were closed unread since the last call, if any.
     auto noteClosedUnread() -> void;
+    /// Logs whether messages leave room for others, each time that it changes, and what was given
+    /// up.
+    auto noteMemory() -> void;
+    auto noteMemory(const std::string &messages, ByteBudget &budget, bool &isShort) -> void;
     auto continueStop(Instant now) -> void;
     /// Whether all that has come, read or not, is answered.
     [[nodiscard]] auto hasNothingToAnswer() -> bool;
@@ -212,6 +218,11 @@
     std::function<void(bool)> readerRoleHook_;
     direct::CallerPatience patience_;
     direct::AnswerForecast forecast_;
+    // One each: a request is kept until its answer has come, and would wait for itself.
+    ByteBudget bodies_;
+    ByteBudget answers_;
+    bool isShortOfBodies_ = false; // As logged last.
+    bool isShortOfAnswers_ = false;
     UpstreamPool pool_;
     GatewayMetrics metrics_;
     PeerMesh mesh_;
--- a/include/applehatch/gateway/gateway-metrics.h
+++ b/include/applehatch/gateway/gateway-metrics.h
@@ -20,6 +20,7 @@
     std::function<double()> registryRevision;
     std::function<double()> peers;
     std::function<double()> registryBehindSeconds;
+    std::function<double()> keptBytes;
 };
 
 class GatewayMetrics
--- a/include/applehatch/gateway/http-message.h
+++ b/include/applehatch/gateway/http-message.h
@@ -1,6 +1,8 @@
 /// HTTP/1.1 messages and incremental readers based on Boost.Beast's parser.
 #pragma once
 
+#include "applehatch/gateway/byte-budget.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <cstddef>
@@ -52,6 +54,7 @@
     HeaderList headers;
     std::string body;
     bool keepAlive = true;
+    ByteShare kept; ///< What the body takes of the memory for requests.
 
     [[nodiscard]] auto path() const -> std::string_view;
     /// The `Host` header in lower case and without its port.
@@ -102,13 +105,18 @@
     using Base = boost::beast::http::basic_parser<true>;
 
 public:
-    RequestReader(std::size_t headerBytes, std::size_t bodyBytes);
+    /// `kept` counts the body.
+    RequestReader(std::size_t headerBytes, std::size_t bodyBytes, ByteShare kept = {});
 
     /// Consumes as many bytes as possible from the front of `bytes`.
     auto feed(std::string &bytes) -> ReadState;
     [[nodiscard]] auto headRead() const -> bool { return Base::is_header_done(); }
     [[nodiscard]] auto fault() const -> RequestFault { return fault_; }
     [[nodiscard]] auto expectsContinue() const -> bool;
+    /// Size of the body: the one announced, or what has come so far. Valid once the head is read.
+    [[nodiscard]] auto bodyBytes() const -> std::size_t;
+    /// What the body takes of the memory for requests.
+    [[nodiscard]] auto kept() -> ByteShare & { return message_.kept; }
     auto take() -> RequestMessage;
 
 private:
--- /dev/null
+++ b/src/gateway/byte-budget.cc
@@ -0,0 +1,68 @@
+#include "applehatch/gateway/byte-budget.h"
+
+namespace applehatch::gateway {
+
+ByteShare::ByteShare(ByteShare &&other) noexcept
+    : budget_(std::move(other.budget_))
+    , bytes_(std::exchange(other.bytes_, 0))
+{ }
+
+auto ByteShare::operator=(ByteShare &&other) noexcept -> ByteShare &
+{
+    if (this != &other) {
+        release();
+        budget_ = std::move(other.budget_);
+        bytes_ = std::exchange(other.bytes_, 0);
+    }
+    return *this;
+}
+
+auto ByteShare::resize(std::size_t bytes) -> void
+{
+    constexpr auto small = ByteBudget::smallBytes;
+    auto &large = budget_->large;
+    if (bytes_ > small)
+        large.erase(large.find(bytes_));
+    if (bytes > small)
+        large.insert(bytes);
+    budget_->kept = budget_->kept - bytes_ + bytes;
+    bytes_ = bytes;
+}
+
+auto ByteShare::add(std::size_t bytes) -> void
+{
+    if (budget_)
+        resize(bytes_ + bytes);
+}
+
+auto ByteShare::release() -> void
+{
+    if (bytes_ > 0)
+        resize(0);
+}
+
+auto ByteShare::mayAdd(std::size_t bytes) const -> bool
+{
+    return !budget_ || bytes_ + bytes <= ByteBudget::smallBytes
+        || budget_->kept + bytes <= budget_->limit;
+}
+
+auto ByteShare::isLargest() const -> bool
+{
+    return budget_ && !budget_->large.empty() && bytes_ >= *budget_->large.rbegin();
+}
+
+auto ByteShare::noteGivenUp() -> void
+{
+    if (budget_)
+        ++budget_->givenUp;
+}
+
+auto shrinkIfEmpty(std::string &buffer) -> void
+{
+    constexpr std::size_t maxIdleCapacity = 4096;
+    if (buffer.empty() && buffer.capacity() > maxIdleCapacity)
+        std::string().swap(buffer);
+}
+
+} // namespace applehatch::gateway
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -21,6 +21,11 @@
 // A connection younger than this was opened for a request that is still under way; closing it would
 // force the caller to reconnect.
 constexpr Duration newConnectionTime = std::chrono::seconds(1);
+// A body that finds no room waits this long at most, and looks for room this often.
+constexpr Duration maxRoomWait = std::chrono::seconds(1);
+constexpr Duration roomCheckInterval = std::chrono::milliseconds(20);
+// A body is kept until its request is answered, and a second time until the upstream has taken it.
+constexpr std::size_t bodyCopies = 2;
 constexpr int badRequest = 400;
 constexpr int requestTimeout = 408;
 constexpr int bodyTooLarge = 413;
@@ -80,7 +85,8 @@
     if (!requestBegun_ && !input_.empty()) {
         requestBegun_ = true;
         isHead_ = false; // Not known yet; the request may be refused before it is.
-        reader_.emplace(limits.headerBytes, limits.bodyBytes);
+        reader_.emplace(limits.headerBytes, limits.bodyBytes,
+                        hooks_.bodies == nullptr ? ByteShare() : ByteShare(*hooks_.bodies));
         timer_.start(limits.headerTimeout,
                      [self = shared_from_this()] { self->refuse(requestTimeout); });
     }
@@ -92,19 +98,54 @@
         return refuse(statusOf(reader_->fault()));
     if (result == ReadState::Done)
         return takeRequest();
-    if (!reader_->headRead())
-        return;
+    if (reader_->headRead())
+        awaitBody(headBefore);
+}
+
+auto CallerConnection::awaitBody(bool wasHeadRead) -> void
+{
+    if (!takeRoom())
+        return awaitRoom(wasHeadRead, Duration(0));
     // The idle timeout applies to each part of a body.
-    timer_.start(limits.idleTimeout, [self = shared_from_this()] { self->refuse(requestTimeout); });
-    if (!headBefore && reader_->expectsContinue())
+    timer_.start(hooks_.limits().idleTimeout,
+                 [self = shared_from_this()] { self->refuse(requestTimeout); });
+    if (!wasHeadRead && reader_->expectsContinue())
         channel_->write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+auto CallerConnection::takeRoom() -> bool
+{
+    auto &kept = reader_->kept();
+    const auto wanted = bodyCopies * reader_->bodyBytes();
+    if (wanted <= kept.bytes())
+        return true;
+    if (!kept.mayAdd(wanted - kept.bytes()))
+        return false;
+    kept.add(wanted - kept.bytes());
+    return true;
+}
+
+auto CallerConnection::awaitRoom(bool wasHeadRead, Duration waited) -> void
+{
+    channel_->setPaused(true);
+    timer_.start(roomCheckInterval, [self = shared_from_this(), wasHeadRead, waited] {
+        if (self->takeRoom()) {
+            self->channel_->setPaused(false);
+            return self->awaitBody(wasHeadRead);
+        }
+        if (waited < maxRoomWait)
+            return self->awaitRoom(wasHeadRead, waited + roomCheckInterval);
+        self->reader_->kept().noteGivenUp();
+        self->refuse(unavailable);
+    });
+}
+
 auto CallerConnection::takeRequest() -> void
 {
     timer_.stop();
     state_ = State::Answering;
     requestBegun_ = false;
+    static_cast<void>(takeRoom()); // A body that came at once is not counted yet.
     auto message = reader_->take();
     reader_.reset();
     isHead_ = message.method == "HEAD";
@@ -118,6 +159,7 @@
     if (state_ != State::Reading)
         return;
     state_ = State::Answering;
+    reader_.reset();
     closeAfterAnswer_ = true;
     ResponseHead head;
     head.status = status;
@@ -134,7 +176,7 @@
     sendsBody_ = !isHead_ && core::allowsBody(head.status);
 }
 
-auto CallerConnection::answer(ResponseHead head, std::string_view body) -> void
+auto CallerConnection::answer(ResponseHead head, std::string_view body, ByteShare kept) -> void
 {
     if (state_ != State::Answering)
         return;
@@ -148,7 +190,7 @@
     auto text = headText(head);
     if (sendsBody_)
         text += body;
-    channel_->write(text);
+    channel_->writeWhole(std::move(text), std::move(kept));
     finishAnswer();
 }
 
@@ -206,6 +248,7 @@
     idleSince_ = telemetry::steadyNow();
     channel_->setPaused(false);
     awaitRequest();
+    shrinkIfEmpty(input_);
     if (input_.empty())
         return;
     // Posted, since the callback that sent the answer may still be on the stack.
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -91,6 +91,7 @@
         return waitReadable(); // Bytes received while closing are discarded.
     in_.append(buffer.data(), count);
     hooks_.data(in_);
+    shrinkIfEmpty(in_);
     waitReadable();
 }
 
@@ -103,6 +104,21 @@
         flush();
 }
 
+auto Channel::writeWhole(std::string message, ByteShare kept) -> void
+{
+    if (state_ != State::Open)
+        return;
+    if (outKept_.bytes() == 0)
+        outKept_ = std::move(kept);
+    else
+        outKept_.add(kept.bytes());
+    if (!out_.empty())
+        return write(message);
+    out_ = std::move(message);
+    if (!writing_)
+        flush();
+}
+
 auto Channel::flush() -> void
 {
     error_code error;
@@ -112,6 +128,8 @@
     out_.erase(0, error ? 0 : count);
     if (!out_.empty())
         return waitWritable();
+    outKept_.release();
+    shrinkIfEmpty(out_);
     if (state_ == State::Closing) {
         socket_.shutdown(Socket::shutdown_send, error);
         return;
@@ -212,6 +230,7 @@
 {
     state_ = State::Failed;
     out_.clear();
+    outKept_.release();
     error_code ignored;
     socket_.close(ignored);
     asio::post(socket_.get_executor(), [self = shared_from_this(), error] { self->fail(error); });
@@ -221,6 +240,7 @@
 {
     state_ = State::Closed;
     dropHooks();
+    outKept_.release();
     error_code error;
     socket_.close(error);
 }
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -21,6 +21,10 @@
 
 namespace {
 
+// A buffered answer that finds no room looks for this much, this often.
+constexpr std::size_t minRoom = 32768;
+constexpr Duration roomCheckInterval = std::chrono::milliseconds(20);
+
 // Returns the time of day in UTC after `wait`.
 auto utcText(Duration wait) -> std::string
 {
@@ -124,8 +128,38 @@
     if (attempt_.isStream)
         return relayEvents(bytes);
     attempt_.bufferedBody += bytes;
+    attempt_.kept.add(bytes.size());
     if (attempt_.bufferedBody.size() > maxPlainAnswerBytes)
-        breakOffUpstream("answer without end");
+        return breakOffUpstream("answer without end");
+    if (!attempt_.kept.mayAdd(bytes.size()))
+        awaitRoom();
+}
+
+auto Exchange::awaitRoom() -> void
+{
+    attempt_.connection->setPaused(true);
+    roomTimer_.start(roomCheckInterval, [self = shared_from_this()] {
+        const auto &kept = self->attempt_.kept;
+        if (kept.mayAdd(minRoom))
+            return self->attempt_.connection->setPaused(false);
+        if (kept.isLargest())
+            return self->giveUpAnswer();
+        self->awaitRoom();
+    });
+}
+
+auto Exchange::giveUpAnswer() -> void
+{
+    const auto size = std::to_string(attempt_.kept.bytes());
+    environment_.note(id_, "answer-given-up",
+                      attempt_.choice.upstream.instance + ": largest with " + size + " bytes");
+    closeAttempt(false);
+    attempt_.bufferedBody = {};
+    attempt_.kept.noteGivenUp();
+    attempt_.kept.release();
+    mayHaveRun_ = true;
+    refusal_ = {ErrorKind::UpstreamFailed, Run::Unknown, "no memory for the answer", {}};
+    answerAfterLastAttempt();
 }
 
 auto Exchange::relayEvents(std::string_view bytes) -> void
@@ -216,6 +250,7 @@
 {
     const auto head = *attempt_.head;
     const auto body = std::move(attempt_.bufferedBody);
+    auto kept = std::move(attempt_.kept);
     const auto hasProof = head.headers.find(environment_.vocabulary->proof) != nullptr;
     if (attempt_.notRun) {
         noteOutcome(Outcome::Refused);
@@ -243,7 +278,7 @@
         return;
     report_.status = head.status;
     report_.firstByte = telemetry::steadyNow() - arrivedAt_;
-    caller_->answer(forwardedHead(head), body);
+    caller_->answer(forwardedHead(head), body, std::move(kept));
     finish("answered", "");
 }
 
--- a/src/gateway/exchange-attempts.cc
+++ b/src/gateway/exchange-attempts.cc
@@ -23,6 +23,7 @@
         return false;
     }
     attempt_ = Attempt();
+    attempt_.kept = ByteShare(*environment_.answers);
     attempt_.choice = std::get<direct::Choice>(std::move(chosen));
     demand_.tried.push_back(attempt_.choice.upstream.id);
     report_.upstream = attempt_.choice.upstream.instance;
@@ -234,6 +235,7 @@
 {
     silenceTimer_.stop();
     endTimer_.stop();
+    roomTimer_.stop();
     if (attempt_.sent)
         recordAttemptEnd();
     attempt_.sent = false;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -60,6 +60,7 @@
     , deadlineTimer_(environment.loop->get_executor())
     , silenceTimer_(environment.loop->get_executor())
     , endTimer_(environment.loop->get_executor())
+    , roomTimer_(environment.loop->get_executor())
 { }
 
 auto Exchange::run() -> void
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -32,6 +32,13 @@
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
 
+// Of the memory that the process may use, a quarter each may hold bodies of requests and buffered
+// answers. The rest is for streams, for what is known, and for buffers while they grow.
+constexpr auto messageBytes(std::size_t maxMemory) -> std::size_t
+{
+    return maxMemory / 4;
+}
+
 auto answerText(const CallerPtr &caller, int status, std::string_view type, std::string_view body)
     -> void
 {
@@ -55,6 +62,8 @@
                   settings_.retries, steadyNow())
     , replica_(vocabulary_.isLeased)
     , readers_(PeerTable::rankOf(settings_.peers), steadyNow())
+    , bodies_(messageBytes(settings_.maxMemory))
+    , answers_(messageBytes(settings_.maxMemory))
     , pool_(loop)
     , mesh_(loop, pool_, settings_.peers,
             {[this](PeerDigest &digest) { fillDigest(digest); },
@@ -112,6 +121,7 @@
         logPartChanges("this gateway");
     };
     dispatcher_.setGivesLeave([this](direct::PartKey part) { return isFirstKeeper(part); });
+    exchangeEnvironment_.answers = &answers_;
     exchangeEnvironment_.patience = &patience_;
     exchangeEnvironment_.forecast = &forecast_;
     exchangeEnvironment_.stopView = [this] { return stopView(steadyNow()); };
@@ -129,7 +139,8 @@
          [this] {
              const auto now = steadyNow();
              return std::chrono::duration<double>(now - behindSince_.value_or(now)).count();
-         }});
+         },
+         [this] { return static_cast<double>(bodies_.kept() + answers_.kept()); }});
 }
 
 GatewayHost::~GatewayHost()
@@ -147,7 +158,7 @@
     const auto limits = [this] { return callerLimits(); };
     const auto listen = [&](const Address &address, auto request,
                             std::optional<Duration> maxWait = std::nullopt) {
-        listeners_.emplace_back(loop_, CallerHooks{std::move(request), limits}, maxWait);
+        listeners_.emplace_back(loop_, CallerHooks{std::move(request), limits, &bodies_}, maxWait);
         const auto error = listeners_.back().open(address);
         if (error)
             log(LogLine("listen-failed")
@@ -194,6 +205,9 @@
     settings_.retries = settings.retries;
     settings_.stopTimeout = settings.stopTimeout;
     settings_.maxPropagationTime = settings.maxPropagationTime;
+    settings_.maxMemory = settings.maxMemory;
+    bodies_.setLimit(messageBytes(settings_.maxMemory));
+    answers_.setLimit(messageBytes(settings_.maxMemory));
     settings_.loadBound = settings.loadBound;
     settings_.coldTolerance = settings.coldTolerance;
     dispatcher_.setColdTolerance(settings_.coldTolerance);
@@ -353,6 +367,7 @@
     for (auto &listener : listeners_)
         listener.sweep();
     noteClosedUnread();
+    noteMemory();
     if (stopRequestedAt_)
         continueStop(now);
     tickDueAt_ = steadyNow() + tickInterval;
@@ -389,4 +404,26 @@
         LogLevel::Warning);
 }
 
+auto GatewayHost::noteMemory() -> void
+{
+    noteMemory("requests", bodies_, isShortOfBodies_);
+    noteMemory("answers", answers_, isShortOfAnswers_);
+}
+
+auto GatewayHost::noteMemory(const std::string &messages, ByteBudget &budget, bool &isShort) -> void
+{
+    const auto givenUp = budget.takeGivenUp();
+    if (givenUp > 0)
+        metrics_.noteEvent("given-up-" + messages, givenUp);
+    if (givenUp == 0 && isShort == !budget.hasRoom())
+        return;
+    isShort = !budget.hasRoom();
+    log(LogLine(isShort ? "memory-short" : "memory-regained")
+            .add("messages", messages)
+            .add("bytes", static_cast<std::int64_t>(budget.kept()))
+            .add("limit", static_cast<std::int64_t>(budget.limit()))
+            .add("givenUp", static_cast<std::int64_t>(givenUp)),
+        LogLevel::Warning);
+}
+
 } // namespace applehatch::gateway
--- a/src/gateway/http-message.cc
+++ b/src/gateway/http-message.cc
@@ -168,8 +168,9 @@
     return name;
 }
 
-RequestReader::RequestReader(std::size_t headerBytes, std::size_t bodyBytes)
+RequestReader::RequestReader(std::size_t headerBytes, std::size_t bodyBytes, ByteShare kept)
 {
+    message_.kept = std::move(kept);
     Base::eager(true);
     Base::header_limit(static_cast<std::uint32_t>(headerBytes));
     Base::body_limit(bodyBytes);
@@ -192,6 +193,12 @@
     return value != nullptr && equalsIgnoringCase(*value, "100-continue");
 }
 
+auto RequestReader::bodyBytes() const -> std::size_t
+{
+    const auto announced = Base::content_length();
+    return announced ? static_cast<std::size_t>(*announced) : message_.body.size();
+}
+
 auto RequestReader::take() -> RequestMessage
 {
     message_.keepAlive = Base::keep_alive();
--- a/src/gateway/upstream-connection.cc
+++ b/src/gateway/upstream-connection.cc
@@ -63,8 +63,7 @@
         });
         return;
     }
-    channel_->write(request_.text);
-    request_.text.clear();
+    channel_->writeWhole(std::exchange(request_.text, {}));
 }
 
 auto UpstreamConnection::beginAnswer() -> void
--- a/test/gateway-processes/process-fleet.h
+++ b/test/gateway-processes/process-fleet.h
@@ -40,6 +40,7 @@
         process_ = std::make_unique<experiment::Process>(std::vector<std::string>{
             experiment::programPath("applehatch-gateway"), "--settings", settings_.path()});
     }
+    [[nodiscard]] auto id() const -> pid_t { return process_->id(); }
     auto kill() -> void { process_->kill(); }
     auto signal(int number) -> void { process_->signal(number); }
     /// None while it runs.
--- a/test/gateway/endless-test.cc
+++ b/test/gateway/endless-test.cc
@@ -1,5 +1,5 @@
 // Upstreams in trouble that send bytes without end that are no answer.
-#include "gateway-fixture.h"
+#include "endless-sender.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,37 +13,6 @@
 using namespace applehatch::gateway;
 using namespace applehatch::gateway::testing;
 
-/// Sends `part` again and again until the gateway closes the connection.
-class EndlessSender : public std::enable_shared_from_this<EndlessSender>
-{
-public:
-    EndlessSender(asio::io_context &loop, ScriptedConnection &connection, std::string part)
-        : timer_(loop)
-        , connection_(connection)
-        , part_(std::move(part))
-    { }
-
-    auto start() -> void
-    {
-        if (++sent_ > most)
-            return;
-        connection_.send(part_);
-        timer_.expires_after(1ms);
-        timer_.async_wait([self = shared_from_this()](auto error) {
-            if (!error)
-                self->start();
-        });
-    }
-
-private:
-    static constexpr int most = 3000;
-
-    asio::steady_timer timer_;
-    ScriptedConnection &connection_;
-    std::string part_;
-    int sent_ = 0;
-};
-
 /// What an upstream sends without end, after what.
 struct Endless
 {
--- /dev/null
+++ b/test/gateway/memory-test.cc
@@ -0,0 +1,182 @@
+// Messages that together are larger than the memory for them.
+#include "body-sender.h"
+#include "endless-sender.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace applehatch;
+using namespace applehatch::gateway;
+using namespace applehatch::gateway::testing;
+
+constexpr std::size_t kibibyte = 1024;
+constexpr std::size_t mebibyte = 1024 * kibibyte;
+/// A quarter each is for bodies of requests and for buffered answers.
+constexpr std::size_t maxMemory = 16 * mebibyte;
+constexpr std::size_t maxKept = maxMemory / 4;
+/// One read of each of some 20 connections may come before the first waits.
+constexpr std::size_t tolerance = 20 * 64 * kibibyte;
+
+/// A gateway with little memory, and the most that it has kept.
+class SmallGateway : public Gateway
+{
+public:
+    explicit SmallGateway(asio::io_context &loop)
+        : Gateway(loop)
+        , loop_(loop)
+    {
+        settings.maxMemory = maxMemory;
+        host.reload(settings);
+    }
+
+    [[nodiscard]] auto kept() const -> std::size_t
+    {
+        const std::string name = "\napplehatch_kept_message_bytes ";
+        const auto text = scrape(loop_, *this);
+        const auto at = text.find(name);
+        BOOST_REQUIRE(at != std::string::npos);
+        return static_cast<std::size_t>(std::stod(text.substr(at + name.size())));
+    }
+
+    /// Runs until `condition` holds; returns the most bytes that were kept meanwhile.
+    template <typename Condition>
+    auto mostKeptUntil(Condition condition) -> std::size_t
+    {
+        std::size_t most = 0;
+        const auto end = std::chrono::steady_clock::now() + testTimeout;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            most = std::max(most, kept());
+        BOOST_TEST(condition());
+        return most;
+    }
+
+private:
+    asio::io_context &loop_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gateway_memory)
+
+BOOST_AUTO_TEST_CASE(shares_that_move_or_end_are_counted_once)
+{
+    ByteBudget budget(mebibyte);
+    {
+        ByteShare first(budget);
+        first.add(mebibyte / 2);
+        ByteShare second = std::move(first);
+        second.add(mebibyte / 4);
+        BOOST_TEST(budget.kept() == mebibyte * 3 / 4);
+        BOOST_TEST(second.mayAdd(mebibyte / 4));
+        BOOST_TEST(!second.mayAdd(mebibyte / 2));
+        ByteShare small(budget);
+        BOOST_TEST(small.mayAdd(ByteBudget::smallBytes));
+        small.add(kibibyte);
+        BOOST_TEST(second.isLargest());
+        BOOST_TEST(!small.isLargest());
+        small = std::move(second);
+        BOOST_TEST(budget.kept() == mebibyte * 3 / 4);
+    }
+    BOOST_TEST(budget.kept() == 0U);
+}
+
+// Guards against an upstream whose answers without end take the process over its memory, and
+// against small answers that suffer from that.
+BOOST_AUTO_TEST_CASE(answers_without_end_stay_within_the_memory_for_them)
+{
+    constexpr std::size_t askers = 16;
+    asio::io_context loop{1};
+    std::vector<std::shared_ptr<EndlessSender>> senders;
+    ScriptedUpstream bad(loop, "bad", [&](auto &connection, const std::string &request) {
+        connection.send("HTTP/1.1 500 Oh\r\nRequest-Id: " + headerOf(request, "Request-Id")
+                        + "\r\n\r\n");
+        senders.push_back(
+            std::make_shared<EndlessSender>(loop, connection, std::string(64 * kibibyte, '#')));
+        senders.back()->start();
+    });
+    SmallGateway gateway(loop);
+    auto entry = bad.entry("pool");
+    entry.slots = askers;
+    gateway.applyRegistry(testConfiguration(), {entry});
+    std::list<Caller> callers;
+    for (std::size_t number = 0; number < askers; ++number) {
+        callers.emplace_back(loop, gateway.settings.callers);
+        callers.back().send(
+            testing::requestText("/once/a", "r" + std::to_string(number), "Connection: close\r\n"));
+    }
+    BOOST_TEST(runUntil(loop, [&] { return senders.size() == askers; }));
+    ScriptedUpstream sound(loop, "sound", answersWith("small"));
+    gateway.applyRegistry(testConfiguration(2), {sound.entry("pool")});
+    std::size_t served = 0;
+    const auto most = gateway.mostKeptUntil([&] {
+        Caller small(loop, gateway.settings.callers);
+        small.send(testing::requestText("/once/b", "small", "Connection: close\r\n"));
+        served += small.receives("small") && small.received.starts_with("HTTP/1.1 200") ? 1 : 0;
+        return std::all_of(callers.begin(), callers.end(),
+                           [](const auto &caller) { return caller.ended; });
+    });
+    BOOST_TEST(most > maxKept / 2);
+    BOOST_TEST(most < maxKept + tolerance);
+    BOOST_TEST(served > 0U);
+    for (const auto &caller : callers)
+        BOOST_TEST(caller.received.starts_with("HTTP/1.1 502"), caller.received);
+    BOOST_TEST(gateway.kept() == 0U);
+}
+
+// Guards against large requests that take the process over its memory when they come together.
+BOOST_AUTO_TEST_CASE(large_requests_wait_for_room_and_all_are_answered)
+{
+    asio::io_context loop{1};
+    ScriptedUpstream upstream(loop, "one", answersWith("taken"));
+    SmallGateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    std::list<BodySender> callers;
+    for (int number = 0; number < 12; ++number)
+        callers.emplace_back(loop, gateway.settings.callers,
+                             testing::requestText("/once/a", "r" + std::to_string(number),
+                                                  "Connection: close\r\n",
+                                                  std::string(mebibyte, 'b')));
+    const auto most = gateway.mostKeptUntil([&] {
+        return std::all_of(callers.begin(), callers.end(),
+                           [](const auto &caller) { return caller.ended; });
+    });
+    BOOST_TEST(most < maxKept + tolerance);
+    for (const auto &caller : callers)
+        BOOST_TEST(caller.received.find("taken") != std::string::npos, caller.received);
+    BOOST_TEST(upstream.requests().size() == callers.size());
+    BOOST_TEST(gateway.kept() == 0U);
+}
+
+// Guards against callers that announce large bodies, send nothing of them, and so keep others out.
+BOOST_AUTO_TEST_CASE(
+    a_request_that_finds_no_room_is_refused_within_seconds_and_small_ones_are_served)
+{
+    asio::io_context loop{1};
+    ScriptedUpstream upstream(loop, "one", answersWith("taken"));
+    SmallGateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    std::list<Caller> idle;
+    for (std::size_t bytes = 0; bytes + 2 * mebibyte <= maxKept; bytes += 2 * mebibyte) {
+        idle.emplace_back(loop, gateway.settings.callers);
+        idle.back().send("POST /once/a HTTP/1.1\r\nHost: api.example\r\nContent-Length: "
+                         + std::to_string(mebibyte) + "\r\n\r\n");
+    }
+    BOOST_TEST(runUntil(loop, [&] { return gateway.kept() == maxKept; }));
+    BodySender large(loop, gateway.settings.callers,
+                     testing::requestText("/once/a", "large", {}, std::string(mebibyte, 'b')));
+    auto small = gateway.caller();
+    small.send(testing::requestText("/once/a", "small"));
+    BOOST_TEST(small.receives("taken"));
+    BOOST_TEST(runUntil(
+        loop, [&] { return large.received.starts_with("HTTP/1.1 503"); }, 3000ms));
+    BOOST_TEST(upstream.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
