A reload does not end a router or sidecar

What callers saw: SIGHUP to a router or sidecar ended the process at once, with all requests in flight.

Cause: SIGHUP was neither handled nor blocked, so that its default action applied. Settings of both arrive by themselves; the signal is logged now (`reload-ignored`).

--- a/include/applehatch/process/signals.h
+++ b/include/applehatch/process/signals.h
@@ -1,4 +1,4 @@
-/// Handling of the signals that stop the process.
+/// Handling of the signals that operators send.
 #pragma once
 
 #include <functional>
@@ -6,13 +6,15 @@
 
 namespace applehatch::process {
 
-/// Blocks `SIGTERM` and `SIGINT` and ignores `SIGPIPE`; call before the first thread starts.
+/// Blocks `SIGTERM`, `SIGINT` and `SIGHUP` and ignores `SIGPIPE`; call before the first thread
+/// starts.
 ///
 /// A write to a caller that has disconnected raises `SIGPIPE`, which would terminate the process
 /// and with it every other caller's request.
 auto prepareSignals() -> void;
 
-/// Thread that receives the signals with `sigwait` and calls `onStop` once per signal.
+/// Thread that receives the signals with `sigwait`. It calls `onStop` once per `SIGTERM` or
+/// `SIGINT` and logs a `SIGHUP`: settings arrive without a reload.
 class SignalThread
 {
 public:
--- a/src/process/signals.cc
+++ b/src/process/signals.cc
@@ -1,5 +1,8 @@
 #include "applehatch/process/signals.h"
 
+#include "applehatch/core/log-line.h"
+#include "applehatch/telemetry/logger.h"
+
 #include <csignal>
 #include <pthread.h>
 #include <utility>
@@ -15,7 +18,7 @@
 {
     sigset_t signals;
     sigemptyset(&signals);
-    for (const auto signal : {SIGTERM, SIGINT, endThread})
+    for (const auto signal : {SIGTERM, SIGINT, SIGHUP, endThread})
         sigaddset(&signals, signal);
     return signals;
 }
@@ -24,8 +27,12 @@
 {
     const auto signals = waitedFor();
     int signal = 0;
-    while (sigwait(&signals, &signal) == 0 && signal != endThread)
-        onStop();
+    while (sigwait(&signals, &signal) == 0 && signal != endThread) {
+        if (signal == SIGHUP)
+            telemetry::writeLog(telemetry::LogLevel::Info, core::LogLine("reload-ignored").text());
+        else
+            onStop();
+    }
 }
 
 } // namespace
--- a/test/process/programs-test.cc
+++ b/test/process/programs-test.cc
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
+
 namespace applehatch::process {
 
 namespace {
@@ -104,6 +106,19 @@
     BOOST_TEST(output.find("event=cannot-bind") != std::string::npos);
 }
 
+// Guards against a router that a reload ends, and with it all that it serves.
+BOOST_AUTO_TEST_CASE(a_reload_does_not_end_a_process)
+{
+    const TemporaryFile file(routerFile(0));
+    Process router({experiment::programPath("applehatch-router"), "--config", file.path()});
+    BOOST_REQUIRE(router.waitForLine("event=started"));
+    router.signal(SIGHUP);
+    BOOST_TEST(router.waitForLine("event=reload-ignored").has_value());
+    BOOST_TEST(router.running());
+    router.terminate();
+    BOOST_TEST((router.wait() == experiment::ExitStatus{false, done}));
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_process_stops_cleanly_at_the_first_signal)
 {
     const TemporaryFile file(routerFile(0));
