A router answers what lies unread in its sockets before it exits

What callers saw: a router that was held up and asked to stop reset most of the requests that had come meanwhile: 178 to 200 of 200 in 3 of 12 stops.

With nothing read yet the router is drained at once, and CivetWeb closes what it has accepted, or the kernel holds, as it stops.

Mend: before the server stops it waits until no request has come or run for 100 ms, counted in intervals in which the process ran, for a second at most.

Ruled out: the sidecar.

--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -8,9 +8,11 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <charconv>
 #include <limits>
 #include <poll.h>
+#include <thread>
 #include <utility>
 
 namespace applehatch::process {
@@ -170,6 +172,8 @@
 {
     Handler handler;
     mg_context *context = nullptr;
+    std::atomic<std::uint64_t> begun{0};
+    std::atomic<std::uint64_t> ended{0};
 };
 
 HttpServer::HttpServer()
@@ -201,7 +205,9 @@
     callbacks.begin_request = [](mg_connection *connection) -> int {
         auto *state = static_cast<State *>(mg_get_request_info(connection)->user_data);
         HttpExchange exchange(connection);
+        ++state->begun;
         state->handler(exchange);
+        ++state->ended;
         return handled;
     };
     callbacks.log_message = [](const mg_connection *, const char *) -> int { return handled; };
@@ -215,4 +221,21 @@
     return {};
 }
 
+auto HttpServer::awaitQuiet(core::Duration quiet, core::Duration limit) -> void
+{
+    constexpr auto interval = std::chrono::milliseconds(10);
+    const auto intervals = quiet / interval;
+    auto remaining = limit / interval;
+    auto seen = state_->begun.load();
+    // Counted in intervals that this thread slept, since a process that was held up has read
+    // nothing meanwhile.
+    for (auto unchanged = 0 * intervals; unchanged < intervals && remaining > 0; --remaining) {
+        std::this_thread::sleep_for(interval);
+        const auto begun = state_->begun.load();
+        const auto isQuiet = begun == seen && state_->ended.load() == begun;
+        unchanged = isQuiet ? unchanged + 1 : 0;
+        seen = begun;
+    }
+}
+
 } // namespace applehatch::process
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -45,6 +45,7 @@
 // Stops the threads that call into members before any member is destroyed.
 RouterHost::~RouterHost()
 {
+    answerUnread();
     waitForCallers();
     feed_.stop();
     loop_.stop();
@@ -74,6 +75,13 @@
     node_.handle(core::DrainRequested{});
 }
 
+auto RouterHost::answerUnread() -> void
+{
+    constexpr auto quiet = std::chrono::milliseconds(100);
+    constexpr auto limit = std::chrono::seconds(1);
+    server_.awaitQuiet(quiet, limit);
+}
+
 auto RouterHost::inFlight() const -> std::uint64_t
 {
     return node_.read([](const core::RouterNode &node) { return node.counts().inFlight; });
--- a/test/system/stop-test.cc
+++ b/test/system/stop-test.cc
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <functional>
+#include <memory>
+#include <string>
+#include <vector>
 
 namespace {
 
@@ -16,6 +19,8 @@
 constexpr auto leaveLimit = 5000ms;
 constexpr std::size_t streams = 6;
 constexpr std::size_t tokens = 100;
+/// Requests that come while a process is held up.
+constexpr int unread = 200;
 
 auto stopFleet() -> experiment::FleetOptions
 {
@@ -87,6 +92,54 @@
     expectServedBy(fleet, 1);
 }
 
+// Guards against requests that lie unread in the sockets of a router as it ends.
+BOOST_AUTO_TEST_CASE(a_router_that_was_held_up_answers_what_lies_unread_as_it_stops)
+{
+    Fleet fleet(stopFleet());
+    auto &router = fleet.router(0);
+    for (int round = 0; round < 4; ++round) {
+        router.process->pause();
+        std::vector<std::unique_ptr<experiment::CallerConnection>> callers;
+        for (int number = 0; number < unread; ++number)
+            callers.push_back(std::make_unique<experiment::CallerConnection>(
+                router.callers, fleet.chat("unread " + std::to_string(number), 4)));
+        router.process->terminate();
+        router.process->resume();
+        const auto cut = std::count_if(callers.begin(), callers.end(),
+                                       [](const auto &caller) { return !caller->read().framed; });
+        BOOST_TEST(cut == 0);
+        BOOST_TEST((router.process->wait() == experiment::ExitStatus{false, 0}));
+        fleet.startRouter(router);
+        fleet.waitReady();
+    }
+}
+
+// Guards against the same at a sidecar, where routers cannot know whether the requests ran.
+BOOST_AUTO_TEST_CASE(a_sidecar_that_was_held_up_answers_what_lies_unread_as_it_stops)
+{
+    auto options = stopFleet();
+    options.engines = 1;
+    options.services = 2;
+    Fleet fleet(options);
+    auto &member = fleet.service(0);
+    member.sidecar->pause();
+    std::vector<std::unique_ptr<experiment::CallerConnection>> callers;
+    for (int number = 0; number < unread; ++number)
+        callers.push_back(std::make_unique<experiment::CallerConnection>(
+            fleet.router(0).callers, fleet.job("unread " + std::to_string(number))));
+    const auto routed = "choice=" + member.name;
+    BOOST_TEST(eventually(
+        [&] { return fleet.router(0).process->output().find(routed) != std::string::npos; }));
+    member.sidecar->terminate();
+    member.sidecar->resume();
+    for (const auto &caller : callers) {
+        const auto &answer = caller->read();
+        BOOST_TEST_CONTEXT(answer.body)
+        BOOST_TEST((answer.status == 200 || answer.problem().value("run", "") == "not-run"));
+    }
+    BOOST_TEST((member.sidecar->wait() == experiment::ExitStatus{false, 0}));
+}
+
 BOOST_AUTO_TEST_CASE(sidecars_asked_to_stop_cut_no_stream)
 {
     Fleet fleet(stopFleet());
