--- a/test/gateway/memory-test.cc
+++ b/test/gateway/memory-test.cc
@@ -22,7 +22,7 @@
 constexpr std::size_t maxMemory = 16 * mebibyte;
 constexpr std::size_t maxKept = maxMemory / 4;
 /// One read of each of some 20 connections may come before the first waits.
-constexpr std::size_t tolerance = 20 * 64 * kibibyte;
+constexpr std::size_t tolerance = std::size_t{20} * 64 * kibibyte;
 
 /// A gateway with little memory, and the most that it has kept.
 class SmallGateway : public Gateway
--- a/test/system/stop-test.cc
+++ b/test/system/stop-test.cc
@@ -100,6 +100,7 @@
     for (int round = 0; round < 4; ++round) {
         router.process->pause();
         std::vector<std::unique_ptr<experiment::CallerConnection>> callers;
+        callers.reserve(unread);
         for (int number = 0; number < unread; ++number)
             callers.push_back(std::make_unique<experiment::CallerConnection>(
                 router.callers, fleet.chat("unread " + std::to_string(number), 4)));
@@ -124,6 +125,7 @@
     auto &member = fleet.service(0);
     member.sidecar->pause();
     std::vector<std::unique_ptr<experiment::CallerConnection>> callers;
+    callers.reserve(unread);
     for (int number = 0; number < unread; ++number)
         callers.push_back(std::make_unique<experiment::CallerConnection>(
             fleet.router(0).callers, fleet.job("unread " + std::to_string(number))));
