--- a/test/gateway-processes/memory-test.cc
+++ b/test/gateway-processes/memory-test.cc
@@ -1,8 +1,6 @@
 // The memory of a gateway's process while much comes at once.
 #include "process-fleet.h"
 
-#include "gateway/body-sender.h"
-
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -62,18 +60,18 @@
     }
 
     /// A caller that sends a body of so many bytes.
-    auto addCaller(std::size_t bodyBytes, const std::string &headers = {}) -> BodySender &
+    auto addCaller(std::size_t bodyBytes, const std::string &headers = {}) -> Caller &
     {
         const auto id = "try-" + std::to_string(callers.size());
-        return callers.emplace_back(loop, gateway().callers,
-                                    "POST /once/x HTTP/1.1\r\nHost: api.example\r\nX-Attempt-Id: "
-                                        + id + "\r\n" + headers
-                                        + "Content-Length: " + std::to_string(bodyBytes)
-                                        + "\r\n\r\n" + std::string(bodyBytes, 'b'));
+        auto &caller = callers.emplace_back(loop, gateway().callers);
+        caller.sendLarge("POST /once/x HTTP/1.1\r\nHost: api.example\r\nX-Attempt-Id: " + id
+                         + "\r\n" + headers + "Content-Length: " + std::to_string(bodyBytes)
+                         + "\r\n\r\n" + std::string(bodyBytes, 'b'));
+        return caller;
     }
     auto gateway() -> GatewayProcess & { return *gateways.front(); }
 
-    std::list<BodySender> callers;
+    std::list<Caller> callers;
 
 private:
     ScriptedUpstream engine_;
--- a/test/gateway/gateway-fixture.h
+++ b/test/gateway/gateway-fixture.h
@@ -201,6 +201,13 @@
 
     auto send(const std::string &text) -> void { asio::write(socket_, asio::buffer(text)); }
 
+    /// Sends what may be larger than the kernel holds for a connection, while the loop runs.
+    auto sendLarge(std::string text) -> void
+    {
+        large_ = std::move(text);
+        asio::async_write(socket_, asio::buffer(large_), [](auto, auto) {});
+    }
+
     auto disconnect() -> void
     {
         boost::system::error_code error;
@@ -254,6 +261,7 @@
 
     asio::io_context &loop_;
     tcp::socket socket_;
+    std::string large_; // Being sent.
     std::array<char, 65536> buffer_{};
 };
 
--- a/test/gateway/memory-test.cc
+++ b/test/gateway/memory-test.cc
@@ -1,5 +1,4 @@
 // Messages that together are larger than the memory for them.
-#include "body-sender.h"
 #include "endless-sender.h"
 
 #include <boost/test/unit_test.hpp>
@@ -137,12 +136,13 @@
     ScriptedUpstream upstream(loop, "one", answersWith("taken"));
     SmallGateway gateway(loop);
     gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
-    std::list<BodySender> callers;
-    for (int number = 0; number < 12; ++number)
-        callers.emplace_back(loop, gateway.settings.callers,
-                             testing::requestText("/once/a", "r" + std::to_string(number),
-                                                  "Connection: close\r\n",
-                                                  std::string(mebibyte, 'b')));
+    std::list<Caller> callers;
+    for (int number = 0; number < 12; ++number) {
+        callers.emplace_back(loop, gateway.settings.callers);
+        callers.back().sendLarge(testing::requestText("/once/a", "r" + std::to_string(number),
+                                                      "Connection: close\r\n",
+                                                      std::string(mebibyte, 'b')));
+    }
     const auto most = gateway.mostKeptUntil([&] {
         return std::all_of(callers.begin(), callers.end(),
                            [](const auto &caller) { return caller.ended; });
@@ -169,8 +169,8 @@
                          + std::to_string(mebibyte) + "\r\n\r\n");
     }
     BOOST_TEST(runUntil(loop, [&] { return gateway.kept() == maxKept; }));
-    BodySender large(loop, gateway.settings.callers,
-                     testing::requestText("/once/a", "large", {}, std::string(mebibyte, 'b')));
+    auto large = gateway.caller();
+    large.sendLarge(testing::requestText("/once/a", "large", {}, std::string(mebibyte, 'b')));
     auto small = gateway.caller();
     small.send(testing::requestText("/once/a", "small"));
     BOOST_TEST(small.receives("taken"));
@@ -179,4 +179,20 @@
     BOOST_TEST(upstream.requests().size() == 1U);
 }
 
+// Guards against a request that waits for room that there will never be.
+BOOST_AUTO_TEST_CASE(a_request_larger_than_the_memory_for_all_is_refused_at_once)
+{
+    asio::io_context loop{1};
+    ScriptedUpstream upstream(loop, "one", answersWith("taken"));
+    SmallGateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    auto caller = gateway.caller();
+    const auto begun = std::chrono::steady_clock::now();
+    caller.send("POST /once/a HTTP/1.1\r\nHost: api.example\r\nContent-Length: "
+                + std::to_string(maxKept) + "\r\n\r\n");
+    BOOST_TEST(caller.receives("HTTP/1.1 413"));
+    BOOST_TEST((std::chrono::steady_clock::now() - begun < 500ms));
+    BOOST_TEST(gateway.kept() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
