A request larger than all memory for requests is refused at once; what is given up is counted once

What callers saw, by reading: where a body counts for more than the whole budget (memory-mb below 32 with bodies of 4 MB) its caller waited a second for room that there can never be, was told 503, and came again. It gets 413 now, as its head is read. An answer that was given up was counted as two events and told in two lines; bodies that were refused have their own count (body-refused). The interval at which both look for room stood twice. No Retry-After goes with a 503 for want of room: the want is this gateway's alone, and another may have room at once.

--- a/include/applehatch/gateway/byte-budget.h
+++ b/include/applehatch/gateway/byte-budget.h
@@ -1,6 +1,9 @@
 /// Bound on the bytes that a process keeps of its callers' and upstreams' messages.
 #pragma once
 
+#include "applehatch/core/identity.h"
+
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <set>
@@ -19,6 +22,8 @@
 public:
     /// A message up to this size never waits: those of usual size go on beside large ones.
     static constexpr std::size_t smallBytes = std::size_t{128} * 1024;
+    /// A message that waits for room looks for it this often.
+    static constexpr core::Duration checkInterval = std::chrono::milliseconds(20);
 
     explicit ByteBudget(std::size_t limitBytes) { setLimit(limitBytes); }
     ByteBudget(const ByteBudget &) = delete;
@@ -28,8 +33,8 @@
     [[nodiscard]] auto limit() const -> std::size_t { return state_->limit; }
     [[nodiscard]] auto kept() const -> std::size_t { return state_->kept; }
     [[nodiscard]] auto hasRoom() const -> bool { return state_->kept < state_->limit; }
-    /// Returns how many messages were given up for lack of room since the last call.
-    [[nodiscard]] auto takeGivenUp() -> std::size_t { return std::exchange(state_->givenUp, 0); }
+    /// Returns how many messages were refused for lack of room since the last call.
+    [[nodiscard]] auto takeRefused() -> std::size_t { return std::exchange(state_->refused, 0); }
 
 private:
     friend class ByteShare;
@@ -38,7 +43,7 @@
     {
         std::size_t limit = 0;
         std::size_t kept = 0;
-        std::size_t givenUp = 0;
+        std::size_t refused = 0;
         std::multiset<std::size_t> large; ///< Sizes of the messages that are not small.
     };
 
@@ -67,10 +72,12 @@
 
     /// Whether there is room for `bytes` more, or the message stays small with them.
     [[nodiscard]] auto mayAdd(std::size_t bytes) const -> bool;
+    /// Whether a message of `bytes` would find room if it were the only one.
+    [[nodiscard]] auto canEverHold(std::size_t bytes) const -> bool;
     /// Whether no message that is kept is larger.
     [[nodiscard]] auto isLargest() const -> bool;
-    /// Counts this message as given up for lack of room.
-    auto noteGivenUp() -> void;
+    /// Counts this message as refused for lack of room.
+    auto noteRefused() -> void;
 
 private:
     auto resize(std::size_t bytes) -> void;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -117,6 +117,14 @@
     [[nodiscard]] auto dispatcher() -> direct::Dispatcher & { return dispatcher_; }
 
 private:
+    /// What messages of one kind may take, and whether the log last told that there is no room.
+    struct MessageMemory
+    {
+        const char *messages;
+        ByteBudget budget;
+        bool isShort = false;
+    };
+
     auto takeRequest(const CallerPtr &caller, RequestMessage request) -> void;
     auto startExchange(const CallerPtr &caller, RequestMessage request) -> void;
     auto releaseEarly(Instant now) -> void;
@@ -183,10 +191,9 @@
     auto noteStall(Instant now) -> bool;
     /// Logs how many connections were closed unread since the last call, if any.
     auto noteClosedUnread() -> void;
-    /// Logs whether messages leave room for others, each time that it changes, and what was given
-    /// up.
-    auto noteMemory() -> void;
-    auto noteMemory(const std::string &messages, ByteBudget &budget, bool &isShort) -> void;
+    /// Logs whether messages leave room for others, each time that it changes, and how many were
+    /// refused.
+    auto noteMemory(MessageMemory &memory) -> void;
     auto continueStop(Instant now) -> void;
     /// Whether all that has come, read or not, is answered.
     [[nodiscard]] auto hasNothingToAnswer() -> bool;
@@ -219,10 +226,8 @@
     direct::CallerPatience patience_;
     direct::AnswerForecast forecast_;
     // One each: a request is kept until its answer has come, and would wait for itself.
-    ByteBudget bodies_;
-    ByteBudget answers_;
-    bool isShortOfBodies_ = false; // As logged last.
-    bool isShortOfAnswers_ = false;
+    MessageMemory bodies_;
+    MessageMemory answers_;
     UpstreamPool pool_;
     GatewayMetrics metrics_;
     PeerMesh mesh_;
--- a/src/gateway/byte-budget.cc
+++ b/src/gateway/byte-budget.cc
@@ -1,5 +1,7 @@
 #include "applehatch/gateway/byte-budget.h"
 
+#include <algorithm>
+
 namespace applehatch::gateway {
 
 ByteShare::ByteShare(ByteShare &&other) noexcept
@@ -47,15 +49,20 @@
         || budget_->kept + bytes <= budget_->limit;
 }
 
+auto ByteShare::canEverHold(std::size_t bytes) const -> bool
+{
+    return !budget_ || bytes <= std::max(ByteBudget::smallBytes, budget_->limit);
+}
+
 auto ByteShare::isLargest() const -> bool
 {
     return budget_ && !budget_->large.empty() && bytes_ >= *budget_->large.rbegin();
 }
 
-auto ByteShare::noteGivenUp() -> void
+auto ByteShare::noteRefused() -> void
 {
     if (budget_)
-        ++budget_->givenUp;
+        ++budget_->refused;
 }
 
 auto shrinkIfEmpty(std::string &buffer) -> void
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -21,9 +21,8 @@
 // A connection younger than this was opened for a request that is still under way; closing it would
 // force the caller to reconnect.
 constexpr Duration newConnectionTime = std::chrono::seconds(1);
-// A body that finds no room waits this long at most, and looks for room this often.
+// A body that finds no room waits this long at most.
 constexpr Duration maxRoomWait = std::chrono::seconds(1);
-constexpr Duration roomCheckInterval = std::chrono::milliseconds(20);
 // A body is kept until its request is answered, and a second time until the upstream has taken it.
 constexpr std::size_t bodyCopies = 2;
 constexpr int badRequest = 400;
@@ -104,6 +103,8 @@
 
 auto CallerConnection::awaitBody(bool wasHeadRead) -> void
 {
+    if (!reader_->kept().canEverHold(bodyCopies * reader_->bodyBytes()))
+        return refuse(bodyTooLarge);
     if (!takeRoom())
         return awaitRoom(wasHeadRead, Duration(0));
     // The idle timeout applies to each part of a body.
@@ -128,14 +129,15 @@
 auto CallerConnection::awaitRoom(bool wasHeadRead, Duration waited) -> void
 {
     channel_->setPaused(true);
-    timer_.start(roomCheckInterval, [self = shared_from_this(), wasHeadRead, waited] {
+    timer_.start(ByteBudget::checkInterval, [self = shared_from_this(), wasHeadRead, waited] {
         if (self->takeRoom()) {
             self->channel_->setPaused(false);
             return self->awaitBody(wasHeadRead);
         }
         if (waited < maxRoomWait)
-            return self->awaitRoom(wasHeadRead, waited + roomCheckInterval);
-        self->reader_->kept().noteGivenUp();
+            return self->awaitRoom(wasHeadRead, waited + ByteBudget::checkInterval);
+        // Without a time to come back: another router may have room at once.
+        self->reader_->kept().noteRefused();
         self->refuse(unavailable);
     });
 }
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -21,9 +21,8 @@
 
 namespace {
 
-// A buffered answer that finds no room looks for this much, this often.
+// A buffered answer that finds no room goes on when there is this much.
 constexpr std::size_t minRoom = 32768;
-constexpr Duration roomCheckInterval = std::chrono::milliseconds(20);
 
 // Returns the time of day in UTC after `wait`.
 auto utcText(Duration wait) -> std::string
@@ -138,7 +137,7 @@
 auto Exchange::awaitRoom() -> void
 {
     attempt_.connection->setPaused(true);
-    roomTimer_.start(roomCheckInterval, [self = shared_from_this()] {
+    roomTimer_.start(ByteBudget::checkInterval, [self = shared_from_this()] {
         const auto &kept = self->attempt_.kept;
         if (kept.mayAdd(minRoom))
             return self->attempt_.connection->setPaused(false);
@@ -155,7 +154,6 @@
                       attempt_.choice.upstream.instance + ": largest with " + size + " bytes");
     closeAttempt(false);
     attempt_.bufferedBody = {};
-    attempt_.kept.noteGivenUp();
     attempt_.kept.release();
     mayHaveRun_ = true;
     refusal_ = {ErrorKind::UpstreamFailed, Run::Unknown, "no memory for the answer", {}};
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -62,8 +62,8 @@
                   settings_.retries, steadyNow())
     , replica_(vocabulary_.isLeased)
     , readers_(PeerTable::rankOf(settings_.peers), steadyNow())
-    , bodies_(messageBytes(settings_.maxMemory))
-    , answers_(messageBytes(settings_.maxMemory))
+    , bodies_{"requests", ByteBudget(messageBytes(settings_.maxMemory))}
+    , answers_{"answers", ByteBudget(messageBytes(settings_.maxMemory))}
     , pool_(loop)
     , mesh_(loop, pool_, settings_.peers,
             {[this](PeerDigest &digest) { fillDigest(digest); },
@@ -121,7 +121,7 @@
         logPartChanges("this gateway");
     };
     dispatcher_.setGivesLeave([this](direct::PartKey part) { return isFirstKeeper(part); });
-    exchangeEnvironment_.answers = &answers_;
+    exchangeEnvironment_.answers = &answers_.budget;
     exchangeEnvironment_.patience = &patience_;
     exchangeEnvironment_.forecast = &forecast_;
     exchangeEnvironment_.stopView = [this] { return stopView(steadyNow()); };
@@ -140,7 +140,7 @@
              const auto now = steadyNow();
              return std::chrono::duration<double>(now - behindSince_.value_or(now)).count();
          },
-         [this] { return static_cast<double>(bodies_.kept() + answers_.kept()); }});
+         [this] { return static_cast<double>(bodies_.budget.kept() + answers_.budget.kept()); }});
 }
 
 GatewayHost::~GatewayHost()
@@ -158,7 +158,8 @@
     const auto limits = [this] { return callerLimits(); };
     const auto listen = [&](const Address &address, auto request,
                             std::optional<Duration> maxWait = std::nullopt) {
-        listeners_.emplace_back(loop_, CallerHooks{std::move(request), limits, &bodies_}, maxWait);
+        listeners_.emplace_back(loop_, CallerHooks{std::move(request), limits, &bodies_.budget},
+                                maxWait);
         const auto error = listeners_.back().open(address);
         if (error)
             log(LogLine("listen-failed")
@@ -206,8 +207,8 @@
     settings_.stopTimeout = settings.stopTimeout;
     settings_.maxPropagationTime = settings.maxPropagationTime;
     settings_.maxMemory = settings.maxMemory;
-    bodies_.setLimit(messageBytes(settings_.maxMemory));
-    answers_.setLimit(messageBytes(settings_.maxMemory));
+    bodies_.budget.setLimit(messageBytes(settings_.maxMemory));
+    answers_.budget.setLimit(messageBytes(settings_.maxMemory));
     settings_.loadBound = settings.loadBound;
     settings_.coldTolerance = settings.coldTolerance;
     dispatcher_.setColdTolerance(settings_.coldTolerance);
@@ -367,7 +368,8 @@
     for (auto &listener : listeners_)
         listener.sweep();
     noteClosedUnread();
-    noteMemory();
+    noteMemory(bodies_);
+    noteMemory(answers_);
     if (stopRequestedAt_)
         continueStop(now);
     tickDueAt_ = steadyNow() + tickInterval;
@@ -404,25 +406,20 @@
         LogLevel::Warning);
 }
 
-auto GatewayHost::noteMemory() -> void
+auto GatewayHost::noteMemory(MessageMemory &memory) -> void
 {
-    noteMemory("requests", bodies_, isShortOfBodies_);
-    noteMemory("answers", answers_, isShortOfAnswers_);
-}
-
-auto GatewayHost::noteMemory(const std::string &messages, ByteBudget &budget, bool &isShort) -> void
-{
-    const auto givenUp = budget.takeGivenUp();
-    if (givenUp > 0)
-        metrics_.noteEvent("given-up-" + messages, givenUp);
-    if (givenUp == 0 && isShort == !budget.hasRoom())
+    const auto refused = memory.budget.takeRefused();
+    if (refused > 0)
+        metrics_.noteEvent("body-refused", refused);
+    const auto isShort = !memory.budget.hasRoom();
+    if (refused == 0 && memory.isShort == isShort)
         return;
-    isShort = !budget.hasRoom();
+    memory.isShort = isShort;
     log(LogLine(isShort ? "memory-short" : "memory-regained")
-            .add("messages", messages)
-            .add("bytes", static_cast<std::int64_t>(budget.kept()))
-            .add("limit", static_cast<std::int64_t>(budget.limit()))
-            .add("givenUp", static_cast<std::int64_t>(givenUp)),
+            .add("messages", memory.messages)
+            .add("bytes", static_cast<std::int64_t>(memory.budget.kept()))
+            .add("limit", static_cast<std::int64_t>(memory.budget.limit()))
+            .add("refused", static_cast<std::int64_t>(refused)),
         LogLevel::Warning);
 }
 
--- a/test/gateway/memory-test.cc
+++ b/test/gateway/memory-test.cc
@@ -179,4 +179,20 @@
     BOOST_TEST(upstream.requests().size() == 1U);
 }
 
+// Guards against a request that waits for room that there will never be.
+BOOST_AUTO_TEST_CASE(a_request_larger_than_the_memory_for_all_is_refused_at_once)
+{
+    asio::io_context loop{1};
+    ScriptedUpstream upstream(loop, "one", answersWith("taken"));
+    SmallGateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    auto caller = gateway.caller();
+    const auto begun = std::chrono::steady_clock::now();
+    caller.send("POST /once/a HTTP/1.1\r\nHost: api.example\r\nContent-Length: "
+                + std::to_string(maxKept) + "\r\n\r\n");
+    BOOST_TEST(caller.receives("HTTP/1.1 413"));
+    BOOST_TEST((std::chrono::steady_clock::now() - begun < 500ms));
+    BOOST_TEST(gateway.kept() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
