--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -223,17 +223,15 @@
 
 auto HttpServer::awaitQuiet(core::Duration quiet, core::Duration limit) -> void
 {
-    constexpr auto interval = std::chrono::milliseconds(10);
-    const auto intervals = quiet / interval;
-    auto remaining = limit / interval;
+    constexpr core::Duration interval = std::chrono::milliseconds(10);
+    core::Duration unchangedFor{0};
     auto seen = state_->begun.load();
-    // Counted in intervals that this thread slept, since a process that was held up has read
-    // nothing meanwhile.
-    for (auto unchanged = 0 * intervals; unchanged < intervals && remaining > 0; --remaining) {
+    // Time is counted by sleeps: while the process was held up it has read nothing.
+    for (core::Duration waited{0}; waited < limit && unchangedFor < quiet; waited += interval) {
         std::this_thread::sleep_for(interval);
         const auto begun = state_->begun.load();
         const auto isQuiet = begun == seen && state_->ended.load() == begun;
-        unchanged = isQuiet ? unchanged + 1 : 0;
+        unchangedFor = isQuiet ? unchangedFor + interval : core::Duration(0);
         seen = begun;
     }
 }
