What frames a chunked body is bounded

Cause: Boost.Beast's parser bounds heads and bodies; between them it asks for more until a line or the trailers are whole, and the unparsed bytes grew with it. Each byte also started the idle time anew.

More is refused with 431 and the connection closed. Framing is no progress any more: the time for a part of the body runs on while it trickles in, and ends with 408.

--- a/include/applehatch/gateway/http-message.h
+++ b/include/applehatch/gateway/http-message.h
@@ -100,6 +100,9 @@
 /// A message that could be parsed as two different ones is rejected: both a length and chunked
 /// encoding, a transfer coding other than `chunked`, more than one `Host`. Otherwise a caller could
 /// smuggle a request inside another, and an upstream would run a request that no caller sent.
+///
+/// What frames a chunked body beyond the sizes of its chunks, which is extensions and trailers, may
+/// be as long as a head.
 class RequestReader : private boost::beast::http::basic_parser<true>
 {
     using Base = boost::beast::http::basic_parser<true>;
@@ -115,6 +118,8 @@
     [[nodiscard]] auto expectsContinue() const -> bool;
     /// Size of the body: the one announced, or what has come so far. Valid once the head is read.
     [[nodiscard]] auto bodyBytes() const -> std::size_t;
+    /// How much of the body has come.
+    [[nodiscard]] auto receivedBody() const -> std::size_t { return message_.body.size(); }
     /// What the body takes of the memory for requests.
     [[nodiscard]] auto kept() -> ByteShare & { return message_.kept; }
     auto take() -> RequestMessage;
@@ -138,8 +143,14 @@
         -> std::size_t override;
     auto on_finish_impl(ErrorCode &error) -> void override;
 
+    /// Whether more came beside the body than a head and its like in framing.
+    [[nodiscard]] auto hasTooMuchFraming(std::size_t unparsed) const -> bool;
+
     RequestMessage message_;
     RequestFault fault_ = RequestFault::Malformed;
+    std::size_t headerBytes_;
+    std::size_t parsed_ = 0; // Bytes of the whole message so far.
+    std::size_t chunks_ = 0;
 };
 
 /// Incremental reader of one response that passes its parts to hooks as they arrive.
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -92,12 +92,14 @@
     if (!requestBegun_)
         return;
     const auto headBefore = reader_->headRead();
+    const auto bodyBefore = reader_->receivedBody();
     const auto result = reader_->feed(input_);
     if (result == ReadState::Failed)
         return refuse(statusOf(reader_->fault()));
     if (result == ReadState::Done)
         return takeRequest();
-    if (reader_->headRead())
+    // What frames the body is no progress: it could trickle in without end.
+    if (reader_->headRead() && (!headBefore || reader_->receivedBody() != bodyBefore))
         awaitBody(headBefore);
 }
 
--- a/src/gateway/http-message.cc
+++ b/src/gateway/http-message.cc
@@ -169,6 +169,7 @@
 }
 
 RequestReader::RequestReader(std::size_t headerBytes, std::size_t bodyBytes, ByteShare kept)
+    : headerBytes_(headerBytes)
 {
     message_.kept = std::move(kept);
     Base::eager(true);
@@ -179,12 +180,24 @@
 auto RequestReader::feed(std::string &bytes) -> ReadState
 {
     ErrorCode error;
+    const auto before = bytes.size();
     const auto progress = feedAll(static_cast<Base &>(*this), bytes, error);
-    if (error == http::error::header_limit)
+    parsed_ += before - bytes.size();
+    const auto unparsed = progress == ReadState::NeedMore ? bytes.size() : 0;
+    const auto isOverLimit = !error && headRead() && hasTooMuchFraming(unparsed);
+    if (error == http::error::header_limit || isOverLimit)
         fault_ = RequestFault::HeaderTooLarge;
     else if (error == http::error::body_limit)
         fault_ = RequestFault::BodyTooLarge;
-    return progress;
+    return isOverLimit ? ReadState::Failed : progress;
+}
+
+auto RequestReader::hasTooMuchFraming(std::size_t unparsed) const -> bool
+{
+    // The size in 16 digits, and two line ends.
+    constexpr std::size_t usualFraming = 20;
+    const auto allowed = 2 * headerBytes_ + message_.body.size() + chunks_ * usualFraming;
+    return parsed_ > allowed || unparsed > headerBytes_;
 }
 
 auto RequestReader::expectsContinue() const -> bool
@@ -249,7 +262,9 @@
 
 auto RequestReader::on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/,
                                          ErrorCode & /*error*/) -> void
-{ }
+{
+    ++chunks_;
+}
 
 auto RequestReader::on_chunk_body_impl(std::uint64_t /*remain*/, Text body, ErrorCode & /*error*/)
     -> std::size_t
