Requests that stand still give way; what has come counts before there is room; freed memory goes back

What callers saw: 1,200 bodies of 65,000 bytes that stop one byte short took a gateway told 64 MB to 113 and 114 MiB (with a length, in two chunks): messages of up to 128 KiB never waited and nothing bounded their sum. With 60 bodies of 4 MB that stop short an ordinary request of 4 MB got 503 as long as the crowd stayed; chunked ones kept it out after the crowd had left, too, since each piece began the second of waiting anew, and each of many held a part that none could finish.

Cause: room was given to whoever came first and kept until the idle time was over. The memory that was freed stayed with the heap, between small blocks still in use.

Why this works: RequestMemory grants room in the order in which requests began, in one queue without a timer each. Whoever got no further than 4 KB in half a second gives way to whoever waits, the one that stands still longest first, and only while somebody needs the room: 503, it has not run. What has come of those who wait counts; beyond a quarter over the limit the youngest that wait are refused, so that none waits for one that waits. All waits of a request count together against its second. A pause of a connection takes effect at once: a read that was on its way brought 32 KB more. Small, and never waiting, is up to 16 KiB now; up to 128 KiB may take a quarter beside the limit, so that usual requests still go on beside large ones. Blocks of 128 KiB and more go back as they are freed (the library raised that size by itself), and the heap is trimmed after many gave way, or when messages take a sixteenth of the memory less.

Of gateway_memory the case of callers that announce bodies and send nothing demanded 503 for the large request that came later; it is served now and the first of the silent ones gets the 503. In its place stand two, as strict: that, and the refusal within the same 5 s where nobody stands still.

--- a/include/applehatch/gateway/byte-budget.h
+++ b/include/applehatch/gateway/byte-budget.h
@@ -20,8 +20,12 @@
 class ByteBudget
 {
 public:
-    /// A message up to this size never waits: those of usual size go on beside large ones.
-    static constexpr std::size_t smallBytes = std::size_t{128} * 1024;
+    /// A message up to this size never waits. All that there can be of them at a time take less
+    /// than what is left for them beside the limit.
+    static constexpr std::size_t smallBytes = std::size_t{16} * 1024;
+    /// Messages up to this size may take a quarter more than the limit, so that those of usual size
+    /// go on beside large ones.
+    static constexpr std::size_t usualBytes = std::size_t{128} * 1024;
     /// A message that waits for room looks for it this often.
     static constexpr core::Duration checkInterval = std::chrono::milliseconds(20);
 
@@ -67,10 +71,13 @@
     auto operator=(const ByteShare &) -> ByteShare & = delete;
 
     auto add(std::size_t bytes) -> void;
+    /// Keeps `bytes` in all from now on.
+    auto resize(std::size_t bytes) -> void;
     auto release() -> void;
     [[nodiscard]] auto bytes() const -> std::size_t { return bytes_; }
 
-    /// Whether there is room for `bytes` more, or the message stays small with them.
+    /// Whether there is room for `bytes` more, or the message is so small with them that it need
+    /// not wait.
     [[nodiscard]] auto mayAdd(std::size_t bytes) const -> bool;
     /// Whether a message of `bytes` would find room if it were the only one.
     [[nodiscard]] auto canEverHold(std::size_t bytes) const -> bool;
@@ -80,8 +87,6 @@
     auto noteRefused() -> void;
 
 private:
-    auto resize(std::size_t bytes) -> void;
-
     std::shared_ptr<ByteBudget::State> budget_;
     std::size_t bytes_ = 0;
 };
--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -4,6 +4,7 @@
 #include "applehatch/direct/directory.h"
 #include "applehatch/gateway/channel.h"
 #include "applehatch/gateway/http-message.h"
+#include "applehatch/gateway/request-memory.h"
 #include "applehatch/gateway/timer.h"
 
 #include <functional>
@@ -25,8 +26,8 @@
     std::function<void(const CallerPtr &, RequestMessage)> request;
     /// Returns the limits currently in force for callers.
     std::function<direct::CallerLimits()> limits;
-    /// What request bodies may take together; null for no limit.
-    ByteBudget *bodies = nullptr;
+    /// What requests may take together. Required.
+    RequestMemory *requests = nullptr;
 };
 
 /// Reads requests and writes their answers, one request at a time: the next one is parsed after the
@@ -96,13 +97,18 @@
 
     auto takeBytes(std::string &bytes) -> void;
     auto read() -> void;
-    /// Goes on with a request whose head is read and whose body is not.
-    auto awaitBody(bool wasHeadRead) -> void;
-    /// Takes room for the body, as far as it is known. Returns false if there is none now.
-    [[nodiscard]] auto takeRoom() -> bool;
-    /// Stops reading until there is room for the body, and refuses the request if there is none for
-    /// `maxRoomWait`, of which `waited` has passed.
-    auto awaitRoom(bool wasHeadRead, Duration waited) -> void;
+    auto beginRequest() -> void;
+    /// Takes room for what has come of the request, and what that announces; then takes the
+    /// request if it is whole.
+    auto goOn() -> void;
+    /// Waits for more of a body.
+    auto awaitBody() -> void;
+    /// Stops reading until there is room, and refuses the request if there is none for long.
+    auto awaitRoom() -> void;
+    /// Goes on once there is room.
+    auto takeRoom() -> void;
+    /// Drops what has come of a request.
+    auto stopReading() -> void;
     auto refuse(int status) -> void;
     auto takeRequest() -> void;
     auto finishAnswer() -> void;
@@ -121,6 +127,7 @@
     auto prepare(ResponseHead &head) -> void;
 
     Timer timer_;
+    Timer roomTimer_;
     std::shared_ptr<Channel> channel_;
     CallerHooks hooks_;
     core::Instant idleSince_; // When it was opened, or its last answer ended.
@@ -128,11 +135,18 @@
     std::function<void()> flushed_;
     State state_ = State::Reading;
     std::optional<RequestReader> reader_;
-    std::string input_; // Unparsed bytes, including those received during an answer.
+    std::optional<RequestMemory::Reading> reading_;
+    core::Instant roomAwaitedSince_;
+    Duration roomWaited_{0}; // By the current request, before `roomAwaitedSince_`.
+    std::string input_;      // Unparsed bytes, including those received during an answer.
     Framing framing_ = Framing::Length;
     bool isHead_ = false;           // The current request is a HEAD, whose answer has no body.
     bool sendsBody_ = true;         // The current answer has a body.
     bool requestBegun_ = false;     // Bytes of the next request have arrived.
+    bool isRoomAwaited_ = false;    // Reading has stopped since there is no room.
+    bool isWhole_ = false;          // The request has come, and may still wait for room.
+    bool isBodyAwaited_ = false;    // Since its last part came.
+    bool isContinueSent_ = false;   // The caller was asked for the body.
     bool isUsed_ = false;           // A request has been answered.
     bool closeAfterAnswer_ = false; // Announced by each answer that begins from now on.
     bool isCloseAnnounced_ = false; // By the current answer.
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -6,6 +6,7 @@
 #include "applehatch/direct/registry-replica.h"
 #include "applehatch/gateway/exchange.h"
 #include "applehatch/gateway/gateway-metrics.h"
+#include "applehatch/gateway/heap.h"
 #include "applehatch/gateway/history-inquiry.h"
 #include "applehatch/gateway/keeper-query.h"
 #include "applehatch/gateway/listener.h"
@@ -117,11 +118,10 @@
     [[nodiscard]] auto dispatcher() -> direct::Dispatcher & { return dispatcher_; }
 
 private:
-    /// What messages of one kind may take, and whether the log last told that there is no room.
-    struct MessageMemory
+    /// Whether the log last told that messages of one kind leave no room for more.
+    struct MemoryState
     {
         const char *messages;
-        ByteBudget budget;
         bool isShort = false;
     };
 
@@ -193,7 +193,7 @@
     auto noteClosedUnread() -> void;
     /// Logs whether messages leave room for others, each time that it changes, and how many were
     /// refused.
-    auto noteMemory(MessageMemory &memory) -> void;
+    auto noteMemory(MemoryState &state, ByteBudget &budget, std::size_t gaveWay) -> void;
     auto continueStop(Instant now) -> void;
     /// Whether all that has come, read or not, is answered.
     [[nodiscard]] auto hasNothingToAnswer() -> bool;
@@ -226,8 +226,11 @@
     direct::CallerPatience patience_;
     direct::AnswerForecast forecast_;
     // One each: a request is kept until its answer has come, and would wait for itself.
-    MessageMemory bodies_;
-    MessageMemory answers_;
+    RequestMemory requests_;
+    ByteBudget answers_;
+    MemoryState requestsState_{"requests"};
+    MemoryState answersState_{"answers"};
+    HeapTrimmer heap_;
     UpstreamPool pool_;
     GatewayMetrics metrics_;
     PeerMesh mesh_;
--- a/include/applehatch/gateway/http-message.h
+++ b/include/applehatch/gateway/http-message.h
@@ -32,6 +32,8 @@
     [[nodiscard]] auto find(std::string_view name) const -> const std::string *;
     [[nodiscard]] auto count(std::string_view name) const -> std::size_t;
     [[nodiscard]] auto fields() const -> const std::vector<Field> & { return fields_; }
+    /// Bytes that the list takes in memory, which may be many times what was sent.
+    [[nodiscard]] auto memory() const -> std::size_t;
 
 private:
     std::vector<Field> fields_;
@@ -54,7 +56,7 @@
     HeaderList headers;
     std::string body;
     bool keepAlive = true;
-    ByteShare kept; ///< What the body takes of the memory for requests.
+    ByteShare kept; ///< What the message takes of the memory for requests.
 
     [[nodiscard]] auto path() const -> std::string_view;
     /// The `Host` header in lower case and without its port.
@@ -108,20 +110,23 @@
     using Base = boost::beast::http::basic_parser<true>;
 
 public:
-    /// `kept` counts the body.
-    RequestReader(std::size_t headerBytes, std::size_t bodyBytes, ByteShare kept = {});
+    RequestReader(std::size_t headerBytes, std::size_t bodyBytes);
 
     /// Consumes as many bytes as possible from the front of `bytes`.
     auto feed(std::string &bytes) -> ReadState;
     [[nodiscard]] auto headRead() const -> bool { return Base::is_header_done(); }
     [[nodiscard]] auto fault() const -> RequestFault { return fault_; }
     [[nodiscard]] auto expectsContinue() const -> bool;
-    /// Size of the body: the one announced, or what has come so far. Valid once the head is read.
-    [[nodiscard]] auto bodyBytes() const -> std::size_t;
     /// How much of the body has come.
     [[nodiscard]] auto receivedBody() const -> std::size_t { return message_.body.size(); }
-    /// What the body takes of the memory for requests.
-    [[nodiscard]] auto kept() -> ByteShare & { return message_.kept; }
+    /// Bytes that what has come of the body takes in memory.
+    [[nodiscard]] auto bodyCapacity() const -> std::size_t;
+    /// The same with all that was announced.
+    [[nodiscard]] auto bodyMemory() const -> std::size_t;
+    /// Bytes that the head takes in memory; 0 until it is read.
+    [[nodiscard]] auto headMemory() const -> std::size_t { return headMemory_; }
+    /// Makes place for the body that was announced, so that it need not be moved as it grows.
+    auto reserveBody() -> void;
     auto take() -> RequestMessage;
 
 private:
@@ -149,6 +154,7 @@
     RequestMessage message_;
     RequestFault fault_ = RequestFault::Malformed;
     std::size_t headerBytes_;
+    std::size_t headMemory_ = 0;
     std::size_t parsed_ = 0; // Bytes of the whole message so far.
     std::size_t chunks_ = 0;
 };
--- a/src/bench/caller-server-bench.cc
+++ b/src/bench/caller-server-bench.cc
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -86,7 +87,9 @@
 auto runLoop() -> void
 {
     asio::io_context loop(1);
+    applehatch::gateway::RequestMemory requests(loop, std::numeric_limits<std::size_t>::max() / 2);
     CallerHooks hooks;
+    hooks.requests = &requests;
     hooks.limits = [] { return applehatch::direct::CallerLimits{}; };
     hooks.request = [](const CallerPtr &caller, const RequestMessage &) {
         ResponseHead head;
--- a/src/gateway/byte-budget.cc
+++ b/src/gateway/byte-budget.cc
@@ -21,6 +21,8 @@
 
 auto ByteShare::resize(std::size_t bytes) -> void
 {
+    if (!budget_ || bytes == bytes_)
+        return;
     constexpr auto small = ByteBudget::smallBytes;
     auto &large = budget_->large;
     if (bytes_ > small)
@@ -33,20 +35,21 @@
 
 auto ByteShare::add(std::size_t bytes) -> void
 {
-    if (budget_)
-        resize(bytes_ + bytes);
+    resize(bytes_ + bytes);
 }
 
 auto ByteShare::release() -> void
 {
-    if (bytes_ > 0)
-        resize(0);
+    resize(0);
 }
 
 auto ByteShare::mayAdd(std::size_t bytes) const -> bool
 {
-    return !budget_ || bytes_ + bytes <= ByteBudget::smallBytes
-        || budget_->kept + bytes <= budget_->limit;
+    const auto all = bytes_ + bytes;
+    if (!budget_ || all <= ByteBudget::smallBytes)
+        return true;
+    const auto extra = all <= ByteBudget::usualBytes ? budget_->limit / 4 : 0;
+    return budget_->kept + bytes <= budget_->limit + extra;
 }
 
 auto ByteShare::canEverHold(std::size_t bytes) const -> bool
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -1,5 +1,7 @@
 #include "applehatch/gateway/caller-connection.h"
 
+#include "status.h"
+
 #include "applehatch/core/http-status.h"
 #include "applehatch/telemetry/clock.h"
 
@@ -11,8 +13,6 @@
 
 namespace {
 
-// Reading stops when a caller sends more than this before its answer is complete.
-constexpr std::size_t maxPendingBytes = 65536;
 // Reading from the upstream pauses when more than this is unsent to the caller; about 300 events.
 constexpr std::size_t congestionThreshold = 65536;
 // An idle connection is closed this long after the limit announced to callers, so that a request
@@ -21,33 +21,12 @@
 // A connection younger than this was opened for a request that is still under way; closing it would
 // force the caller to reconnect.
 constexpr Duration newConnectionTime = std::chrono::seconds(1);
-// A body that finds no room waits this long at most.
-constexpr Duration maxRoomWait = std::chrono::seconds(1);
-// A body is kept until its request is answered, and a second time until the upstream has taken it.
-constexpr std::size_t bodyCopies = 2;
-constexpr int badRequest = 400;
-constexpr int requestTimeout = 408;
-constexpr int bodyTooLarge = 413;
-constexpr int headerTooLarge = 431;
-constexpr int unavailable = 503;
-
-auto statusOf(RequestFault fault) -> int
-{
-    switch (fault) {
-    case RequestFault::HeaderTooLarge:
-        return headerTooLarge;
-    case RequestFault::BodyTooLarge:
-        return bodyTooLarge;
-    case RequestFault::Malformed:
-        break;
-    }
-    return badRequest;
-}
 
 } // namespace
 
 CallerConnection::CallerConnection(Channel::Socket socket, CallerHooks hooks)
     : timer_(socket.get_executor())
+    , roomTimer_(socket.get_executor())
     , channel_(std::make_shared<Channel>(std::move(socket)))
     , hooks_(std::move(hooks))
     , idleSince_(telemetry::steadyNow())
@@ -67,103 +46,13 @@
     channel_->start(std::move(hooks), ChannelLimits{});
 }
 
-auto CallerConnection::takeBytes(std::string &bytes) -> void
-{
-    input_ += std::exchange(bytes, {});
-    if (state_ == State::Reading)
-        return read();
-    if (state_ == State::Ended)
-        input_.clear();
-    if (input_.size() > maxPendingBytes)
-        channel_->setPaused(true);
-}
-
-auto CallerConnection::read() -> void
-{
-    const auto limits = hooks_.limits();
-    if (!requestBegun_ && !input_.empty()) {
-        requestBegun_ = true;
-        isHead_ = false; // Not known yet; the request may be refused before it is.
-        reader_.emplace(limits.headerBytes, limits.bodyBytes,
-                        hooks_.bodies == nullptr ? ByteShare() : ByteShare(*hooks_.bodies));
-        timer_.start(limits.headerTimeout,
-                     [self = shared_from_this()] { self->refuse(requestTimeout); });
-    }
-    if (!requestBegun_)
-        return;
-    const auto headBefore = reader_->headRead();
-    const auto bodyBefore = reader_->receivedBody();
-    const auto result = reader_->feed(input_);
-    if (result == ReadState::Failed)
-        return refuse(statusOf(reader_->fault()));
-    if (result == ReadState::Done)
-        return takeRequest();
-    // What frames the body is no progress: it could trickle in without end.
-    if (reader_->headRead() && (!headBefore || reader_->receivedBody() != bodyBefore))
-        awaitBody(headBefore);
-}
-
-auto CallerConnection::awaitBody(bool wasHeadRead) -> void
-{
-    if (!reader_->kept().canEverHold(bodyCopies * reader_->bodyBytes()))
-        return refuse(bodyTooLarge);
-    if (!takeRoom())
-        return awaitRoom(wasHeadRead, Duration(0));
-    // The idle timeout applies to each part of a body.
-    timer_.start(hooks_.limits().idleTimeout,
-                 [self = shared_from_this()] { self->refuse(requestTimeout); });
-    if (!wasHeadRead && reader_->expectsContinue())
-        channel_->write("HTTP/1.1 100 Continue\r\n\r\n");
-}
-
-auto CallerConnection::takeRoom() -> bool
-{
-    auto &kept = reader_->kept();
-    const auto wanted = bodyCopies * reader_->bodyBytes();
-    if (wanted <= kept.bytes())
-        return true;
-    if (!kept.mayAdd(wanted - kept.bytes()))
-        return false;
-    kept.add(wanted - kept.bytes());
-    return true;
-}
-
-auto CallerConnection::awaitRoom(bool wasHeadRead, Duration waited) -> void
-{
-    channel_->setPaused(true);
-    timer_.start(ByteBudget::checkInterval, [self = shared_from_this(), wasHeadRead, waited] {
-        if (self->takeRoom()) {
-            self->channel_->setPaused(false);
-            return self->awaitBody(wasHeadRead);
-        }
-        if (waited < maxRoomWait)
-            return self->awaitRoom(wasHeadRead, waited + ByteBudget::checkInterval);
-        // Without a time to come back: another router may have room at once.
-        self->reader_->kept().noteRefused();
-        self->refuse(unavailable);
-    });
-}
-
-auto CallerConnection::takeRequest() -> void
-{
-    timer_.stop();
-    state_ = State::Answering;
-    requestBegun_ = false;
-    static_cast<void>(takeRoom()); // A body that came at once is not counted yet.
-    auto message = reader_->take();
-    reader_.reset();
-    isHead_ = message.method == "HEAD";
-    if (!message.keepAlive)
-        closeAfterAnswer_ = true;
-    hooks_.request(shared_from_this(), std::move(message));
-}
-
 auto CallerConnection::refuse(int status) -> void
 {
     if (state_ != State::Reading)
         return;
     state_ = State::Answering;
-    reader_.reset();
+    stopReading();
+    std::string().swap(input_);
     closeAfterAnswer_ = true;
     ResponseHead head;
     head.status = status;
@@ -321,6 +210,7 @@
     if (!owesNothing)
         return abort();
     timer_.stop();
+    stopReading();
     state_ = State::Ended;
     channel_->closeNow();
 }
@@ -335,6 +225,7 @@
 auto CallerConnection::ended() -> void
 {
     timer_.stop();
+    stopReading();
     state_ = State::Ended;
     flushed_ = nullptr;
     const auto disconnected = std::exchange(disconnected_, nullptr);
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -74,7 +74,8 @@
             return;
         if (error)
             return self->fail(error);
-        self->readAvailable();
+        if (!self->paused_)
+            self->readAvailable();
     });
 }
 
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -28,6 +28,8 @@
 // A tick this late means that the event loop was stalled and every caller waited. It is logged,
 // since nothing else in the log would explain the late answers.
 constexpr Duration stallThreshold = std::chrono::milliseconds(200);
+// The heap is trimmed when messages take this share of the process's memory less than before.
+constexpr std::size_t trimShare = 16;
 constexpr int ok = 200;
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
@@ -62,8 +64,8 @@
                   settings_.retries, steadyNow())
     , replica_(vocabulary_.isLeased)
     , readers_(PeerTable::rankOf(settings_.peers), steadyNow())
-    , bodies_{"requests", ByteBudget(messageBytes(settings_.maxMemory))}
-    , answers_{"answers", ByteBudget(messageBytes(settings_.maxMemory))}
+    , requests_(loop, messageBytes(settings_.maxMemory))
+    , answers_(messageBytes(settings_.maxMemory))
     , pool_(loop)
     , mesh_(loop, pool_, settings_.peers,
             {[this](PeerDigest &digest) { fillDigest(digest); },
@@ -121,7 +123,7 @@
         logPartChanges("this gateway");
     };
     dispatcher_.setGivesLeave([this](direct::PartKey part) { return isFirstKeeper(part); });
-    exchangeEnvironment_.answers = &answers_.budget;
+    exchangeEnvironment_.answers = &answers_;
     exchangeEnvironment_.patience = &patience_;
     exchangeEnvironment_.forecast = &forecast_;
     exchangeEnvironment_.stopView = [this] { return stopView(steadyNow()); };
@@ -140,7 +142,7 @@
              const auto now = steadyNow();
              return std::chrono::duration<double>(now - behindSince_.value_or(now)).count();
          },
-         [this] { return static_cast<double>(bodies_.budget.kept() + answers_.budget.kept()); }});
+         [this] { return static_cast<double>(requests_.budget().kept() + answers_.kept()); }});
 }
 
 GatewayHost::~GatewayHost()
@@ -158,7 +160,7 @@
     const auto limits = [this] { return callerLimits(); };
     const auto listen = [&](const Address &address, auto request,
                             std::optional<Duration> maxWait = std::nullopt) {
-        listeners_.emplace_back(loop_, CallerHooks{std::move(request), limits, &bodies_.budget},
+        listeners_.emplace_back(loop_, CallerHooks{std::move(request), limits, &requests_},
                                 maxWait);
         const auto error = listeners_.back().open(address);
         if (error)
@@ -207,8 +209,8 @@
     settings_.stopTimeout = settings.stopTimeout;
     settings_.maxPropagationTime = settings.maxPropagationTime;
     settings_.maxMemory = settings.maxMemory;
-    bodies_.budget.setLimit(messageBytes(settings_.maxMemory));
-    answers_.budget.setLimit(messageBytes(settings_.maxMemory));
+    requests_.budget().setLimit(messageBytes(settings_.maxMemory));
+    answers_.setLimit(messageBytes(settings_.maxMemory));
     settings_.loadBound = settings.loadBound;
     settings_.coldTolerance = settings.coldTolerance;
     dispatcher_.setColdTolerance(settings_.coldTolerance);
@@ -368,8 +370,9 @@
     for (auto &listener : listeners_)
         listener.sweep();
     noteClosedUnread();
-    noteMemory(bodies_);
-    noteMemory(answers_);
+    noteMemory(requestsState_, requests_.budget(), requests_.takeGivenWay());
+    noteMemory(answersState_, answers_, 0);
+    heap_.note(requests_.budget().kept() + answers_.kept(), settings_.maxMemory / trimShare);
     if (stopRequestedAt_)
         continueStop(now);
     tickDueAt_ = steadyNow() + tickInterval;
@@ -406,20 +409,23 @@
         LogLevel::Warning);
 }
 
-auto GatewayHost::noteMemory(MessageMemory &memory) -> void
+auto GatewayHost::noteMemory(MemoryState &state, ByteBudget &budget, std::size_t gaveWay) -> void
 {
-    const auto refused = memory.budget.takeRefused();
+    const auto refused = budget.takeRefused();
     if (refused > 0)
         metrics_.noteEvent("body-refused", refused);
-    const auto isShort = !memory.budget.hasRoom();
-    if (refused == 0 && memory.isShort == isShort)
+    if (gaveWay > 0)
+        metrics_.noteEvent("request-gave-way", gaveWay);
+    const auto isShort = !budget.hasRoom();
+    if (refused == 0 && gaveWay == 0 && state.isShort == isShort)
         return;
-    memory.isShort = isShort;
+    state.isShort = isShort;
     log(LogLine(isShort ? "memory-short" : "memory-regained")
-            .add("messages", memory.messages)
-            .add("bytes", static_cast<std::int64_t>(memory.budget.kept()))
-            .add("limit", static_cast<std::int64_t>(memory.budget.limit()))
-            .add("refused", static_cast<std::int64_t>(refused)),
+            .add("messages", state.messages)
+            .add("bytes", static_cast<std::int64_t>(budget.kept()))
+            .add("limit", static_cast<std::int64_t>(budget.limit()))
+            .add("refused", static_cast<std::int64_t>(refused))
+            .add("gaveWay", static_cast<std::int64_t>(gaveWay)),
         LogLevel::Warning);
 }
 
--- a/src/gateway/http-message.cc
+++ b/src/gateway/http-message.cc
@@ -126,6 +126,14 @@
     return found == fields_.end() ? nullptr : &found->value;
 }
 
+auto HeaderList::memory() const -> std::size_t
+{
+    auto bytes = fields_.capacity() * sizeof(Field);
+    for (const auto &field : fields_)
+        bytes += field.name.capacity() + field.value.capacity();
+    return bytes;
+}
+
 auto HeaderList::count(std::string_view name) const -> std::size_t
 {
     return static_cast<std::size_t>(
@@ -168,10 +176,9 @@
     return name;
 }
 
-RequestReader::RequestReader(std::size_t headerBytes, std::size_t bodyBytes, ByteShare kept)
+RequestReader::RequestReader(std::size_t headerBytes, std::size_t bodyBytes)
     : headerBytes_(headerBytes)
 {
-    message_.kept = std::move(kept);
     Base::eager(true);
     Base::header_limit(static_cast<std::uint32_t>(headerBytes));
     Base::body_limit(bodyBytes);
@@ -206,10 +213,21 @@
     return value != nullptr && equalsIgnoringCase(*value, "100-continue");
 }
 
-auto RequestReader::bodyBytes() const -> std::size_t
+auto RequestReader::bodyCapacity() const -> std::size_t
+{
+    return message_.body.empty() ? 0 : message_.body.capacity();
+}
+
+auto RequestReader::bodyMemory() const -> std::size_t
 {
     const auto announced = Base::content_length();
-    return announced ? static_cast<std::size_t>(*announced) : message_.body.size();
+    return std::max(announced ? static_cast<std::size_t>(*announced) : 0, bodyCapacity());
+}
+
+auto RequestReader::reserveBody() -> void
+{
+    if (const auto announced = Base::content_length())
+        message_.body.reserve(static_cast<std::size_t>(*announced));
 }
 
 auto RequestReader::take() -> RequestMessage
@@ -248,6 +266,7 @@
     const auto isChunked = message_.headers.find("Transfer-Encoding") != nullptr;
     if (hasLength && isChunked)
         error = http::error::bad_transfer_encoding;
+    headMemory_ = message_.headers.memory() + message_.target.capacity();
 }
 
 auto RequestReader::on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
--- a/src/gateway/status.h
+++ b/src/gateway/status.h
@@ -4,9 +4,12 @@
 namespace applehatch::gateway {
 
 inline constexpr int firstServerError = 500;
+inline constexpr int badRequest = 400;
 inline constexpr int requestTimeout = 408;
+inline constexpr int bodyTooLarge = 413;
 inline constexpr int misdirected = 421;
 inline constexpr int tooManyRequests = 429;
+inline constexpr int headerTooLarge = 431;
 inline constexpr int unavailable = 503;
 inline constexpr int firstSuccess = 200;
 inline constexpr int firstRedirect = 300;
--- a/test/gateway/memory-test.cc
+++ b/test/gateway/memory-test.cc
@@ -155,8 +155,7 @@
 }
 
 // Guards against callers that announce large bodies, send nothing of them, and so keep others out.
-BOOST_AUTO_TEST_CASE(
-    a_request_that_finds_no_room_is_refused_within_seconds_and_small_ones_are_served)
+BOOST_AUTO_TEST_CASE(requests_that_stand_still_give_way_to_large_and_small_ones_that_go_on)
 {
     asio::io_context loop{1};
     ScriptedUpstream upstream(loop, "one", answersWith("taken"));
@@ -174,9 +173,43 @@
     auto small = gateway.caller();
     small.send(testing::requestText("/once/a", "small"));
     BOOST_TEST(small.receives("taken"));
+    BOOST_TEST(runUntil(
+        loop, [&] { return large.received.find("taken") != std::string::npos; }, 5000ms));
+    BOOST_TEST(upstream.requests().size() == 2U);
+    // Only as many as was needed, the first that came first.
+    BOOST_TEST(idle.front().received.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(idle.back().received.empty());
+    BOOST_TEST(runUntil(loop, [&] {
+        return scrape(loop, gateway).find("event=\"request-gave-way\"") != std::string::npos;
+    }));
+}
+
+// Guards against a request that waits for room until its caller has given up.
+BOOST_AUTO_TEST_CASE(a_request_that_finds_no_room_is_refused_within_seconds)
+{
+    asio::io_context loop{1};
+    ScriptedUpstream upstream(loop, "one", [](auto &connection, const std::string &request) {
+        if (headerOf(request, "Request-Id") == "small")
+            connection.send(plainAnswer(request, "taken"));
+    });
+    SmallGateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    // These are whole, and the upstream takes its time.
+    std::list<Caller> served;
+    for (std::size_t bytes = 0; bytes + 2 * mebibyte <= maxKept; bytes += 2 * mebibyte) {
+        served.emplace_back(loop, gateway.settings.callers);
+        served.back().sendLarge(testing::requestText("/once/a", "r" + std::to_string(bytes), {},
+                                                     std::string(mebibyte, 'b')));
+    }
+    BOOST_TEST(runUntil(loop, [&] { return upstream.requests().size() == served.size(); }));
+    auto large = gateway.caller();
+    large.sendLarge(testing::requestText("/once/a", "large", {}, std::string(mebibyte, 'b')));
+    auto small = gateway.caller();
+    small.send(testing::requestText("/once/a", "small"));
+    BOOST_TEST(small.receives("taken"));
     BOOST_TEST(runUntil(
         loop, [&] { return large.received.starts_with("HTTP/1.1 503"); }, 5000ms));
-    BOOST_TEST(upstream.requests().size() == 1U);
+    BOOST_TEST(upstream.requests().size() == served.size() + 1);
 }
 
 // Guards against a request that waits for room that there will never be.
