Heads, and what comes behind a request that is answered, count as requests do

What callers saw: 400 heads of thousands of fields, 16 KB of wire each, took a gateway told 64 MB to 104 MiB, to 90 while they were served; 3,500 heads without an end to 81; 1,200 slow requests with 80 KB behind each to 122.

Cause: only bodies counted. A field of four bytes is two strings of 32; up to 96 KB were read behind a request; a request was kept until its answer came, although it could not be sent again.

Why this works: what a request takes beside its body counts from 4 KB on (any connection takes as much), with the capacity of its buffers, and the same rules say who gives way; of small ones only beyond a quarter over the limit. While an answer is awaited a read brings 4 KB and a second one is not made; what came before that counts as a request of its own that can stand still: if others need the room it is dropped and the connection closed behind the answer. Once its last attempt is sent a request's head and body are dropped, and its share is that of the text until the kernel has it.

Found on the way: with what lay behind counted as a part of the request in flight the largest request got 503 for as long as the slow ones ran.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -101,12 +101,19 @@
     /// Takes room for what has come of the request, and what that announces; then takes the
     /// request if it is whole.
     auto goOn() -> void;
+    /// Bytes that the head and what is not parsed yet take in memory.
+    [[nodiscard]] auto memoryBesideBody() const -> std::size_t;
     /// Waits for more of a body.
     auto awaitBody() -> void;
     /// Stops reading until there is room, and refuses the request if there is none for long.
     auto awaitRoom() -> void;
     /// Goes on once there is room.
     auto takeRoom() -> void;
+    /// Goes on counting what came behind a request that is complete and gives up `kept`.
+    auto countPending(ByteShare &kept) -> void;
+    /// Drops what came behind the request that is being answered, since others need the room. The
+    /// connection is closed behind the answer.
+    auto dropPending() -> void;
     /// Drops what has come of a request.
     auto stopReading() -> void;
     auto refuse(int status) -> void;
@@ -136,6 +143,7 @@
     State state_ = State::Reading;
     std::optional<RequestReader> reader_;
     std::optional<RequestMemory::Reading> reading_;
+    std::optional<RequestMemory::Reading> pending_; // Of `input_` while a request is answered.
     core::Instant roomAwaitedSince_;
     Duration roomWaited_{0}; // By the current request, before `roomAwaitedSince_`.
     std::string input_;      // Unparsed bytes, including those received during an answer.
@@ -143,6 +151,7 @@
     bool isHead_ = false;           // The current request is a HEAD, whose answer has no body.
     bool sendsBody_ = true;         // The current answer has a body.
     bool requestBegun_ = false;     // Bytes of the next request have arrived.
+    bool isPendingDropped_ = false; // No further request is read.
     bool isRoomAwaited_ = false;    // Reading has stopped since there is no room.
     bool isWhole_ = false;          // The request has come, and may still wait for room.
     bool isBodyAwaited_ = false;    // Since its last part came.
--- a/include/applehatch/gateway/channel.h
+++ b/include/applehatch/gateway/channel.h
@@ -49,6 +49,9 @@
 
     using Socket = boost::asio::ip::tcp::socket;
 
+    /// Most bytes of one read; an event of a stream is a few hundred bytes.
+    static constexpr std::size_t maxReadBytes = 32768;
+
     explicit Channel(Socket socket);
     ~Channel();
     Channel(const Channel &) = delete;
@@ -67,6 +70,8 @@
     [[nodiscard]] auto unsent() const -> std::size_t { return out_.size(); }
     /// Stops or resumes reading, so that a slow receiver slows down a fast sender.
     auto setPaused(bool paused) -> void;
+    /// Sets how many bytes one read brings at most, up to `maxReadBytes`.
+    auto setMaxRead(std::size_t bytes) -> void { maxRead_ = bytes; }
     /// Sends the queued bytes, then shuts down sending and waits for the peer to close.
     auto close() -> void;
     /// Closes the socket; the kernel still delivers what it has.
@@ -103,6 +108,7 @@
     Hooks hooks_;
     std::string in_;
     std::string out_;
+    std::size_t maxRead_ = maxReadBytes;
     ByteShare outKept_; // What `out_` takes of a budget.
     State state_ = State::Open;
     bool reading_ = false;
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -216,7 +216,11 @@
     auto answerAfterLastAttempt() -> void;
     auto useConnection(const UpstreamConnectionPtr &connection) -> void;
     auto sendRequest() -> void;
-    [[nodiscard]] auto upstreamText() const -> std::string;
+    [[nodiscard]] auto upstreamText() -> std::string;
+    /// Whether the route allows no attempt beyond those that were sent.
+    [[nodiscard]] auto isLastAttempt() const -> bool { return sent_ >= permit_.route->attempts; }
+    /// Drops what is not sent again. Returns the share of what is still to be sent.
+    [[nodiscard]] auto dropRequest(std::size_t sentBytes) -> ByteShare;
     auto onHead(ResponseHead &head) -> void;
     auto onBody(std::string_view bytes) -> void;
     auto onDone() -> void;
--- a/include/applehatch/gateway/upstream-connection.h
+++ b/include/applehatch/gateway/upstream-connection.h
@@ -32,6 +32,7 @@
     std::string idHeader; ///< Header that responses echo; empty to skip the check.
     std::string id;
     bool isHead = false; ///< The request is a `HEAD`, whose response has no body.
+    ByteShare kept = {}; ///< Counts the text until it is sent.
 };
 
 /// Ends with an error when an upstream sends bytes without end that are no answer: interim answers,
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -134,11 +134,12 @@
         return;
     }
     // A caller that was not told of the close may have sent its next request already.
-    if (isCloseAnnounced_)
+    if (isCloseAnnounced_ || isPendingDropped_)
         return closeInOrder();
     state_ = State::Reading;
     isUsed_ = true;
     idleSince_ = telemetry::steadyNow();
+    channel_->setMaxRead(Channel::maxReadBytes);
     channel_->setPaused(false);
     awaitRequest();
     shrinkIfEmpty(input_);
--- a/src/gateway/caller-reading.cc
+++ b/src/gateway/caller-reading.cc
@@ -5,14 +5,18 @@
 
 #include "applehatch/telemetry/clock.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace applehatch::gateway {
 
 namespace {
 
-// Reading stops when a caller sends more than this before its answer is complete.
-constexpr std::size_t maxPendingBytes = 65536;
+// Reading stops when a caller sends more than this before its answer is complete; one read brings
+// no more meanwhile.
+constexpr std::size_t maxPendingBytes = 4096;
+// What a request takes beside its body counts from here on; any connection takes as much.
+constexpr std::size_t freeBytes = 4096;
 // A request that finds no room waits this long at most, all its parts together.
 constexpr Duration maxRoomWait = std::chrono::seconds(1);
 // A body is kept until its request is answered, and a second time until the upstream has taken it.
@@ -37,7 +41,13 @@
 {
     if (reading_)
         reading_->noteReceived(bytes.size());
-    input_ += std::exchange(bytes, {});
+    if (isPendingDropped_)
+        bytes.clear();
+    if (input_.empty())
+        input_.swap(bytes);
+    else
+        input_ += bytes;
+    bytes.clear();
     if (state_ == State::Reading)
         return read();
     if (state_ == State::Ended)
@@ -55,6 +65,7 @@
         return;
     const auto bodyBefore = reader_->receivedBody();
     const auto result = reader_->feed(input_);
+    shrinkIfEmpty(input_);
     if (result == ReadState::Failed)
         return refuse(statusOf(reader_->fault()));
     isWhole_ = result == ReadState::Done;
@@ -68,7 +79,8 @@
 {
     const auto limits = hooks_.limits();
     requestBegun_ = true;
-    isHead_ = false; // Not known yet; the request may be refused before it is.
+    pending_.reset(); // Counts as a part of the request from here on.
+    isHead_ = false;  // Not known yet; the request may be refused before it is.
     isContinueSent_ = false;
     isBodyAwaited_ = false;
     roomWaited_ = Duration(0);
@@ -88,12 +100,19 @@
                  [self = shared_from_this()] { self->refuse(requestTimeout); });
 }
 
+auto CallerConnection::memoryBesideBody() const -> std::size_t
+{
+    const auto bytes = input_.capacity() + reader_->headMemory();
+    return bytes > freeBytes ? bytes : 0;
+}
+
 auto CallerConnection::goOn() -> void
 {
-    const auto wanted = bodyCopies * reader_->bodyMemory();
-    if (!reading_->canEverHold(wanted))
+    const auto beside = memoryBesideBody();
+    const auto wanted = beside + bodyCopies * reader_->bodyMemory();
+    if (!reading_->canEverHold(wanted - beside))
         return refuse(bodyTooLarge);
-    if (!reading_->hold(wanted, reader_->bodyCapacity()))
+    if (!reading_->hold(wanted, beside + reader_->bodyCapacity()))
         return awaitRoom();
     if (isWhole_)
         return takeRequest();
@@ -142,12 +161,41 @@
     auto message = reader_->take();
     message.kept = reading_->take();
     stopReading();
+    countPending(message.kept);
+    channel_->setMaxRead(maxPendingBytes);
+    if (input_.size() > maxPendingBytes)
+        channel_->setPaused(true);
     isHead_ = message.method == "HEAD";
     if (!message.keepAlive)
         closeAfterAnswer_ = true;
     hooks_.request(shared_from_this(), std::move(message));
 }
 
+auto CallerConnection::countPending(ByteShare &kept) -> void
+{
+    const auto bytes = input_.capacity();
+    if (bytes <= freeBytes)
+        return;
+    kept.resize(kept.bytes() - std::min(kept.bytes(), bytes));
+    RequestMemory::Hooks hooks;
+    hooks.granted = [] {};
+    hooks.giveWay = [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->dropPending();
+    };
+    pending_.emplace(*hooks_.requests, std::move(hooks));
+    if (!pending_->hold(bytes, bytes))
+        dropPending();
+}
+
+auto CallerConnection::dropPending() -> void
+{
+    pending_.reset();
+    std::string().swap(input_);
+    isPendingDropped_ = true;
+    closeAfterAnswer_ = true;
+}
+
 auto CallerConnection::stopReading() -> void
 {
     roomTimer_.stop();
@@ -155,6 +203,7 @@
     requestBegun_ = false;
     reader_.reset();
     reading_.reset();
+    pending_.reset();
 }
 
 } // namespace applehatch::gateway
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -17,8 +17,6 @@
 
 namespace {
 
-// Maximum bytes per read; an event of a stream is a few hundred bytes.
-constexpr std::size_t maxReadBytes = 32768;
 constexpr int maxMissedProbes = 2;
 // Received bytes that are dropped when a connection is closed at once; far more than one request.
 constexpr int maxDroppedReads = 64;
@@ -81,9 +79,9 @@
 
 auto Channel::readAvailable() -> void
 {
-    static thread_local std::array<char, maxReadBytes> buffer;
+    static thread_local std::array<char, Channel::maxReadBytes> buffer;
     error_code error;
-    const auto count = socket_.read_some(asio::buffer(buffer), error);
+    const auto count = socket_.read_some(asio::buffer(buffer.data(), maxRead_), error);
     if (error == asio::error::would_block || error == asio::error::try_again)
         return waitReadable();
     if (error)
@@ -201,7 +199,7 @@
 
 auto Channel::dropReceived() -> void
 {
-    static thread_local std::array<char, maxReadBytes> buffer;
+    static thread_local std::array<char, Channel::maxReadBytes> buffer;
     error_code error;
     // A peer that goes on sending is reset in the end.
     for (int reads = 0; reads < maxDroppedReads && !error; ++reads)
--- a/src/gateway/exchange-attempts.cc
+++ b/src/gateway/exchange-attempts.cc
@@ -144,14 +144,25 @@
     hooks.done = [self] { self->onDone(); };
     hooks.failed = [self](const std::string &why) { self->onFailed(why); };
     WireRequest wire;
+    wire.isHead = request_.method == "HEAD";
     wire.text = upstreamText();
+    if (isLastAttempt())
+        wire.kept = dropRequest(wire.text.size());
     wire.idHeader = id_.empty() ? std::string() : environment_.vocabulary->requestId;
     wire.id = id_;
-    wire.isHead = request_.method == "HEAD";
     startSilenceTimer();
     attempt_.connection->send(std::move(wire), std::move(hooks));
 }
 
+auto Exchange::dropRequest(std::size_t sentBytes) -> ByteShare
+{
+    request_.headers = {};
+    std::string().swap(request_.body);
+    auto kept = std::move(request_.kept);
+    kept.resize(std::min(kept.bytes(), sentBytes));
+    return kept;
+}
+
 auto Exchange::startSilenceTimer() -> void
 {
     if (!mayRepeat())
--- a/src/gateway/forwarded-message.cc
+++ b/src/gateway/forwarded-message.cc
@@ -46,7 +46,7 @@
     return forwarded;
 }
 
-auto Exchange::upstreamText() const -> std::string
+auto Exchange::upstreamText() -> std::string
 {
     const auto &vocabulary = *environment_.vocabulary;
     auto dropped = hopByHopHeaders(request_.headers, vocabulary.endToEnd);
@@ -62,7 +62,7 @@
     RequestMessage forwarded;
     forwarded.method = request_.method;
     forwarded.target = request_.target;
-    forwarded.body = request_.body;
+    forwarded.body = isLastAttempt() ? std::move(request_.body) : request_.body;
     forwarded.headers = headersWithout(request_.headers, dropped);
     forwarded.headers.add(vocabulary.deadline, millisecondsText(timeLeft()));
     forwarded.headers.add(vocabulary.expectInstance, attempt_.choice.upstream.instance);
--- a/src/gateway/request-memory.cc
+++ b/src/gateway/request-memory.cc
@@ -39,7 +39,8 @@
     /// Grants room to those who wait, in the order of their beginnings, as far as there is any.
     auto grantWaiting() -> void;
     /// Lets requests that stand still give way until `isDone`, the one that does so longest first.
-    auto dropStill(const std::function<bool()> &isDone) -> void;
+    /// Only such that hold more than `leastBytes`.
+    auto dropStill(std::size_t leastBytes, const std::function<bool()> &isDone) -> void;
     auto grant(Reading &reading) -> bool;
     auto giveWay(Reading &reading) -> void;
     /// Refuses the youngest of those who wait while what all hold is far beyond the limit.
@@ -104,7 +105,9 @@
     if (budget == nullptr)
         return;
     if (isOver())
-        dropStill([this] { return !isOver(); });
+        dropStill(ByteBudget::smallBytes, [this] { return !isOver(); });
+    if (isFarOver())
+        dropStill(0, [this] { return !isFarOver(); });
     grantWaiting();
     if (isFarOver())
         shedWaiting();
@@ -140,7 +143,7 @@
 auto RequestMemory::State::grant(Reading &reading) -> bool
 {
     if (!reading.fits())
-        dropStill([&reading] { return reading.fits(); });
+        dropStill(ByteBudget::smallBytes, [&reading] { return reading.fits(); });
     if (!reading.fits())
         return false;
     reading.noteGranted();
@@ -149,13 +152,13 @@
     return true;
 }
 
-auto RequestMemory::State::dropStill(const std::function<bool()> &isDone) -> void
+auto RequestMemory::State::dropStill(std::size_t leastBytes, const std::function<bool()> &isDone)
+    -> void
 {
     const auto latest = telemetry::steadyNow() - stillTime;
     std::vector<Reading *> still;
     for (auto *each : readings) {
-        if (!each->isWaiting_ && each->progressAt_ <= latest
-            && each->kept_.bytes() > ByteBudget::smallBytes)
+        if (!each->isWaiting_ && each->progressAt_ <= latest && each->kept_.bytes() > leastBytes)
             still.push_back(each);
     }
     std::stable_sort(still.begin(), still.end(), [](const Reading *a, const Reading *b) {
--- a/src/gateway/upstream-connection.cc
+++ b/src/gateway/upstream-connection.cc
@@ -63,7 +63,7 @@
         });
         return;
     }
-    channel_->writeWhole(std::exchange(request_.text, {}));
+    channel_->writeWhole(std::exchange(request_.text, {}), std::move(request_.kept));
 }
 
 auto UpstreamConnection::beginAnswer() -> void
