An answer is sent before the next request of its connection is begun; what is unsent counts

What callers saw: 20 clients that sent 150 small requests each on one connection and read none of their answers of 100 KB took a gateway told 64 MB to 253 MiB.

Cause: the next request was begun as soon as the last answer was written, sent or not, and answers up to 128 KiB never waited. Unsent parts of streams were bounded each, not together; what was sent was cut from the front of the buffer, moving all the rest each time.

Why this works: while anything of an answer is unsent, no further request of its connection is read; a client that takes nothing of it for the idle time is closed. What is unsent counts among the answers with the capacity of its buffer, and while answers leave no room a stream with anything unsent pauses. Progress (4 KB, half a second) is one class for requests and answers. A buffer drops what was sent once that is most of it.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -28,6 +28,8 @@
     std::function<direct::CallerLimits()> limits;
     /// What requests may take together. Required.
     RequestMemory *requests = nullptr;
+    /// What is buffered of answers may take together. Required.
+    ByteBudget *answers = nullptr;
 };
 
 /// Reads requests and writes their answers, one request at a time: the next one is parsed after the
@@ -49,8 +51,8 @@
 
     // A body is sent only where the request's method and the answer's status allow one.
 
-    /// Sends a complete answer. `kept` counts its body until all is sent.
-    auto answer(ResponseHead head, std::string_view body, ByteShare kept = {}) -> void;
+    /// Sends a complete answer.
+    auto answer(ResponseHead head, std::string_view body) -> void;
     /// Sends the head of an answer whose body follows through `send` and `end`.
     auto begin(ResponseHead head) -> void;
     auto send(std::string_view body) -> void;
@@ -85,6 +87,8 @@
         return isReading || state_ == State::Answering || channel_->unsent() > 0;
     }
     auto abort() -> void;
+    /// Since when the caller has taken nothing of what is unsent to it; none if all is sent.
+    [[nodiscard]] auto unreadSince() const -> std::optional<core::Instant>;
     /// Closes the connection at once; what the kernel has of an answer still reaches the caller.
     auto discard() -> void;
 
@@ -128,6 +132,10 @@
     /// Ends the connection unless it has unread bytes, which may be a new request.
     auto closeIdle() -> void;
     auto awaitRequest() -> void;
+    /// Begins no request before the answer to the last one is sent: a caller that goes on asking
+    /// and reads nothing would have its answers pile up.
+    auto awaitSent() -> void;
+    auto onSent() -> void;
     auto ended() -> void;
     /// Sets what follows from the request and the status: whether the connection is kept, and
     /// whether there is a body.
@@ -152,6 +160,7 @@
     bool sendsBody_ = true;         // The current answer has a body.
     bool requestBegun_ = false;     // Bytes of the next request have arrived.
     bool isPendingDropped_ = false; // No further request is read.
+    bool isSendingAwaited_ = false; // No request is read before the last answer is sent.
     bool isRoomAwaited_ = false;    // Reading has stopped since there is no room.
     bool isWhole_ = false;          // The request has come, and may still wait for room.
     bool isBodyAwaited_ = false;    // Since its last part came.
--- a/include/applehatch/gateway/channel.h
+++ b/include/applehatch/gateway/channel.h
@@ -3,6 +3,7 @@
 
 #include "applehatch/core/identity.h"
 #include "applehatch/gateway/byte-budget.h"
+#include "applehatch/gateway/progress.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -67,7 +68,11 @@
     /// the next read, at the cost of a system call.
     [[nodiscard]] auto isClosedByPeer() -> bool;
     /// Bytes written but not yet handed to the kernel.
-    [[nodiscard]] auto unsent() const -> std::size_t { return out_.size(); }
+    [[nodiscard]] auto unsent() const -> std::size_t { return out_.size() - sent_; }
+    /// Counts what is unsent in `share` from now on.
+    auto countUnsent(ByteShare share) -> void { unsentShare_ = std::move(share); }
+    /// When the peer last took bytes, or when those that are unsent were first written.
+    [[nodiscard]] auto takenAt() const -> core::Instant { return taken_.at(); }
     /// Stops or resumes reading, so that a slow receiver slows down a fast sender.
     auto setPaused(bool paused) -> void;
     /// Sets how many bytes one read brings at most, up to `maxReadBytes`.
@@ -95,6 +100,11 @@
     /// Drops received bytes: closing a socket with unread ones resets the connection.
     auto dropReceived() -> void;
     auto flush() -> void;
+    /// Counts what a write has left, the first since all was sent if `wasEmpty`.
+    auto noteUnsent(bool wasEmpty) -> void;
+    auto dropUnsent() -> void;
+    /// Drops from `out_` what was sent, once that is most of it: each time would move the rest.
+    auto dropSent() -> void;
     auto fail(boost::system::error_code error) -> void;
     auto failLater(boost::system::error_code error) -> void;
     [[nodiscard]] auto hasEnded() const -> bool
@@ -108,6 +118,9 @@
     Hooks hooks_;
     std::string in_;
     std::string out_;
+    std::size_t sent_ = 0; // Bytes at the front of `out_` that the kernel has.
+    Progress taken_;       // By the peer, of what was unsent.
+    ByteShare unsentShare_;
     std::size_t maxRead_ = maxReadBytes;
     ByteShare outKept_; // What `out_` takes of a budget.
     State state_ = State::Open;
--- a/include/applehatch/gateway/request-memory.h
+++ b/include/applehatch/gateway/request-memory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "applehatch/gateway/byte-budget.h"
+#include "applehatch/gateway/progress.h"
 #include "applehatch/gateway/timer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -24,10 +25,6 @@
 class RequestMemory
 {
 public:
-    /// A request that got no further than `progressBytes` for this long stands still.
-    static constexpr core::Duration stillTime = std::chrono::milliseconds(500);
-    static constexpr std::size_t progressBytes = 4096;
-
     struct Hooks
     {
         /// There is room now for what was asked for.
@@ -65,7 +62,7 @@
     auto operator=(const Reading &) -> Reading & = delete;
 
     /// Notes that so many bytes of the request have come.
-    auto noteReceived(std::size_t bytes) -> void;
+    auto noteReceived(std::size_t bytes) -> void { progress_.note(bytes); }
     /// Holds `bytes` in all from now on. Returns false if there is no room for them; `granted` or
     /// `giveWay` is called later then, by the event loop. Meanwhile it goes on holding `present`,
     /// which has come already.
@@ -79,7 +76,7 @@
     auto take() -> ByteShare { return std::move(kept_); }
     auto noteRefused() -> void { kept_.noteRefused(); }
     /// Time of the last progress; a request without any stands still since it began.
-    [[nodiscard]] auto progressAt() const -> core::Instant { return progressAt_; }
+    [[nodiscard]] auto progressAt() const -> core::Instant { return progress_.at(); }
 
 private:
     friend struct RequestMemory::State;
@@ -92,9 +89,8 @@
     std::shared_ptr<State> state_;
     Hooks hooks_;
     ByteShare kept_;
-    core::Instant progressAt_;
-    std::size_t received_ = 0; // Since `progressAt_`.
-    std::size_t wanted_ = 0;   // What it waits for; 0 if it does not wait.
+    Progress progress_;
+    std::size_t wanted_ = 0; // What it waits for; 0 if it does not wait.
     bool isWaiting_ = false;
     std::list<Reading *>::iterator place_;
 };
--- a/src/bench/caller-server-bench.cc
+++ b/src/bench/caller-server-bench.cc
@@ -90,6 +90,7 @@
     applehatch::gateway::RequestMemory requests(loop, std::numeric_limits<std::size_t>::max() / 2);
     CallerHooks hooks;
     hooks.requests = &requests;
+    hooks.answers = &requests.budget();
     hooks.limits = [] { return applehatch::direct::CallerLimits{}; };
     hooks.request = [](const CallerPtr &caller, const RequestMessage &) {
         ResponseHead head;
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -38,10 +38,8 @@
     Channel::Hooks hooks;
     hooks.data = [self](std::string &bytes) { self->takeBytes(bytes); };
     hooks.ended = [self](boost::system::error_code) { self->ended(); };
-    hooks.flushed = [self] {
-        if (self->flushed_)
-            self->flushed_();
-    };
+    hooks.flushed = [self] { self->onSent(); };
+    channel_->countUnsent(ByteShare(*hooks_.answers));
     awaitRequest();
     channel_->start(std::move(hooks), ChannelLimits{});
 }
@@ -69,7 +67,7 @@
     sendsBody_ = !isHead_ && core::allowsBody(head.status);
 }
 
-auto CallerConnection::answer(ResponseHead head, std::string_view body, ByteShare kept) -> void
+auto CallerConnection::answer(ResponseHead head, std::string_view body) -> void
 {
     if (state_ != State::Answering)
         return;
@@ -83,7 +81,7 @@
     auto text = headText(head);
     if (sendsBody_)
         text += body;
-    channel_->writeWhole(std::move(text), std::move(kept));
+    channel_->writeWhole(std::move(text));
     finishAnswer();
 }
 
@@ -139,6 +137,8 @@
     state_ = State::Reading;
     isUsed_ = true;
     idleSince_ = telemetry::steadyNow();
+    if (channel_->unsent() > 0)
+        return awaitSent();
     channel_->setMaxRead(Channel::maxReadBytes);
     channel_->setPaused(false);
     awaitRequest();
@@ -152,6 +152,25 @@
     });
 }
 
+auto CallerConnection::awaitSent() -> void
+{
+    isSendingAwaited_ = true;
+    const auto limit = hooks_.limits().idleTimeout;
+    timer_.start(limit, [self = shared_from_this(), limit] {
+        if (telemetry::steadyNow() - self->channel_->takenAt() >= limit)
+            return self->abort();
+        self->awaitSent();
+    });
+}
+
+auto CallerConnection::onSent() -> void
+{
+    if (flushed_)
+        flushed_();
+    if (std::exchange(isSendingAwaited_, false) && state_ == State::Reading)
+        finishAnswer();
+}
+
 auto CallerConnection::awaitRequest() -> void
 {
     timer_.start(hooks_.limits().idleTimeout + idleGrace,
@@ -166,7 +185,15 @@
 
 auto CallerConnection::isCongested() const -> bool
 {
-    return channel_->unsent() > congestionThreshold;
+    const auto unsent = channel_->unsent();
+    return unsent > congestionThreshold || (unsent > 0 && !hooks_.answers->hasRoom());
+}
+
+auto CallerConnection::unreadSince() const -> std::optional<core::Instant>
+{
+    if (channel_->unsent() == 0)
+        return std::nullopt;
+    return channel_->takenAt();
 }
 
 auto CallerConnection::closeIfIdle(Duration minQuiet) -> void
--- a/src/gateway/caller-reading.cc
+++ b/src/gateway/caller-reading.cc
@@ -48,7 +48,7 @@
     else
         input_ += bytes;
     bytes.clear();
-    if (state_ == State::Reading)
+    if (state_ == State::Reading && !isSendingAwaited_)
         return read();
     if (state_ == State::Ended)
         input_.clear();
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -98,9 +98,11 @@
 {
     if (state_ != State::Open)
         return;
+    const auto wasEmpty = out_.empty();
     out_ += bytes;
     if (!writing_)
         flush();
+    noteUnsent(wasEmpty);
 }
 
 auto Channel::writeWhole(std::string message, ByteShare kept) -> void
@@ -116,18 +118,34 @@
     out_ = std::move(message);
     if (!writing_)
         flush();
+    noteUnsent(true);
+}
+
+auto Channel::noteUnsent(bool wasEmpty) -> void
+{
+    if (out_.empty())
+        return;
+    if (wasEmpty)
+        taken_.restart();
+    unsentShare_.resize(out_.capacity());
 }
 
 auto Channel::flush() -> void
 {
     error_code error;
-    const auto count = socket_.write_some(asio::buffer(out_), error);
+    const auto count =
+        socket_.write_some(asio::buffer(out_.data() + sent_, out_.size() - sent_), error);
     if (error && error != asio::error::would_block && error != asio::error::try_again)
         return failLater(error);
-    out_.erase(0, error ? 0 : count);
+    if (!error) {
+        sent_ += count;
+        taken_.note(count);
+        dropSent();
+    }
     if (!out_.empty())
         return waitWritable();
     outKept_.release();
+    unsentShare_.release();
     shrinkIfEmpty(out_);
     if (state_ == State::Closing) {
         socket_.shutdown(Socket::shutdown_send, error);
@@ -137,6 +155,14 @@
         hooks_.flushed();
 }
 
+auto Channel::dropSent() -> void
+{
+    if (sent_ < out_.size() - sent_)
+        return;
+    out_.erase(0, sent_);
+    sent_ = 0;
+}
+
 auto Channel::waitWritable() -> void
 {
     writing_ = true;
@@ -228,8 +254,7 @@
 auto Channel::failLater(error_code error) -> void
 {
     state_ = State::Failed;
-    out_.clear();
-    outKept_.release();
+    dropUnsent();
     error_code ignored;
     socket_.close(ignored);
     asio::post(socket_.get_executor(), [self = shared_from_this(), error] { self->fail(error); });
@@ -239,11 +264,19 @@
 {
     state_ = State::Closed;
     dropHooks();
-    outKept_.release();
+    dropUnsent();
     error_code error;
     socket_.close(error);
 }
 
+auto Channel::dropUnsent() -> void
+{
+    std::string().swap(out_);
+    sent_ = 0;
+    outKept_.release();
+    unsentShare_.release();
+}
+
 auto Channel::dropHooks() -> void
 {
     // Destroyed later, since one of the hooks may be running and they keep this channel's owner
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -248,7 +248,7 @@
 {
     const auto head = *attempt_.head;
     const auto body = std::move(attempt_.bufferedBody);
-    auto kept = std::move(attempt_.kept);
+    const auto kept = std::move(attempt_.kept); // Until the connection counts it.
     const auto hasProof = head.headers.find(environment_.vocabulary->proof) != nullptr;
     if (attempt_.notRun) {
         noteOutcome(Outcome::Refused);
@@ -276,7 +276,7 @@
         return;
     report_.status = head.status;
     report_.firstByte = telemetry::steadyNow() - arrivedAt_;
-    caller_->answer(forwardedHead(head), body, std::move(kept));
+    caller_->answer(forwardedHead(head), body);
     finish("answered", "");
 }
 
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -160,8 +160,8 @@
     const auto limits = [this] { return callerLimits(); };
     const auto listen = [&](const Address &address, auto request,
                             std::optional<Duration> maxWait = std::nullopt) {
-        listeners_.emplace_back(loop_, CallerHooks{std::move(request), limits, &requests_},
-                                maxWait);
+        listeners_.emplace_back(
+            loop_, CallerHooks{std::move(request), limits, &requests_, &answers_}, maxWait);
         const auto error = listeners_.back().open(address);
         if (error)
             log(LogLine("listen-failed")
--- a/src/gateway/request-memory.cc
+++ b/src/gateway/request-memory.cc
@@ -155,14 +155,14 @@
 auto RequestMemory::State::dropStill(std::size_t leastBytes, const std::function<bool()> &isDone)
     -> void
 {
-    const auto latest = telemetry::steadyNow() - stillTime;
+    const auto latest = telemetry::steadyNow() - Progress::stillTime;
     std::vector<Reading *> still;
     for (auto *each : readings) {
-        if (!each->isWaiting_ && each->progressAt_ <= latest && each->kept_.bytes() > leastBytes)
+        if (!each->isWaiting_ && each->progressAt() <= latest && each->kept_.bytes() > leastBytes)
             still.push_back(each);
     }
     std::stable_sort(still.begin(), still.end(), [](const Reading *a, const Reading *b) {
-        return a->progressAt_ < b->progressAt_;
+        return a->progressAt() < b->progressAt();
     });
     for (auto *each : still) {
         if (isDone())
@@ -194,7 +194,6 @@
     : state_(memory.state_)
     , hooks_(std::move(hooks))
     , kept_(memory.budget_)
-    , progressAt_(telemetry::steadyNow())
     , place_(state_->readings.insert(state_->readings.end(), this))
 { }
 
@@ -205,15 +204,6 @@
     state_->readings.erase(place_);
 }
 
-auto RequestMemory::Reading::noteReceived(std::size_t bytes) -> void
-{
-    received_ += bytes;
-    if (received_ < progressBytes)
-        return;
-    received_ = 0;
-    progressAt_ = telemetry::steadyNow();
-}
-
 auto RequestMemory::Reading::fits() const -> bool
 {
     const auto *budget = state_->budget;
@@ -259,8 +249,7 @@
 {
     stopWaiting();
     kept_.resize(std::exchange(wanted_, 0));
-    progressAt_ = telemetry::steadyNow();
-    received_ = 0;
+    progress_.restart();
 }
 
 } // namespace applehatch::gateway
--- a/test/gateway/request-memory-test.cc
+++ b/test/gateway/request-memory-test.cc
@@ -54,8 +54,7 @@
     auto standStill() -> void
     {
         runFor(loop,
-               std::chrono::duration_cast<std::chrono::milliseconds>(RequestMemory::stillTime)
-                   + 100ms);
+               std::chrono::duration_cast<std::chrono::milliseconds>(Progress::stillTime) + 100ms);
     }
 };
 
@@ -89,7 +88,7 @@
     BOOST_TEST(still.hold(limit / 2));
     BOOST_TEST(active.hold(limit / 2));
     world.standStill();
-    active.reading->noteReceived(RequestMemory::progressBytes);
+    active.reading->noteReceived(Progress::minBytes);
     still.reading->noteReceived(1); // Too little to count as going on.
     Request next(world.memory);
     BOOST_TEST(!next.hold(limit / 2));
