Descriptors are kept for upstreams and peers; connections without a complete request give way, and such as do not read

What callers saw: 450 clients that say nothing, or send a byte of a body now and then, or do not read, before a gateway told 500 descriptors (300 for sockets): it held 472 to 495. Where the platform enforces the limit nobody else gets in, for as long as such clients like: each byte began the idle time anew.

Cause: nothing limited connections; the process did not know its descriptors.

Shares of it are kept for the peers', ready and metrics addresses and for the process, one each for open upstream connections; callers have the rest. When that is used up those give way that wait only for their client to close, then idle ones, then incomplete ones (503, not run) and such as take nothing of their answer, the longest first, none within 250 ms of its last use. If all are being served the new connection is closed unread, as it is when it waited too long. A request that finds no descriptor for its upstream gets 503 at once. While unsent answers leave no room, callers that took nothing for half a second are closed. One log line (`connections-short`) for each tenth of a second, three counters.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace applehatch::gateway {
 
@@ -87,6 +88,26 @@
         return isReading || state_ == State::Answering || channel_->unsent() > 0;
     }
     auto abort() -> void;
+    /// A connection that carries no complete request, and since when it has stood still. In order:
+    /// those that only wait for the caller to close, idle ones, all others; each the longest first.
+    struct Still
+    {
+        bool isClosing = false;
+        bool isBusy = false; ///< A request has begun, or an answer is not sent completely.
+        core::Instant since;
+
+        auto operator<(const Still &other) const -> bool
+        {
+            return std::tuple(!isClosing, isBusy, since)
+                < std::tuple(!other.isClosing, other.isBusy, other.since);
+        }
+    };
+    /// None while a request is being served.
+    [[nodiscard]] auto still() const -> std::optional<Still>;
+    /// Closes the connection at once since others need its descriptor. An incomplete request is
+    /// refused: it has not run.
+    auto giveWay() -> void;
+    [[nodiscard]] auto isClosed() const -> bool { return channel_->isClosed(); }
     /// Since when the caller has taken nothing of what is unsent to it; none if all is sent.
     [[nodiscard]] auto unreadSince() const -> std::optional<core::Instant>;
     /// Closes the connection at once; what the kernel has of an answer still reaches the caller.
--- a/include/applehatch/gateway/channel.h
+++ b/include/applehatch/gateway/channel.h
@@ -84,6 +84,8 @@
     /// Closes at once; the peer sees a reset.
     auto abort() -> void;
     [[nodiscard]] auto isOpen() const -> bool { return state_ == State::Open; }
+    /// Whether its descriptor is given back.
+    [[nodiscard]] auto isClosed() const -> bool { return hasEnded(); }
     [[nodiscard]] auto executor() -> Socket::executor_type { return socket_.get_executor(); }
 
 private:
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -48,6 +48,8 @@
     direct::Policies policies;
     /// Memory that the process may use, in bytes.
     std::size_t maxMemory = std::size_t{256} * 1024 * 1024;
+    /// Sockets that the process may have open.
+    std::size_t maxSockets = 3896;
 };
 
 /// Registry contents decoded into routing types.
@@ -194,6 +196,16 @@
     /// Logs whether messages leave room for others, each time that it changes, and how many were
     /// refused.
     auto noteMemory(MemoryState &state, ByteBudget &budget, std::size_t gaveWay) -> void;
+    /// Closes connections whose callers stand still and do not take their answers, as long as
+    /// these leave no room for others.
+    auto closeUnread(Instant now) -> void;
+    /// Sets how many connections each listener may have open.
+    auto limitConnections() -> void;
+    [[nodiscard]] auto maxCallerConnections() const -> std::size_t;
+    /// Whether a request that begins finds a descriptor for its upstream, which may be made.
+    [[nodiscard]] auto mayBegin() -> bool;
+    /// Logs how many connections were closed for others since the last call, if any.
+    auto noteGivenWay() -> void;
     auto continueStop(Instant now) -> void;
     /// Whether all that has come, read or not, is answered.
     [[nodiscard]] auto hasNothingToAnswer() -> bool;
@@ -235,8 +247,10 @@
     GatewayMetrics metrics_;
     PeerMesh mesh_;
     ExchangeEnvironment exchangeEnvironment_;
-    std::list<Listener> listeners_;
+    std::list<Listener> listeners_; // Of callers, readiness, peers and metrics, in this order.
     Listener *callers_ = nullptr;
+    std::size_t unbegun_ = 0;      // Requests refused for want of descriptors, since the last tick.
+    std::size_t closedUnread_ = 0; // Connections closed by `closeUnread`, since the last tick.
     Timer tick_;
     std::optional<Instant> tickDueAt_;
     /// A request received before the first configuration.
--- a/include/applehatch/gateway/listener.h
+++ b/include/applehatch/gateway/listener.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -47,9 +48,19 @@
     /// Refuses all requests of which only a part has come.
     auto refuseIncomplete() -> void;
     [[nodiscard]] auto connections() const -> std::size_t;
+    /// Number of connections, those included that have closed since the last sweep.
+    [[nodiscard]] auto size() const -> std::size_t { return connections_.size() + waiting_.size(); }
+    [[nodiscard]] auto openConnections() const -> std::vector<CallerPtr>;
     /// Number of connections on which a request has begun or an answer is not sent completely.
     [[nodiscard]] auto unfinished() const -> std::size_t;
     [[nodiscard]] auto port() const -> std::uint16_t;
+    /// Sets how many connections may be open at a time. Beyond that, those are closed that carry no
+    /// complete request and stand still.
+    auto limitConnections(std::function<std::size_t()> limit) -> void { limit_ = std::move(limit); }
+    /// Closes some connections for others. Returns false if none can be.
+    auto closeStill() -> bool;
+    /// Returns how many connections were closed for others since the last call.
+    [[nodiscard]] auto takeGivenWay() -> std::size_t;
     /// Removes the entries of closed connections.
     auto sweep() -> void;
     /// Returns the number of connections closed unread since the last call.
@@ -69,10 +80,12 @@
     /// Accepts all connections that the kernel holds, so that their waits are seen.
     auto acceptAll() -> void;
     auto add(boost::asio::ip::tcp::socket socket) -> void;
+    /// Whether there is room for a connection more, which may be made.
+    [[nodiscard]] auto mayAdd() -> bool;
+    [[nodiscard]] auto isFull() const -> bool;
     /// Begins to read the next connection when the loop has done what is ready now.
     auto scheduleNext() -> void;
     auto startNext() -> void;
-    [[nodiscard]] auto openConnections() const -> std::vector<CallerPtr>;
 
     boost::asio::io_context &loop_;
     boost::asio::ip::tcp::acceptor acceptor_;
@@ -82,7 +95,9 @@
     std::deque<Waiting> waiting_;
     core::Duration workTime_{0};
     std::optional<core::Instant> turnAt_; // When `workTime_` was set.
+    std::function<std::size_t()> limit_;  // Empty for none.
     std::size_t closedUnread_ = 0;
+    std::size_t gaveWay_ = 0;
     std::vector<std::weak_ptr<CallerConnection>> connections_;
     bool announcesClose_ = false;
     /// Expires with the listener, so that no callback outlives it.
--- a/include/applehatch/gateway/upstream-connection.h
+++ b/include/applehatch/gateway/upstream-connection.h
@@ -49,6 +49,8 @@
     explicit UpstreamConnection(Channel::Socket socket);
 
     auto start(ChannelLimits limits) -> void;
+    /// Holds `token` as long as the connection lives.
+    auto hold(std::shared_ptr<void> token) -> void { token_ = std::move(token); }
     /// Sends a request. The connection must be idle. No hook is called inside the call.
     auto send(WireRequest request, AnswerHooks hooks) -> void;
     auto setPaused(bool paused) -> void { channel_->setPaused(paused); }
@@ -72,6 +74,7 @@
     auto failWith(std::string why) -> void;
     auto noteKeepAlive(const HeaderList &headers) -> void;
 
+    std::shared_ptr<void> token_;
     std::shared_ptr<Channel> channel_;
     WireRequest request_;
     AnswerHooks hooks_;
--- a/include/applehatch/gateway/upstream-pool.h
+++ b/include/applehatch/gateway/upstream-pool.h
@@ -55,6 +55,13 @@
 
     /// Number of connection attempts since the start.
     [[nodiscard]] auto opened() const -> std::uint64_t { return opened_; }
+    /// Number of connections that are open, or being opened, idle or in use.
+    [[nodiscard]] auto open() const -> std::size_t
+    {
+        return static_cast<std::size_t>(open_.use_count()) - 1;
+    }
+    /// Closes all idle connections, since their descriptors are needed.
+    auto dropIdle() -> void;
 
 private:
     struct IdleConnection
@@ -70,6 +77,8 @@
     boost::asio::io_context &loop_;
     std::map<std::string, std::vector<IdleConnection>> idle_; // Most recently used last.
     std::uint64_t opened_ = 0;
+    /// Held by each connection, so that its uses tell how many there are.
+    std::shared_ptr<void> open_ = std::make_shared<bool>(true);
 };
 
 } // namespace applehatch::gateway
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -200,7 +200,7 @@
 {
     const auto quiet = telemetry::steadyNow() - idleSince_;
     const auto isNew = !isUsed_ && quiet < newConnectionTime;
-    if (isIdle() && !isNew && quiet >= minQuiet && !channel_->hasUnread())
+    if (isIdle() && input_.empty() && !isNew && quiet >= minQuiet && !channel_->hasUnread())
         closeInOrder();
 }
 
@@ -232,6 +232,29 @@
     });
 }
 
+auto CallerConnection::still() const -> std::optional<Still>
+{
+    if (const auto since = unreadSince())
+        return Still{false, true, *since};
+    if (state_ == State::Ended)
+        return Still{true, false, idleSince_};
+    if (state_ == State::Answering)
+        return std::nullopt;
+    if (requestBegun_)
+        return Still{false, true, reading_->progressAt()};
+    if (channel_->hasUnread())
+        return std::nullopt; // A request that is just coming.
+    return Still{false, false, idleSince_};
+}
+
+auto CallerConnection::giveWay() -> void
+{
+    if (channel_->unsent() > 0)
+        return abort();
+    refuseIncomplete();
+    discard();
+}
+
 auto CallerConnection::discard() -> void
 {
     const auto owesNothing = state_ == State::Ended || (isIdle() && !channel_->hasUnread());
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -196,6 +196,7 @@
                 answerMetrics(caller);
             }));
     }
+    limitConnections();
     mesh_.start();
     tick();
     log(LogLine("started").add("name", settings_.name).add("dataCenter", settings_.dataCenter));
@@ -209,6 +210,7 @@
     settings_.stopTimeout = settings.stopTimeout;
     settings_.maxPropagationTime = settings.maxPropagationTime;
     settings_.maxMemory = settings.maxMemory;
+    settings_.maxSockets = settings.maxSockets;
     requests_.budget().setLimit(messageBytes(settings_.maxMemory));
     answers_.setLimit(messageBytes(settings_.maxMemory));
     settings_.loadBound = settings.loadBound;
@@ -240,6 +242,10 @@
 
 auto GatewayHost::startExchange(const CallerPtr &caller, RequestMessage request) -> void
 {
+    if (!mayBegin()) {
+        ++unbegun_;
+        return answerText(caller, unavailable, "text/plain", "");
+    }
     const auto exchange =
         std::make_shared<Exchange>(exchangeEnvironment_, caller, std::move(request));
     exchanges_.emplace(exchange.get(), exchange);
@@ -369,7 +375,9 @@
     releaseEarly(now);
     for (auto &listener : listeners_)
         listener.sweep();
+    closeUnread(now);
     noteClosedUnread();
+    noteGivenWay();
     noteMemory(requestsState_, requests_.budget(), requests_.takeGivenWay());
     noteMemory(answersState_, answers_, 0);
     heap_.note(requests_.budget().kept() + answers_.kept(), settings_.maxMemory / trimShare);
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -21,6 +21,10 @@
 constexpr core::Duration maxTurn = std::chrono::milliseconds(30);
 // Delay after a failed accept, for example when no file descriptor is free.
 constexpr Duration pauseAfterFailure = std::chrono::milliseconds(20);
+// Of connections that give way, this share of all is closed at a time.
+constexpr std::size_t stillShare = 64;
+// A connection that was opened or used within this time is not closed for others.
+constexpr Duration minStillTime = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -91,8 +95,54 @@
     }
 }
 
+auto Listener::isFull() const -> bool
+{
+    return limit_ && size() >= limit_();
+}
+
+auto Listener::mayAdd() -> bool
+{
+    if (!isFull())
+        return true;
+    sweep();
+    if (!isFull())
+        return true;
+    const auto isMade = closeStill();
+    sweep();
+    return isMade;
+}
+
+auto Listener::closeStill() -> bool
+{
+    // Some at a time, since all connections are looked at.
+    const auto most = std::max<std::size_t>(1, connections_.size() / stillShare);
+    const auto latest = telemetry::steadyNow() - minStillTime;
+    std::vector<std::pair<CallerConnection::Still, CallerPtr>> still;
+    for (auto &connection : openConnections()) {
+        const auto state = connection->still();
+        if (state && (state->isClosing || state->since <= latest))
+            still.emplace_back(*state, std::move(connection));
+    }
+    const auto count = std::min(most, still.size());
+    std::partial_sort(still.begin(), still.begin() + static_cast<std::ptrdiff_t>(count),
+                      still.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
+    for (std::size_t i = 0; i < count; ++i)
+        still[i].second->giveWay();
+    gaveWay_ += count;
+    return count > 0;
+}
+
+auto Listener::takeGivenWay() -> std::size_t
+{
+    return std::exchange(gaveWay_, 0);
+}
+
 auto Listener::add(tcp::socket socket) -> void
 {
+    if (!mayAdd()) {
+        ++closedUnread_; // All others are being served.
+        return;
+    }
     waiting_.push_back({std::move(socket), workTime()});
     if (waiting_.size() == 1)
         scheduleNext();
@@ -207,7 +257,10 @@
 
 auto Listener::sweep() -> void
 {
-    std::erase_if(connections_, [](const auto &each) { return each.expired(); });
+    std::erase_if(connections_, [](const auto &each) {
+        const auto connection = each.lock();
+        return !connection || connection->isClosed();
+    });
 }
 
 } // namespace applehatch::gateway
--- a/src/gateway/upstream-pool.cc
+++ b/src/gateway/upstream-pool.cc
@@ -33,6 +33,7 @@
 
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
+    std::shared_ptr<void> token;
     bool settled = false;
 };
 
@@ -42,10 +43,7 @@
 
 UpstreamPool::~UpstreamPool()
 {
-    for (const auto &[key, idle] : idle_) {
-        for (const auto &each : idle)
-            each.connection->abort();
-    }
+    dropIdle();
 }
 
 auto UpstreamPool::takeIdle(const Address &address) -> UpstreamConnectionPtr
@@ -78,6 +76,7 @@
     if (error)
         return reportFailure(callback);
     ++opened_;
+    opening->token = open_;
     const ChannelLimits limits{unacknowledgedTimeout};
     setChannelOptions(opening->socket, limits);
     opening->timer.expires_after(connectTimeout);
@@ -96,6 +95,7 @@
                 return callback(nullptr);
             const auto connection =
                 std::make_shared<UpstreamConnection>(std::move(opening->socket));
+            connection->hold(std::move(opening->token));
             connection->start(limits);
             callback(connection);
         });
@@ -124,6 +124,14 @@
     idle_.erase(idle);
 }
 
+auto UpstreamPool::dropIdle() -> void
+{
+    for (const auto &[key, idle] : std::exchange(idle_, {})) {
+        for (const auto &each : idle)
+            each.connection->abort();
+    }
+}
+
 auto UpstreamPool::expire(Instant now) -> void
 {
     for (auto &[key, idle] : idle_) {
