Router: bodies are bounded in sum, those that stand still give way

Cause: each of up to 512 threads read up to 4 MB, and waited 30 s for a part.

Why this works: BodyMemory counts bodies, twice each, until their requests are answered, against `--body_memory_mb` (256; no single body meets it), and lets half of the threads read bodies. Whoever needs room or a place makes the body give way that stood still longest, half a second at least: its socket is closed for reading, so that its thread returns and answers 503, not run. Who finds none for a second in all gets 503 with a time to return.

Open: clients that say nothing hold a thread each until the read times out.

--- /dev/null
+++ b/include/applehatch/process/body-memory.h
@@ -0,0 +1,86 @@
+/// Memory and threads that bodies of requests may take while they are read.
+#pragma once
+
+#include "applehatch/core/identity.h"
+
+#include <condition_variable>
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <mutex>
+
+namespace applehatch::process {
+
+/// Bounds the bodies that a server reads and keeps. Thread-safe.
+///
+/// A body that stands still would keep its thread and its memory until the read times out. It gives
+/// way as soon as another body needs either, the one that stands still longest first.
+class BodyMemory
+{
+public:
+    /// A body that got no further for this long stands still.
+    static constexpr core::Duration stillTime = std::chrono::milliseconds(500);
+    /// Bytes that count as getting further.
+    static constexpr std::size_t progressBytes = 4096;
+    /// A body that finds no room waits this long at most, all its parts together.
+    static constexpr core::Duration maxWait = std::chrono::seconds(1);
+    /// A body up to this size needs no room.
+    static constexpr std::size_t smallBytes = std::size_t{16} * 1024;
+
+    /// At most `maxReading` bodies are read at a time.
+    BodyMemory(std::size_t limitBytes, std::size_t maxReading);
+    BodyMemory(const BodyMemory &) = delete;
+    auto operator=(const BodyMemory &) -> BodyMemory & = delete;
+
+    class Body;
+
+private:
+    /// Lets the body that stands still longest give way, if any does.
+    auto dropStill() -> void;
+
+    std::mutex mutex_; ///< Guards all that follows, and each `Body`. No lock is taken under it.
+    std::condition_variable freed_;
+    std::size_t limit_;
+    std::size_t maxReading_;
+    std::size_t kept_ = 0;
+    std::size_t reading_ = 0;
+    std::list<Body *> bodies_; ///< Those that are read.
+};
+
+/// One body, from its first byte until its request is answered. Used by one thread.
+class BodyMemory::Body
+{
+public:
+    /// `giveWay` ends the read that the body's thread waits in. It is called by other threads.
+    Body(BodyMemory &memory, std::function<void()> giveWay);
+    ~Body();
+    Body(const Body &) = delete;
+    auto operator=(const Body &) -> Body & = delete;
+
+    /// Keeps `bytes` in all from now on, and waits for room if there is none. Returns false if
+    /// there is none for long, or the body has given way.
+    [[nodiscard]] auto keep(std::size_t bytes) -> bool;
+    /// Notes that so many bytes have come.
+    auto noteReceived(std::size_t bytes) -> void;
+    /// The whole body has come, or nothing more will.
+    auto endReading() -> void;
+    [[nodiscard]] auto hasGivenWay() const -> bool;
+
+private:
+    friend class BodyMemory;
+
+    [[nodiscard]] auto fits(std::size_t bytes) const -> bool;
+    auto stopReading() -> void;
+
+    BodyMemory &memory_;
+    std::function<void()> giveWay_;
+    std::size_t kept_ = 0;
+    std::size_t received_ = 0; ///< Since `progressAt_`.
+    core::Instant progressAt_;
+    core::Duration waited_{0};
+    bool isReading_ = false;
+    bool isWaiting_ = false;
+    bool gaveWay_ = false;
+};
+
+} // namespace applehatch::process
--- a/include/applehatch/process/http-server.h
+++ b/include/applehatch/process/http-server.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "applehatch/core/message.h"
+#include "applehatch/process/body-memory.h"
 
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -19,6 +21,7 @@
     Complete,
     TooLarge,
     Incomplete, ///< The caller disconnected or the body cannot be read.
+    NoRoom,     ///< Other bodies take the memory or the threads.
 };
 
 /// One request and its answer. Used only by the thread that serves the request.
@@ -28,7 +31,8 @@
 class HttpExchange
 {
 public:
-    explicit HttpExchange(mg_connection *connection);
+    /// `bodies` bounds the bodies of all exchanges, and outlives this one.
+    HttpExchange(mg_connection *connection, BodyMemory &bodies);
 
     [[nodiscard]] auto method() const -> std::string_view;
     [[nodiscard]] auto path() const -> std::string_view;  ///< As sent, not decoded.
@@ -57,10 +61,17 @@
     /// Whether the request's method and the status allow a body.
     [[nodiscard]] auto sendsBody(int status) const -> bool;
 
+    /// Reads what the library hands over, as far as there is room.
+    [[nodiscard]] auto readParts(std::size_t limit, std::string &body) -> BodyRead;
+    /// Makes room in `body` for so many bytes. Returns false if there is none.
+    [[nodiscard]] auto makeRoom(std::string &body, std::size_t bytes) -> bool;
+
     mg_connection *connection_;
-    int socket_ = -1;       ///< Looked up on first use; owned by the library.
-    bool chunked_ = true;   ///< False for HTTP/1.0, which ends a body by closing.
-    bool sendsBody_ = true; ///< The stream that was begun has a body.
+    BodyMemory &bodies_;
+    std::optional<BodyMemory::Body> body_; ///< Kept until the request is answered.
+    int socket_ = -1;                      ///< Looked up on first use; owned by the library.
+    bool chunked_ = true;                  ///< False for HTTP/1.0, which ends a body by closing.
+    bool sendsBody_ = true;                ///< The stream that was begun has a body.
 };
 
 struct HttpServerOptions
@@ -68,6 +79,9 @@
     core::Address address; ///< Port 0 selects a free port.
     int threads = 4;       ///< Callers served at once; further callers wait.
     core::Duration ioTimeout = std::chrono::seconds(30); ///< For a stalled read or write.
+    /// Bytes that bodies of requests may take together, each counted twice. Half of the threads
+    /// read bodies, at most.
+    std::size_t bodyMemory = std::size_t{256} * 1024 * 1024;
 };
 
 /// HTTP server that calls a handler on a pool of threads, once per request.
--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -12,6 +12,7 @@
 #include <charconv>
 #include <limits>
 #include <poll.h>
+#include <sys/socket.h>
 #include <thread>
 #include <utility>
 
@@ -22,6 +23,8 @@
 constexpr int handled = 1; // Tells CivetWeb that the answer was sent.
 constexpr int hexBase = 16;
 constexpr std::size_t readBytes = 16384;
+// A body is kept until its request is answered, and once more while it is passed on.
+constexpr std::size_t bodyCopies = 2;
 
 auto headText(mg_connection *connection, int status, const core::Headers &headers) -> std::string
 {
@@ -33,6 +36,13 @@
     return text;
 }
 
+// Ends the read that another thread waits in; it can still write its answer.
+auto endReading(int socket) -> void
+{
+    if (socket >= 0)
+        ::shutdown(socket, SHUT_RD);
+}
+
 auto view(const char *text) -> std::string_view
 {
     return text == nullptr ? std::string_view() : std::string_view(text);
@@ -53,8 +63,9 @@
 
 } // namespace
 
-HttpExchange::HttpExchange(mg_connection *connection)
+HttpExchange::HttpExchange(mg_connection *connection, BodyMemory &bodies)
     : connection_(connection)
+    , bodies_(bodies)
 {
     chunked_ = view(mg_get_request_info(connection)->http_version) != "1.0";
 }
@@ -109,16 +120,44 @@
     const auto declaredLength = mg_get_request_info(connection_)->content_length;
     if (declaredLength >= 0 && static_cast<std::size_t>(declaredLength) > limit)
         return BodyRead::TooLarge;
+    const auto *info = mg_get_request_info(connection_);
+    body_.emplace(bodies_, [info] { endReading(findCallerSocket(*info)); });
+    const auto first = declaredLength > 0 ? static_cast<std::size_t>(declaredLength) : 0;
+    if (!makeRoom(body, first))
+        return BodyRead::NoRoom;
+    auto result = readParts(limit, body);
+    body_->endReading();
+    const auto isTruncated =
+        declaredLength >= 0 && body.size() != static_cast<std::size_t>(declaredLength);
+    if (result == BodyRead::Complete && isTruncated)
+        result = BodyRead::Incomplete;
+    // Whoever gave way sees its read end early.
+    return result != BodyRead::Complete && body_->hasGivenWay() ? BodyRead::NoRoom : result;
+}
+
+auto HttpExchange::makeRoom(std::string &body, std::size_t bytes) -> bool
+{
+    if (!body_->keep(bodyCopies * bytes))
+        return false;
+    body.reserve(bytes);
+    return true;
+}
+
+auto HttpExchange::readParts(std::size_t limit, std::string &body) -> BodyRead
+{
     std::array<char, readBytes> buffer{};
     int count = 0;
     while ((count = mg_read(connection_, buffer.data(), buffer.size())) > 0) {
-        body.append(buffer.data(), static_cast<std::size_t>(count));
-        if (body.size() > limit)
+        const auto part = static_cast<std::size_t>(count);
+        if (body.size() + part > limit)
             return BodyRead::TooLarge;
+        const auto isLarger = body.size() + part > body.capacity();
+        if (isLarger && !makeRoom(body, std::max(2 * body.capacity(), body.size() + part)))
+            return BodyRead::NoRoom;
+        body_->noteReceived(part);
+        body.append(buffer.data(), part);
     }
-    const auto isTruncated =
-        declaredLength >= 0 && body.size() != static_cast<std::size_t>(declaredLength);
-    return count < 0 || isTruncated ? BodyRead::Incomplete : BodyRead::Complete;
+    return count < 0 ? BodyRead::Incomplete : BodyRead::Complete;
 }
 
 auto HttpExchange::sendsBody(int status) const -> bool
@@ -171,6 +210,7 @@
 struct HttpServer::State
 {
     Handler handler;
+    std::optional<BodyMemory> bodies;
     mg_context *context = nullptr;
     std::atomic<std::uint64_t> begun{0};
     std::atomic<std::uint64_t> ended{0};
@@ -192,6 +232,7 @@
     using std::chrono::milliseconds;
     mg_init_library(0);
     state_->handler = std::move(handler);
+    state_->bodies.emplace(options.bodyMemory, static_cast<std::size_t>(options.threads) / 2);
     const auto ports = options.address.ip + ':' + std::to_string(options.address.port);
     const auto threads = std::to_string(options.threads);
     const auto timeout = std::to_string(std::chrono::ceil<milliseconds>(options.ioTimeout).count());
@@ -204,7 +245,7 @@
     mg_callbacks callbacks{};
     callbacks.begin_request = [](mg_connection *connection) -> int {
         auto *state = static_cast<State *>(mg_get_request_info(connection)->user_data);
-        HttpExchange exchange(connection);
+        HttpExchange exchange(connection, *state->bodies);
         ++state->begun;
         state->handler(exchange);
         ++state->ended;
--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -9,6 +9,10 @@
 
 DEFINE_string(placement, "default", "order of candidates, for experiments");
 DEFINE_int32(caller_threads, 512, "most callers served at once");
+DEFINE_int32(body_memory_mb, 256, "memory for bodies of requests, each counted twice, in MiB");
+
+// A single body of the largest size must find room.
+constexpr int minBodyMemoryMb = 16;
 
 namespace {
 
@@ -29,13 +33,17 @@
 auto run(const std::shared_ptr<const settings::ProcessFile> &file) -> process::ExitCode
 {
     const auto placement = placements().find(FLAGS_placement);
-    if (placement == placements().end() || FLAGS_caller_threads < 1) {
-        std::cerr << "applehatch-router: bad --placement or --caller_threads; see --help\n";
+    if (placement == placements().end() || FLAGS_caller_threads < 1
+        || FLAGS_body_memory_mb < minBodyMemoryMb) {
+        std::cerr << "applehatch-router: bad --placement, --caller_threads or --body_memory_mb; "
+                     "see --help\n";
         return process::ExitCode::Usage;
     }
     process::prepareSignals();
     telemetry::startLog();
-    router::RouterHost host({file, placement->second, FLAGS_caller_threads});
+    constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
+    router::RouterHost host({file, placement->second, FLAGS_caller_threads,
+                             static_cast<std::size_t>(FLAGS_body_memory_mb) * mebibyte});
     return process::runHost(host, *file);
 }
 
--- a/src/router/request-reader.cc
+++ b/src/router/request-reader.cc
@@ -22,6 +22,9 @@
 constexpr int largestPriority = 9;
 constexpr std::int64_t maxDeadlineMs = 86'400'000; // One day; each pool sets a lower limit.
 
+// Whoever stands still gives way within this time.
+constexpr core::Duration noRoomRetryAfter = std::chrono::seconds(1);
+
 struct CustomerName
 {
     std::string team;
@@ -91,6 +94,9 @@
     case BodyRead::TooLarge:
         return Failure{ErrorKind::BodyTooLarge, core::Run::NotRun,
                        "at most " + std::to_string(maxRequestBody) + " bytes", std::nullopt};
+    case BodyRead::NoRoom:
+        return Failure{ErrorKind::Overloaded, core::Run::NotRun, "no room for the body",
+                       noRoomRetryAfter};
     case BodyRead::Incomplete:
         break;
     }
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -61,6 +61,7 @@
     process::HttpServerOptions callers;
     callers.address = options_.file->callers;
     callers.threads = options_.callerThreads;
+    callers.bodyMemory = options_.bodyMemory;
     const auto serve = [this](process::HttpExchange &exchange) { serveCaller(exchange); };
     if (const auto error = server_.start(callers, serve, bound))
         return error;
--- a/test/gateway-clients/crowd.h
+++ b/test/gateway-clients/crowd.h
@@ -9,7 +9,6 @@
 #include <array>
 #include <chrono>
 #include <cstddef>
-#include <filesystem>
 #include <list>
 #include <memory>
 #include <string>
@@ -189,9 +188,7 @@
 
     [[nodiscard]] auto openDescriptors() -> std::size_t
     {
-        const auto entries =
-            std::filesystem::directory_iterator("/proc/" + std::to_string(gateway().id()) + "/fd");
-        return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+        return applehatch::testing::descriptorsOf(gateway().id());
     }
 
 private:
--- a/test/gateway-processes/plain-fleet.h
+++ b/test/gateway-processes/plain-fleet.h
@@ -2,36 +2,19 @@
 #pragma once
 
 #include "process-fleet.h"
+#include "process-memory.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <cstddef>
-#include <fstream>
 #include <list>
 #include <string>
 
 namespace applehatch::gateway::testing {
 
-/// AddressSanitizer keeps what was freed for a while, so that a process's memory tells nothing.
-#ifdef __SANITIZE_ADDRESS__
-inline constexpr bool isFreedAtOnce = false;
-#else
-inline constexpr bool isFreedAtOnce = true;
-#endif
-
-inline constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
-
-/// Memory of a process in bytes, by its name in the system's status file.
-inline auto memoryOf(pid_t process, const std::string &name) -> std::size_t
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/status");
-    std::string line;
-    while (std::getline(file, line)) {
-        if (line.starts_with(name + ':'))
-            return std::stoul(line.substr(line.find_first_of("0123456789"))) * 1024;
-    }
-    return 0;
-}
+using applehatch::testing::isFreedAtOnce;
+using applehatch::testing::mebibyte;
+using applehatch::testing::memoryOf;
 
 inline auto answerPlainly(ScriptedConnection &connection, const std::string &request) -> void
 {
