--- a/include/applehatch/gateway/request-memory.h
+++ b/include/applehatch/gateway/request-memory.h
@@ -19,9 +19,9 @@
 ///
 /// Whoever stands still gives way to whoever goes on: a client that stops short of the end of its
 /// request would otherwise keep others out for as long as it stays. Room is granted in the order in
-/// which requests began. What has come of those who wait counts, and is more than the limit beside
-/// others for a moment; the youngest that wait are refused then. So none waits for one that waits
-/// itself. A request that gives way has not run.
+/// which requests began, whatever those hold that wait: none waits for one that waits itself. What
+/// they hold may be a quarter beyond the limit; if it is more, the youngest that wait are refused.
+/// A request that gives way or is refused has not run.
 class RequestMemory
 {
 public:
--- a/test/gateway-clients/crowd.h
+++ b/test/gateway-clients/crowd.h
@@ -148,11 +148,16 @@
 
     /// So many clients come, and send while the loop runs.
     auto add(std::size_t clients, const Sending &sending) -> void
+    {
+        addAt(gateway().callers, clients, sending);
+    }
+    /// The same at another address of the gateway.
+    auto addAt(const core::Address &address, std::size_t clients, const Sending &sending) -> void
     {
         constexpr std::size_t atOnce = 50;
         for (std::size_t number = 1; number <= clients; ++number) {
             const auto client = std::make_shared<CrowdClient>(loop, sending);
-            if (client->start(gateway().callers))
+            if (client->start(address))
                 crowd_.push_back(client);
             if (number % atOnce == 0)
                 runFor(loop, 2ms);
--- a/test/gateway-clients/descriptors-test.cc
+++ b/test/gateway-clients/descriptors-test.cc
@@ -35,6 +35,15 @@
     fleet.playAndCheck();
 }
 
+// Guards against the same at the addresses for probes, peers and metrics.
+BOOST_AUTO_TEST_CASE(clients_that_say_nothing_at_other_addresses)
+{
+    CrowdedFleet fleet(fewDescriptors);
+    for (const std::uint16_t port : {8220, 7340, 9464})
+        fleet.addAt({fleet.gateway().callers.ip, port}, clients / 3, {sharedText("")});
+    fleet.playAndCheck();
+}
+
 // Guards against clients that take up connections with answers that they do not read.
 BOOST_AUTO_TEST_CASE(clients_that_do_not_read_their_answers)
 {
--- a/test/platform/decoder-test.cc
+++ b/test/platform/decoder-test.cc
@@ -261,6 +261,24 @@
     BOOST_TEST(!parse(R"("history-s": "20", )", problem));
 }
 
+// Guards against a limit that is misread, so that the process is ended for what it uses.
+BOOST_AUTO_TEST_CASE(the_limits_of_the_process_are_read)
+{
+    const auto parse = [](const std::string &limits, std::string &problem) {
+        auto text = settingsText;
+        text.insert(text.find('{') + 1, R"("limits": {)" + limits + "},");
+        return parseSettings(text, problem);
+    };
+    constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
+    std::string problem;
+    BOOST_TEST(parse("", problem)->gateway.maxSockets == 3896U);
+    BOOST_TEST(parse(R"("max-fds": 500)", problem)->gateway.maxSockets == 300U);
+    BOOST_TEST(parse(R"("memory-mb": 64)", problem)->gateway.maxMemory == 64 * mebibyte);
+    for (const auto *bad : {"263", "1e300", "-1", "\"500\"", "null"})
+        BOOST_TEST(!parse(R"("max-fds": )" + std::string(bad), problem), bad);
+    BOOST_TEST(!parse(R"("memory-mb": 0)", problem));
+}
+
 BOOST_AUTO_TEST_CASE(bad_settings_name_what_is_wrong)
 {
     std::string problem;
