The length of a body is asked for once its head is read

What callers saw: nothing in ordinary builds; in a sanitized build, whose library checks its assertions, a head that came in two pieces ended the gateway (`is_header_done()' failed`, signal 6), since the memory of a request is counted from its first byte now.

The test tells the end of the log of a process that ended.

--- a/include/applehatch/gateway/http-message.h
+++ b/include/applehatch/gateway/http-message.h
@@ -121,7 +121,7 @@
     [[nodiscard]] auto receivedBody() const -> std::size_t { return message_.body.size(); }
     /// Bytes that what has come of the body takes in memory.
     [[nodiscard]] auto bodyCapacity() const -> std::size_t;
-    /// The same with all that was announced.
+    /// The same with all that was announced; 0 until the head is read.
     [[nodiscard]] auto bodyMemory() const -> std::size_t;
     /// Bytes that the head takes in memory; 0 until it is read.
     [[nodiscard]] auto headMemory() const -> std::size_t { return headMemory_; }
--- a/src/gateway/http-message.cc
+++ b/src/gateway/http-message.cc
@@ -220,6 +220,8 @@
 
 auto RequestReader::bodyMemory() const -> std::size_t
 {
+    if (!headRead())
+        return 0;
     const auto announced = Base::content_length();
     return std::max(announced ? static_cast<std::size_t>(*announced) : 0, bodyCapacity());
 }
--- a/test/gateway-clients/crowd.h
+++ b/test/gateway-clients/crowd.h
@@ -199,7 +199,8 @@
 private:
     auto checkLimits(const std::string &when) -> void
     {
-        BOOST_REQUIRE_MESSAGE(gateway().isRunning(), "the process lives, " + when);
+        BOOST_REQUIRE_MESSAGE(gateway().isRunning(),
+                              "the process lives, " + when + ": " + gateway().logEnd());
         const auto peak = memoryOf(gateway().id(), "VmHWM");
         BOOST_TEST_MESSAGE(when << ": at most " << peak / mebibyte << " MiB, now "
                                 << memoryOf(gateway().id(), "VmRSS") / mebibyte << " MiB, "
--- a/test/gateway-processes/process-fleet.h
+++ b/test/gateway-processes/process-fleet.h
@@ -58,6 +58,13 @@
     {
         return process_->output().find(text) != std::string::npos;
     }
+    /// The end of its log, for whoever asks why it ended.
+    [[nodiscard]] auto logEnd() const -> std::string
+    {
+        constexpr std::size_t most = 3000;
+        const auto log = process_->output();
+        return log.substr(log.size() - std::min(log.size(), most));
+    }
     /// Whether one line has both texts, the second behind the first.
     [[nodiscard]] auto logsLine(const std::string &first, const std::string &second) const -> bool
     {
