One rule for the room of a message, one for progress; what a request waits for tells that it waits

The room that a message of usual size has stood in the budget and once more with the requests (`limitFor` now); progress stood in the gateway and once more in the server of the routers (`telemetry::Progress`); that a request waits was kept by its memory, a flag beside it and one of its connection. The help of `applehatch_kept_message_bytes` says what it counts now.

--- a/include/applehatch/gateway/byte-budget.h
+++ b/include/applehatch/gateway/byte-budget.h
@@ -26,6 +26,7 @@
     /// Messages up to this size may take a quarter more than the limit, so that those of usual size
     /// go on beside large ones.
     static constexpr std::size_t usualBytes = std::size_t{128} * 1024;
+    static constexpr std::size_t usualShare = 4; ///< One part in so many of the limit.
     /// A message that waits for room looks for it this often.
     static constexpr core::Duration checkInterval = std::chrono::milliseconds(20);
 
@@ -35,6 +36,11 @@
 
     auto setLimit(std::size_t limitBytes) -> void { state_->limit = limitBytes; }
     [[nodiscard]] auto limit() const -> std::size_t { return state_->limit; }
+    /// Returns what all may take together for a message of so many bytes to find room.
+    [[nodiscard]] auto limitFor(std::size_t bytes) const -> std::size_t
+    {
+        return state_->limitFor(bytes);
+    }
     [[nodiscard]] auto kept() const -> std::size_t { return state_->kept; }
     [[nodiscard]] auto hasRoom() const -> bool { return state_->kept < state_->limit; }
     /// Returns how many messages were refused for lack of room since the last call.
@@ -45,6 +51,11 @@
 
     struct State
     {
+        [[nodiscard]] auto limitFor(std::size_t bytes) const -> std::size_t
+        {
+            return bytes <= usualBytes ? limit + limit / usualShare : limit;
+        }
+
         std::size_t limit = 0;
         std::size_t kept = 0;
         std::size_t refused = 0;
--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -182,7 +182,6 @@
     bool requestBegun_ = false;     // Bytes of the next request have arrived.
     bool isPendingDropped_ = false; // No further request is read.
     bool isSendingAwaited_ = false; // No request is read before the last answer is sent.
-    bool isRoomAwaited_ = false;    // Reading has stopped since there is no room.
     bool isWhole_ = false;          // The request has come, and may still wait for room.
     bool isBodyAwaited_ = false;    // Since its last part came.
     bool isContinueSent_ = false;   // The caller was asked for the body.
--- a/include/applehatch/gateway/channel.h
+++ b/include/applehatch/gateway/channel.h
@@ -3,7 +3,7 @@
 
 #include "applehatch/core/identity.h"
 #include "applehatch/gateway/byte-budget.h"
-#include "applehatch/gateway/progress.h"
+#include "applehatch/telemetry/progress.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -120,8 +120,8 @@
     Hooks hooks_;
     std::string in_;
     std::string out_;
-    std::size_t sent_ = 0; // Bytes at the front of `out_` that the kernel has.
-    Progress taken_;       // By the peer, of what was unsent.
+    std::size_t sent_ = 0;      // Bytes at the front of `out_` that the kernel has.
+    telemetry::Progress taken_; // By the peer, of what was unsent.
     ByteShare unsentShare_;
     std::size_t maxRead_ = maxReadBytes;
     ByteShare outKept_; // What `out_` takes of a budget.
--- a/include/applehatch/gateway/request-memory.h
+++ b/include/applehatch/gateway/request-memory.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "applehatch/gateway/byte-budget.h"
-#include "applehatch/gateway/progress.h"
 #include "applehatch/gateway/timer.h"
+#include "applehatch/telemetry/progress.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -67,6 +67,8 @@
     /// `giveWay` is called later then, by the event loop. Meanwhile it goes on holding `present`,
     /// which has come already.
     [[nodiscard]] auto hold(std::size_t bytes, std::size_t present) -> bool;
+    /// Whether `hold` found no room, and neither hook was called since.
+    [[nodiscard]] auto isWaiting() const -> bool { return wanted_ > 0; }
     /// Whether `bytes` would find room if there were no other request.
     [[nodiscard]] auto canEverHold(std::size_t bytes) const -> bool
     {
@@ -81,17 +83,18 @@
 private:
     friend struct RequestMemory::State;
 
-    /// Whether there is room for what is wanted.
-    [[nodiscard]] auto fits() const -> bool;
-    auto stopWaiting() -> void;
+    /// Whether there is room for `bytes` in all.
+    [[nodiscard]] auto fits(std::size_t bytes) const -> bool;
+    auto startWaiting(std::size_t bytes, std::size_t present) -> void;
+    /// Returns what it waited for.
+    auto stopWaiting() -> std::size_t;
     auto noteGranted() -> void;
 
     std::shared_ptr<State> state_;
     Hooks hooks_;
     ByteShare kept_;
-    Progress progress_;
+    telemetry::Progress progress_;
     std::size_t wanted_ = 0; // What it waits for; 0 if it does not wait.
-    bool isWaiting_ = false;
     std::list<Reading *>::iterator place_;
 };
 
--- a/include/applehatch/process/body-memory.h
+++ b/include/applehatch/process/body-memory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "applehatch/core/identity.h"
+#include "applehatch/telemetry/progress.h"
 
 #include <condition_variable>
 #include <cstddef>
@@ -18,10 +19,6 @@
 class BodyMemory
 {
 public:
-    /// A body that got no further for this long stands still.
-    static constexpr core::Duration stillTime = std::chrono::milliseconds(500);
-    /// Bytes that count as getting further.
-    static constexpr std::size_t progressBytes = 4096;
     /// A body that finds no room waits this long at most, all its parts together.
     static constexpr core::Duration maxWait = std::chrono::seconds(1);
     /// A body up to this size needs no room.
@@ -75,8 +72,7 @@
     BodyMemory &memory_;
     std::function<void()> giveWay_;
     std::size_t kept_ = 0;
-    std::size_t received_ = 0; ///< Since `progressAt_`.
-    core::Instant progressAt_;
+    telemetry::Progress progress_;
     core::Duration waited_{0};
     bool isReading_ = false;
     bool isWaiting_ = false;
--- a/include/applehatch/telemetry/progress.h
+++ b/include/applehatch/telemetry/progress.h
@@ -5,7 +5,7 @@
 
 #include <cstddef>
 
-namespace applehatch::gateway {
+namespace applehatch::telemetry {
 
 /// Notes when bytes last made progress. A few now and then are none: they could keep a connection
 /// for ever.
@@ -19,7 +19,7 @@
 
     auto restart() -> void
     {
-        at_ = telemetry::steadyNow();
+        at_ = steadyNow();
         bytes_ = 0;
     }
     auto note(std::size_t bytes) -> void
@@ -31,8 +31,8 @@
     [[nodiscard]] auto at() const -> core::Instant { return at_; }
 
 private:
-    core::Instant at_ = telemetry::steadyNow();
+    core::Instant at_ = steadyNow();
     std::size_t bytes_ = 0; // Since `at_`.
 };
 
-} // namespace applehatch::gateway
+} // namespace applehatch::telemetry
--- a/src/gateway/byte-budget.cc
+++ b/src/gateway/byte-budget.cc
@@ -48,8 +48,7 @@
     const auto all = bytes_ + bytes;
     if (!budget_ || all <= ByteBudget::smallBytes)
         return true;
-    const auto extra = all <= ByteBudget::usualBytes ? budget_->limit / 4 : 0;
-    return budget_->kept + bytes <= budget_->limit + extra;
+    return budget_->kept + bytes <= budget_->limitFor(all);
 }
 
 auto ByteShare::canEverHold(std::size_t bytes) const -> bool
--- a/src/gateway/caller-reading.cc
+++ b/src/gateway/caller-reading.cc
@@ -61,7 +61,7 @@
     if (!requestBegun_ && !input_.empty())
         beginRequest();
     // What was on its way as reading stopped is read once there is room.
-    if (!requestBegun_ || isRoomAwaited_)
+    if (!requestBegun_ || reading_->isWaiting())
         return;
     const auto bodyBefore = reader_->receivedBody();
     const auto result = reader_->feed(input_);
@@ -134,7 +134,6 @@
 auto CallerConnection::awaitRoom() -> void
 {
     channel_->setPaused(true);
-    isRoomAwaited_ = true;
     roomAwaitedSince_ = telemetry::steadyNow();
     roomTimer_.start(maxRoomWait - roomWaited_, [self = shared_from_this()] {
         // Without a time to come back: another router may have room at once.
@@ -146,7 +145,6 @@
 auto CallerConnection::takeRoom() -> void
 {
     roomTimer_.stop();
-    isRoomAwaited_ = false;
     roomWaited_ += telemetry::steadyNow() - roomAwaitedSince_;
     channel_->setPaused(false);
     if (isWhole_)
@@ -199,7 +197,6 @@
 auto CallerConnection::stopReading() -> void
 {
     roomTimer_.stop();
-    isRoomAwaited_ = false;
     requestBegun_ = false;
     reader_.reset();
     reading_.reset();
--- a/src/gateway/gateway-metrics.cc
+++ b/src/gateway/gateway-metrics.cc
@@ -63,7 +63,8 @@
     add("applehatch_registry_behind_seconds",
         "For how long a peer has named a newer revision than the one known here.",
         std::move(gauges.registryBehindSeconds));
-    add("applehatch_kept_message_bytes", "Bytes kept of request bodies and buffered answers.",
+    add("applehatch_kept_message_bytes",
+        "Bytes kept of requests, and of answers that are buffered or not sent.",
         std::move(gauges.keptBytes));
 }
 
--- a/src/gateway/gateway-pressure.cc
+++ b/src/gateway/gateway-pressure.cc
@@ -69,7 +69,7 @@
     for (const auto &listener : listeners_) {
         for (auto &caller : listener.openConnections()) {
             const auto since = caller->unreadSince();
-            if (since && now - *since >= Progress::stillTime)
+            if (since && now - *since >= telemetry::Progress::stillTime)
                 unread.emplace_back(*since, std::move(caller));
         }
     }
--- a/src/gateway/request-memory.cc
+++ b/src/gateway/request-memory.cc
@@ -14,9 +14,6 @@
 
 namespace {
 
-// Requests of usual size, and what has come of those who wait, may take this share of the limit
-// beside it.
-constexpr std::size_t extraShare = 4;
 // The heap is trimmed when this share of the memory for requests was freed.
 constexpr std::size_t freedShare = 8;
 
@@ -43,12 +40,12 @@
     auto dropStill(std::size_t leastBytes, const std::function<bool()> &isDone) -> void;
     auto grant(Reading &reading) -> bool;
     auto giveWay(Reading &reading) -> void;
-    /// Refuses the youngest of those who wait while what all hold is far beyond the limit.
+    /// Refuses the youngest of those who wait while all hold more than those of usual size may.
     auto shedWaiting() -> void;
     [[nodiscard]] auto isOver() const -> bool { return budget->kept() > budget->limit(); }
     [[nodiscard]] auto isFarOver() const -> bool
     {
-        return budget->kept() > budget->limit() + budget->limit() / extraShare;
+        return budget->kept() > budget->limitFor(ByteBudget::usualBytes);
     }
 
     std::list<Reading *> readings; // In the order of their beginnings.
@@ -128,7 +125,7 @@
         const auto first =
             std::find_if(readings.begin(), readings.end(), [isUsualOnly](const Reading *each) {
                 const auto isUsual = each->wanted_ <= ByteBudget::usualBytes;
-                return each->isWaiting_ && (isUsual || !isUsualOnly);
+                return each->isWaiting() && (isUsual || !isUsualOnly);
             });
         if (first == readings.end())
             return;
@@ -142,9 +139,9 @@
 
 auto RequestMemory::State::grant(Reading &reading) -> bool
 {
-    if (!reading.fits())
-        dropStill(ByteBudget::smallBytes, [&reading] { return reading.fits(); });
-    if (!reading.fits())
+    if (!reading.fits(reading.wanted_))
+        dropStill(ByteBudget::smallBytes, [&reading] { return reading.fits(reading.wanted_); });
+    if (!reading.fits(reading.wanted_))
         return false;
     reading.noteGranted();
     const auto granted = reading.hooks_.granted;
@@ -155,10 +152,10 @@
 auto RequestMemory::State::dropStill(std::size_t leastBytes, const std::function<bool()> &isDone)
     -> void
 {
-    const auto latest = telemetry::steadyNow() - Progress::stillTime;
+    const auto latest = telemetry::steadyNow() - telemetry::Progress::stillTime;
     std::vector<Reading *> still;
     for (auto *each : readings) {
-        if (!each->isWaiting_ && each->progressAt() <= latest && each->kept_.bytes() > leastBytes)
+        if (!each->isWaiting() && each->progressAt() <= latest && each->kept_.bytes() > leastBytes)
             still.push_back(each);
     }
     std::stable_sort(still.begin(), still.end(), [](const Reading *a, const Reading *b) {
@@ -175,7 +172,7 @@
 {
     std::vector<Reading *> waiters;
     std::copy_if(readings.begin(), readings.end(), std::back_inserter(waiters),
-                 [](const Reading *each) { return each->isWaiting_; });
+                 [](const Reading *each) { return each->isWaiting(); });
     while (isFarOver() && !waiters.empty()) {
         giveWay(*waiters.back());
         waiters.pop_back();
@@ -199,56 +196,57 @@
 
 RequestMemory::Reading::~Reading()
 {
-    if (isWaiting_)
+    if (isWaiting())
         stopWaiting();
     state_->readings.erase(place_);
 }
 
-auto RequestMemory::Reading::fits() const -> bool
+auto RequestMemory::Reading::fits(std::size_t bytes) const -> bool
 {
     const auto *budget = state_->budget;
     const auto own = kept_.bytes();
-    if (budget == nullptr || wanted_ <= std::max(own, ByteBudget::smallBytes))
+    if (budget == nullptr || bytes <= std::max(own, ByteBudget::smallBytes))
         return true;
     // What others hold who wait is left out: they may wait for one another.
-    const auto ownElsewhere = isWaiting_ ? 0 : own;
+    const auto ownElsewhere = isWaiting() ? 0 : own;
     const auto byOthers = budget->kept() - state_->heldByWaiting - ownElsewhere;
-    const auto limit = budget->limit();
-    const auto extra = wanted_ <= ByteBudget::usualBytes ? limit / extraShare : 0;
-    return byOthers + wanted_ <= limit + extra;
+    return byOthers + bytes <= budget->limitFor(bytes);
 }
 
 auto RequestMemory::Reading::hold(std::size_t bytes, std::size_t present) -> bool
 {
-    wanted_ = bytes;
     // Those who wait come before others that want more, unless these are of usual size.
     const auto mayPass =
         state_->waiting == 0 || bytes <= std::max(kept_.bytes(), ByteBudget::usualBytes);
-    if (mayPass && fits()) {
-        kept_.resize(std::exchange(wanted_, 0));
-        if (state_->budget != nullptr && state_->isOver())
-            state_->settleNext();
-        return true;
+    if (!mayPass || !fits(bytes)) {
+        startWaiting(bytes, present);
+        return false;
     }
-    isWaiting_ = true;
+    kept_.resize(bytes);
+    if (state_->budget != nullptr && state_->isOver())
+        state_->settleNext();
+    return true;
+}
+
+auto RequestMemory::Reading::startWaiting(std::size_t bytes, std::size_t present) -> void
+{
+    wanted_ = bytes;
     ++state_->waiting;
     kept_.resize(std::max(kept_.bytes(), present));
     state_->heldByWaiting += kept_.bytes();
     state_->settleNext();
-    return false;
 }
 
-auto RequestMemory::Reading::stopWaiting() -> void
+auto RequestMemory::Reading::stopWaiting() -> std::size_t
 {
-    isWaiting_ = false;
     --state_->waiting;
     state_->heldByWaiting -= kept_.bytes();
+    return std::exchange(wanted_, 0);
 }
 
 auto RequestMemory::Reading::noteGranted() -> void
 {
-    stopWaiting();
-    kept_.resize(std::exchange(wanted_, 0));
+    kept_.resize(stopWaiting());
     progress_.restart();
 }
 
--- a/src/process/body-memory.cc
+++ b/src/process/body-memory.cc
@@ -21,11 +21,11 @@
 
 auto BodyMemory::dropStill() -> void
 {
-    const auto latest = telemetry::steadyNow() - stillTime;
+    const auto latest = telemetry::steadyNow() - telemetry::Progress::stillTime;
     Body *stillest = nullptr;
     for (auto *body : bodies_) {
-        const auto isStill = !body->isWaiting_ && !body->gaveWay_ && body->progressAt_ <= latest;
-        if (isStill && (stillest == nullptr || body->progressAt_ < stillest->progressAt_))
+        const auto isStill = !body->isWaiting_ && !body->gaveWay_ && body->progress_.at() <= latest;
+        if (isStill && (stillest == nullptr || body->progress_.at() < stillest->progress_.at()))
             stillest = body;
     }
     if (stillest == nullptr)
@@ -37,7 +37,6 @@
 BodyMemory::Body::Body(BodyMemory &memory, std::function<void()> giveWay)
     : memory_(memory)
     , giveWay_(std::move(giveWay))
-    , progressAt_(telemetry::steadyNow())
 { }
 
 BodyMemory::Body::~Body()
@@ -74,18 +73,14 @@
     }
     memory_.kept_ = memory_.kept_ - kept_ + bytes;
     kept_ = bytes;
-    progressAt_ = telemetry::steadyNow();
+    progress_.restart();
     return true;
 }
 
 auto BodyMemory::Body::noteReceived(std::size_t bytes) -> void
 {
     const std::lock_guard lock(memory_.mutex_);
-    received_ += bytes;
-    if (received_ < progressBytes)
-        return;
-    received_ = 0;
-    progressAt_ = telemetry::steadyNow();
+    progress_.note(bytes);
 }
 
 auto BodyMemory::Body::endReading() -> void
--- a/test/gateway/request-memory-test.cc
+++ b/test/gateway/request-memory-test.cc
@@ -11,6 +11,7 @@
 
 namespace {
 
+using namespace applehatch;
 using namespace applehatch::gateway;
 using namespace applehatch::gateway::testing;
 
@@ -54,7 +55,8 @@
     auto standStill() -> void
     {
         runFor(loop,
-               std::chrono::duration_cast<std::chrono::milliseconds>(Progress::stillTime) + 100ms);
+               std::chrono::duration_cast<std::chrono::milliseconds>(telemetry::Progress::stillTime)
+                   + 100ms);
     }
 };
 
@@ -88,7 +90,7 @@
     BOOST_TEST(still.hold(limit / 2));
     BOOST_TEST(active.hold(limit / 2));
     world.standStill();
-    active.reading->noteReceived(Progress::minBytes);
+    active.reading->noteReceived(telemetry::Progress::minBytes);
     still.reading->noteReceived(1); // Too little to count as going on.
     Request next(world.memory);
     BOOST_TEST(!next.hold(limit / 2));
