A head that names thousands of headers no longer holds the event loop

What callers saw: nothing yet; by reading.

Cause: each header was compared with each name that is dropped.

Why this works: the names are sorted once, shorter ones first, and looked up. The letters' case is that of ASCII, without the locale.

--- a/include/applehatch/gateway/http-message.h
+++ b/include/applehatch/gateway/http-message.h
@@ -40,6 +40,7 @@
 };
 
 [[nodiscard]] auto equalsIgnoringCase(std::string_view a, std::string_view b) -> bool;
+[[nodiscard]] auto lessIgnoringCase(std::string_view a, std::string_view b) -> bool;
 
 /// Names of the hop-by-hop headers: the standard ones and those listed in `Connection`.
 ///
--- a/src/gateway/forwarded-message.cc
+++ b/src/gateway/forwarded-message.cc
@@ -3,6 +3,7 @@
 #include "applehatch/gateway/exchange.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace applehatch::gateway {
 
@@ -22,13 +23,12 @@
 auto headersWithout(const HeaderList &headers, const std::vector<std::string> &dropped)
     -> HeaderList
 {
+    // Sorted, since a caller may list thousands of names beside thousands of headers.
+    std::vector<std::string_view> names(dropped.begin(), dropped.end());
+    std::sort(names.begin(), names.end(), lessIgnoringCase);
     HeaderList remaining;
     for (const auto &field : headers.fields()) {
-        const auto isDropped =
-            std::any_of(dropped.begin(), dropped.end(), [&field](const std::string &name) {
-                return equalsIgnoringCase(name, field.name);
-            });
-        if (!isDropped)
+        if (!std::binary_search(names.begin(), names.end(), field.name, lessIgnoringCase))
             remaining.add(field.name, field.value);
     }
     return remaining;
--- a/src/gateway/http-message.cc
+++ b/src/gateway/http-message.cc
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -32,7 +31,8 @@
 
 auto lower(char c) -> char
 {
-    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    constexpr char distance = 'a' - 'A';
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c + distance) : c;
 }
 
 auto text(boost::beast::string_view view) -> std::string_view
@@ -108,6 +108,16 @@
                       [](char left, char right) { return lower(left) == lower(right); });
 }
 
+auto lessIgnoringCase(std::string_view a, std::string_view b) -> bool
+{
+    // Shorter ones first, since most names differ in that.
+    if (a.size() != b.size())
+        return a.size() < b.size();
+    return std::lexicographical_compare(
+        a.begin(), a.end(), b.begin(), b.end(),
+        [](char left, char right) { return lower(left) < lower(right); });
+}
+
 auto HeaderList::add(std::string_view name, std::string_view value) -> void
 {
     fields_.push_back({std::string(name), std::string(value)});
