Threads of routers and admin addresses are kept free of clients that say nothing

What callers saw: 200 clients that say nothing, or half a head, before a router of 64 threads: an ordinary request had no answer after 10 s (each held a thread for the 30 s of the library). Twenty at an admin address, which has four threads: `/health/live` neither, at router and sidecar.

Cause: a connection takes a thread before anything of it has come, and only the time of a read ends that.

Why this works: once fewer than an eighth of the threads (one at least) are free, the longest waits for a head are ended, none noticed less than half a second ago: the socket is shut down, so that the thread returns; nothing was read. The library does not tell at its beginning whose head a thread waits for (`mg_get_request_info` is null there); they are looked for among the sockets of the server's port, without those whose request is served, and only while threads are short. No more are ended than threads wait, so that who lies in the library's queue stays. Heads, bodies that gave way and bodies refused are counted, with one log line a second (`callers-gave-way`).

--- a/include/applehatch/process/body-memory.h
+++ b/include/applehatch/process/body-memory.h
@@ -6,12 +6,21 @@
 
 #include <condition_variable>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <mutex>
 
 namespace applehatch::process {
 
+/// Requests that were refused, and connections that were closed, for the sake of others.
+struct GivenWay
+{
+    std::uint64_t bodies = 0;  ///< Stood still while others needed their room or thread.
+    std::uint64_t refused = 0; ///< Found no room for their body.
+    std::uint64_t heads = 0;   ///< Held a thread, and their head had not come.
+};
+
 /// Bounds the bodies that a server reads and keeps. Thread-safe.
 ///
 /// A body that stands still would keep its thread and its memory until the read times out. It gives
@@ -31,6 +40,9 @@
 
     class Body;
 
+    /// Returns what gave way, or was refused, since the last call.
+    [[nodiscard]] auto takeGivenWay() -> GivenWay;
+
 private:
     /// Lets the body that stands still longest give way, if any does.
     auto dropStill() -> void;
@@ -42,6 +54,7 @@
     std::size_t kept_ = 0;
     std::size_t reading_ = 0;
     std::list<Body *> bodies_; ///< Those that are read.
+    GivenWay gaveWay_;
 };
 
 /// One body, from its first byte until its request is answered. Used by one thread.
--- a/include/applehatch/process/http-server.h
+++ b/include/applehatch/process/http-server.h
@@ -102,6 +102,9 @@
     [[nodiscard]] auto start(const HttpServerOptions &options, Handler handler,
                              core::Address &bound) -> std::error_code;
 
+    /// Returns what gave way to others since the last call.
+    [[nodiscard]] auto takeGivenWay() -> GivenWay;
+
     /// Waits until no request came or ran for `quiet`, at most for `limit`. What the library has
     /// accepted and not read would otherwise be reset as the server ends.
     auto awaitQuiet(core::Duration quiet, core::Duration limit) -> void;
--- a/src/process/body-memory.cc
+++ b/src/process/body-memory.cc
@@ -19,6 +19,12 @@
     , maxReading_(std::max<std::size_t>(1, maxReading))
 { }
 
+auto BodyMemory::takeGivenWay() -> GivenWay
+{
+    const std::lock_guard lock(mutex_);
+    return std::exchange(gaveWay_, {});
+}
+
 auto BodyMemory::dropStill() -> void
 {
     const auto latest = telemetry::steadyNow() - telemetry::Progress::stillTime;
@@ -31,6 +37,7 @@
     if (stillest == nullptr)
         return;
     stillest->gaveWay_ = true;
+    ++gaveWay_.bodies;
     stillest->giveWay_();
 }
 
@@ -65,8 +72,12 @@
         waited_ += telemetry::steadyNow() - since;
     }
     isWaiting_ = false;
-    if (gaveWay_ || !fits(bytes))
+    if (gaveWay_)
         return false;
+    if (!fits(bytes)) {
+        ++memory_.gaveWay_.refused;
+        return false;
+    }
     if (!std::exchange(isReading_, true)) {
         ++memory_.reading_;
         memory_.bodies_.push_back(this);
--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -1,6 +1,9 @@
 #include "applehatch/process/http-server.h"
 
 #include "applehatch/core/http-status.h"
+#include "applehatch/process/awaited-heads.h"
+#include "applehatch/process/periodic.h"
+#include "applehatch/telemetry/clock.h"
 
 #include "caller-socket.h"
 
@@ -25,6 +28,9 @@
 constexpr std::size_t readBytes = 16384;
 // A body is kept until its request is answered, and once more while it is passed on.
 constexpr std::size_t bodyCopies = 2;
+// One thread in so many is kept free of connections whose head has not come, and one at least.
+constexpr std::size_t spareShare = 8;
+constexpr core::Duration keeperInterval = std::chrono::milliseconds(100);
 
 auto headText(mg_connection *connection, int status, const core::Headers &headers) -> std::string
 {
@@ -209,19 +215,52 @@
 
 struct HttpServer::State
 {
+    [[nodiscard]] static auto of(const mg_connection *connection) -> State &
+    {
+        return *static_cast<State *>(mg_get_user_data(mg_get_context(connection)));
+    }
+    /// The wait for the head of this connection is over, if it was not before.
+    auto endWait(const mg_connection *connection) -> void;
+    auto serve(mg_connection *connection) -> void;
+
     Handler handler;
+    std::size_t threads = 0;
     std::optional<BodyMemory> bodies;
+    AwaitedHeads heads;
+    std::optional<Periodic> keeper;
     mg_context *context = nullptr;
     std::atomic<std::uint64_t> begun{0};
     std::atomic<std::uint64_t> ended{0};
+    std::atomic<std::uint64_t> endedWaits{0};
 };
 
+auto HttpServer::State::endWait(const mg_connection *connection) -> void
+{
+    if (mg_get_user_connection_data(connection) == nullptr)
+        return;
+    mg_set_user_connection_data(connection, nullptr);
+    heads.end();
+}
+
+auto HttpServer::State::serve(mg_connection *connection) -> void
+{
+    const auto caller = callerName(*mg_get_request_info(connection));
+    heads.addServed(caller);
+    endWait(connection);
+    ++begun;
+    HttpExchange exchange(connection, *bodies);
+    handler(exchange);
+    ++ended;
+    heads.removeServed(caller);
+}
+
 HttpServer::HttpServer()
     : state_(std::make_unique<State>())
 { }
 
 HttpServer::~HttpServer()
 {
+    state_->keeper.reset();
     if (state_->context != nullptr)
         mg_stop(state_->context);
 }
@@ -232,7 +271,8 @@
     using std::chrono::milliseconds;
     mg_init_library(0);
     state_->handler = std::move(handler);
-    state_->bodies.emplace(options.bodyMemory, static_cast<std::size_t>(options.threads) / 2);
+    state_->threads = static_cast<std::size_t>(options.threads);
+    state_->bodies.emplace(options.bodyMemory, state_->threads / 2);
     const auto ports = options.address.ip + ':' + std::to_string(options.address.port);
     const auto threads = std::to_string(options.threads);
     const auto timeout = std::to_string(std::chrono::ceil<milliseconds>(options.ioTimeout).count());
@@ -243,12 +283,17 @@
         nullptr,
     };
     mg_callbacks callbacks{};
+    callbacks.init_connection = [](const mg_connection *connection, void **data) -> int {
+        auto &state = State::of(connection);
+        *data = &state; // Until the wait ends.
+        state.heads.begin();
+        return 0;
+    };
+    callbacks.connection_close = [](const mg_connection *connection) {
+        State::of(connection).endWait(connection);
+    };
     callbacks.begin_request = [](mg_connection *connection) -> int {
-        auto *state = static_cast<State *>(mg_get_request_info(connection)->user_data);
-        HttpExchange exchange(connection, *state->bodies);
-        ++state->begun;
-        state->handler(exchange);
-        ++state->ended;
+        State::of(connection).serve(connection);
         return handled;
     };
     callbacks.log_message = [](const mg_connection *, const char *) -> int { return handled; };
@@ -259,9 +304,21 @@
     if (mg_get_server_ports(state_->context, port.size(), port.data()) < 1)
         return std::make_error_code(std::errc::address_not_available);
     bound = {options.address.ip, static_cast<std::uint16_t>(port[0].port)};
+    state_->heads.setPort(bound.port);
+    state_->keeper.emplace(keeperInterval, [state = state_.get()] {
+        const auto spare = std::max<std::size_t>(1, state->threads / spareShare);
+        state->endedWaits += state->heads.keepFree(spare, state->threads);
+    });
     return {};
 }
 
+auto HttpServer::takeGivenWay() -> GivenWay
+{
+    auto gaveWay = state_->bodies ? state_->bodies->takeGivenWay() : GivenWay{};
+    gaveWay.heads = state_->endedWaits.exchange(0);
+    return gaveWay;
+}
+
 auto HttpServer::awaitQuiet(core::Duration quiet, core::Duration limit) -> void
 {
     constexpr core::Duration interval = std::chrono::milliseconds(10);
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr core::Duration tickInterval = std::chrono::milliseconds(50);
+// What gave way is told this often, however many clients there are.
+constexpr core::Duration crowdInterval = std::chrono::seconds(1);
 
 auto identityOf(const settings::ProcessFile &file) -> core::RouterIdentity
 {
@@ -68,9 +70,32 @@
     feed_.start();
     // Runs on the loop's thread, so that timeouts are checked only after received data was read.
     loop_.every(tickInterval, [this] { node_.handle(core::Tick{}); });
+    loop_.every(crowdInterval, [this] { noteGivenWay(); });
     return {};
 }
 
+auto RouterHost::noteGivenWay() -> void
+{
+    const auto gaveWay = server_.takeGivenWay();
+    if (gaveWay.heads + gaveWay.bodies + gaveWay.refused == 0)
+        return;
+    const auto count = [this](const char *kind, std::uint64_t number) {
+        metrics_
+            .counter({"applehatch_callers_gave_way_total", "Callers that gave way to others."},
+                     {{"kind", kind}})
+            .Increment(static_cast<double>(number));
+    };
+    count("head", gaveWay.heads);
+    count("body", gaveWay.bodies);
+    count("refused", gaveWay.refused);
+    telemetry::writeLog(telemetry::LogLevel::Warning,
+                        core::LogLine("callers-gave-way")
+                            .add("heads", static_cast<std::int64_t>(gaveWay.heads))
+                            .add("bodies", static_cast<std::int64_t>(gaveWay.bodies))
+                            .add("refused", static_cast<std::int64_t>(gaveWay.refused))
+                            .text());
+}
+
 auto RouterHost::requestDrain() -> void
 {
     node_.handle(core::DrainRequested{});
--- a/src/router/router-host.h
+++ b/src/router/router-host.h
@@ -77,6 +77,8 @@
     auto onHeartbeat(wire::LinkId link, core::UpstreamId upstream, const core::Heartbeat &heartbeat)
         -> bool;
     auto addMetrics() -> void;
+    /// Logs and counts callers that gave way since the last call, if any.
+    auto noteGivenWay() -> void;
 
     auto serveCaller(process::HttpExchange &exchange) -> void;
     template <typename Event>
