A link brings little before its peer has requested it

Cause: whoever connects could begin a message of 16 MiB; the connection is closed only after the second in which a link must be requested.

Why this works: until a link is requested a connection brings 64 KB at most, far more than the two calls that request one; then it ends. A peer sends messages only once its link was answered, so none of a peer's is refused.

Evidence: router-clients/sidecar, messages_that_stop_short red before (468 MiB of 192), green now (10); links that say nothing and bytes that are no message were green and stay. wire-tests and router-clients/silent green.

--- a/src/wire/connection.cc
+++ b/src/wire/connection.cc
@@ -96,8 +96,8 @@
     , traffic_(traffic)
     , limits_(limits)
     , accepted_(accepted)
-    , stream_(kj::mv(stream))
-    , network_(*stream_,
+    , stream_(kj::mv(stream), [this] { return !awaitsLinkRequest(); })
+    , network_(stream_,
                accepted ? capnp::rpc::twoparty::Side::SERVER : capnp::rpc::twoparty::Side::CLIENT,
                readLimits())
     , taskErrors_(kj::heap<TaskErrors>([this] { breakOff(); }))
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "applehatch/wire/link-loop.h"
+
 #include "generated/applehatch.capnp.h"
+#include "greeting-stream.h"
 
 #include <capnp/rpc-twoparty.h>
 #include <chrono>
@@ -90,7 +92,7 @@
     std::chrono::steady_clock::time_point sentAt_;                     ///< Last batch.
     bool flushPlanned_ = false;
 
-    kj::Own<kj::AsyncIoStream> stream_;
+    GreetingStream stream_;
     capnp::TwoPartyVatNetwork network_;
     kj::Maybe<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> rpc_;
     kj::Maybe<schema::Link::Client> peer_;
