Names: what does not read is told from what was closed unread; a pool counts its connections

`closeUnread` closed connections whose clients do not read, `closedUnread` counts connections closed before anything of them was read: two things under one word. `UpstreamPool::open()` was a number, not an act; `goOn` said nothing of what it does. No behaviour changes.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -123,9 +123,9 @@
     auto takeBytes(std::string &bytes) -> void;
     auto read() -> void;
     auto beginRequest() -> void;
-    /// Takes room for what has come of the request, and what that announces; then takes the
-    /// request if it is whole.
-    auto goOn() -> void;
+    /// Takes room for what has come of the request, and what that announces. Then takes the request
+    /// if it is whole, and waits for more if it is not.
+    auto holdRequest() -> void;
     /// Bytes that the head and what is not parsed yet take in memory.
     [[nodiscard]] auto memoryBesideBody() const -> std::size_t;
     /// Waits for more of a body.
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -198,7 +198,7 @@
     auto noteMemory(MemoryState &state, ByteBudget &budget, std::size_t gaveWay) -> void;
     /// Closes connections whose callers stand still and do not take their answers, as long as
     /// these leave no room for others.
-    auto closeUnread(Instant now) -> void;
+    auto closeNotReading(Instant now) -> void;
     /// Sets how many connections each listener may have open.
     auto limitConnections() -> void;
     [[nodiscard]] auto maxCallerConnections() const -> std::size_t;
@@ -249,8 +249,8 @@
     ExchangeEnvironment exchangeEnvironment_;
     std::list<Listener> listeners_; // Of callers, readiness, peers and metrics, in this order.
     Listener *callers_ = nullptr;
-    std::size_t unbegun_ = 0;      // Requests refused for want of descriptors, since the last tick.
-    std::size_t closedUnread_ = 0; // Connections closed by `closeUnread`, since the last tick.
+    std::size_t unbegun_ = 0;    // Requests refused for want of descriptors, since the last tick.
+    std::size_t notReading_ = 0; // Connections closed by `closeNotReading`, since the last tick.
     Timer tick_;
     std::optional<Instant> tickDueAt_;
     /// A request received before the first configuration.
--- a/include/applehatch/gateway/upstream-pool.h
+++ b/include/applehatch/gateway/upstream-pool.h
@@ -56,9 +56,9 @@
     /// Number of connection attempts since the start.
     [[nodiscard]] auto opened() const -> std::uint64_t { return opened_; }
     /// Number of connections that are open, or being opened, idle or in use.
-    [[nodiscard]] auto open() const -> std::size_t
+    [[nodiscard]] auto connections() const -> std::size_t
     {
-        return static_cast<std::size_t>(open_.use_count()) - 1;
+        return static_cast<std::size_t>(token_.use_count()) - 1;
     }
     /// Closes all idle connections, since their descriptors are needed.
     auto dropIdle() -> void;
@@ -78,7 +78,7 @@
     std::map<std::string, std::vector<IdleConnection>> idle_; // Most recently used last.
     std::uint64_t opened_ = 0;
     /// Held by each connection, so that its uses tell how many there are.
-    std::shared_ptr<void> open_ = std::make_shared<bool>(true);
+    std::shared_ptr<void> token_ = std::make_shared<bool>(true);
 };
 
 } // namespace applehatch::gateway
--- a/src/gateway/caller-reading.cc
+++ b/src/gateway/caller-reading.cc
@@ -72,7 +72,7 @@
     // What frames the body is no progress: it could trickle in without end.
     if (reader_->receivedBody() != bodyBefore)
         isBodyAwaited_ = false;
-    goOn();
+    holdRequest();
 }
 
 auto CallerConnection::beginRequest() -> void
@@ -106,7 +106,7 @@
     return bytes > freeBytes ? bytes : 0;
 }
 
-auto CallerConnection::goOn() -> void
+auto CallerConnection::holdRequest() -> void
 {
     const auto beside = memoryBesideBody();
     const auto wanted = beside + bodyCopies * reader_->bodyMemory();
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -375,7 +375,7 @@
     releaseEarly(now);
     for (auto &listener : listeners_)
         listener.sweep();
-    closeUnread(now);
+    closeNotReading(now);
     noteClosedUnread();
     noteGivenWay();
     noteMemory(requestsState_, requests_.budget(), requests_.takeGivenWay());
--- a/src/gateway/gateway-pressure.cc
+++ b/src/gateway/gateway-pressure.cc
@@ -47,8 +47,8 @@
 auto GatewayHost::maxCallerConnections() const -> std::size_t
 {
     const auto sockets = settings_.maxSockets;
-    const auto taken =
-        shareOf(sockets, peerShare) + 2 * shareOf(sockets, probeShare) + ownSockets + pool_.open();
+    const auto taken = shareOf(sockets, peerShare) + 2 * shareOf(sockets, probeShare) + ownSockets
+        + pool_.connections();
     return std::max(minConnections, sockets - std::min(taken, sockets));
 }
 
@@ -61,7 +61,7 @@
     return callers_->size() <= maxCallerConnections() || callers_->closeStill();
 }
 
-auto GatewayHost::closeUnread(Instant now) -> void
+auto GatewayHost::closeNotReading(Instant now) -> void
 {
     if (answers_.hasRoom())
         return;
@@ -79,7 +79,7 @@
         if (answers_.hasRoom())
             return;
         caller->abort();
-        ++closedUnread_;
+        ++notReading_;
     }
 }
 
@@ -89,7 +89,7 @@
     for (auto &listener : listeners_)
         gaveWay += listener.takeGivenWay();
     const auto unbegun = std::exchange(unbegun_, 0);
-    const auto unread = std::exchange(closedUnread_, 0);
+    const auto unread = std::exchange(notReading_, 0);
     if (gaveWay + unbegun + unread == 0)
         return;
     metrics_.noteEvent("connection-gave-way", gaveWay);
@@ -100,7 +100,7 @@
             .add("refused", static_cast<std::int64_t>(unbegun))
             .add("notRead", static_cast<std::int64_t>(unread))
             .add("callers", static_cast<std::int64_t>(callers_->connections()))
-            .add("upstreams", static_cast<std::int64_t>(pool_.open()))
+            .add("upstreams", static_cast<std::int64_t>(pool_.connections()))
             .add("sockets", static_cast<std::int64_t>(settings_.maxSockets)),
         LogLevel::Warning);
 }
--- a/src/gateway/upstream-pool.cc
+++ b/src/gateway/upstream-pool.cc
@@ -76,7 +76,7 @@
     if (error)
         return reportFailure(callback);
     ++opened_;
-    opening->token = open_;
+    opening->token = token_;
     const ChannelLimits limits{unacknowledgedTimeout};
     setChannelOptions(opening->socket, limits);
     opening->timer.expires_after(connectTimeout);
