A sidecar answers what lies unread in its links before it exits

What callers saw: of 200 jobs sent while a sidecar was held up, those routed to it were told 502 `run: unknown` when it was asked to stop at that moment: their callers may not send them again, although none had run.

Cause: the node is drained as soon as nothing that was read is in flight; the link loop reads what came meanwhile at the same time, in another thread. When that thread is late the loop stops first: a trial's log has `drained` and `stopped` 300 ms before 108 lines `refuse ... cause=leaving`, whose messages were never sent. A router's further messages wait until the first are answered, so more than the kernel holds is lost.

Why this works: before it ends, a drained sidecar waits until no message has come and none is left to send for 100 ms, for a second at most, counted by timers of the loop, which fire after all sockets were polled: time in which the loop did not run does not count. The node refuses what is read until then. The router waits likewise for its callers; both use the same two times.

--- a/include/applehatch/process/drain.h
+++ b/include/applehatch/process/drain.h
@@ -8,6 +8,11 @@
 
 namespace applehatch::process {
 
+/// A drained process answers what still lies unread in its sockets: it ends once nothing has come
+/// for `unreadQuiet`, after `unreadLimit` at the latest.
+inline constexpr core::Duration unreadQuiet = std::chrono::milliseconds(100);
+inline constexpr core::Duration unreadLimit = std::chrono::seconds(1);
+
 /// Lets the main thread wait for a stop request and for the drain that follows. Thread-safe.
 class Drain
 {
--- a/include/applehatch/wire/link-loop.h
+++ b/include/applehatch/wire/link-loop.h
@@ -91,6 +91,11 @@
     /// Closes a link without `onDown`. Thread-safe.
     auto close(LinkId link) -> void;
 
+    /// Waits until, for `quiet`, no link brought a message and nothing was left to send, `limit` at
+    /// most; both count the time in which the loop ran. What peers have sent before a stop is
+    /// answered by then. Must not be called from a hook or after `stop`.
+    auto awaitQuiet(core::Duration quiet, core::Duration limit) -> void;
+
     /// Closes every link without `onDown` and joins the thread; no hook is called afterwards.
     /// Messages queued before the call are still sent, for up to a second; later messages and links
     /// are dropped. Later calls do nothing; must not be called from a hook.
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -47,7 +47,7 @@
 // Stops the threads that call into members before any member is destroyed.
 RouterHost::~RouterHost()
 {
-    answerUnread();
+    server_.awaitQuiet(process::unreadQuiet, process::unreadLimit);
     waitForCallers();
     feed_.stop();
     loop_.stop();
@@ -101,13 +101,6 @@
     node_.handle(core::DrainRequested{});
 }
 
-auto RouterHost::answerUnread() -> void
-{
-    constexpr auto quiet = std::chrono::milliseconds(100);
-    constexpr auto limit = std::chrono::seconds(1);
-    server_.awaitQuiet(quiet, limit);
-}
-
 auto RouterHost::inFlight() const -> std::uint64_t
 {
     return node_.read([](const core::RouterNode &node) { return node.counts().inFlight; });
--- a/src/router/router-host.h
+++ b/src/router/router-host.h
@@ -85,8 +85,6 @@
     auto serveEvent(process::HttpExchange &exchange, const core::RequestId &request,
                     std::variant<Event, core::Failure> read) -> void;
     auto nextRequest() -> core::RequestId;
-    /// Refuses what lies unread in sockets, once all that was read is answered.
-    auto answerUnread() -> void;
     auto waitForCallers() -> void;
 
     RouterOptions options_;
--- a/src/sidecar/sidecar-host.cc
+++ b/src/sidecar/sidecar-host.cc
@@ -55,6 +55,9 @@
 // Stops the threads that call into members before any member is destroyed.
 SidecarHost::~SidecarHost()
 {
+    // The node refuses what is read now. Unread, it would leave routers unable to tell whether it
+    // ran.
+    loop_.awaitQuiet(process::unreadQuiet, process::unreadLimit);
     feed_.stop();
     cachePolls_.reset();
     statePolls_.reset();
--- a/src/wire/link-loop.cc
+++ b/src/wire/link-loop.cc
@@ -21,6 +21,7 @@
 constexpr auto acceptRetryDelay = 100 * kj::MILLISECONDS;
 constexpr auto drainTimeout = 1 * kj::SECONDS;
 constexpr auto drainCheckInterval = 5 * kj::MILLISECONDS;
+constexpr core::Duration quietCheckInterval = std::chrono::milliseconds(10);
 
 // The loop that runs on the current thread, if any.
 thread_local const void *loopOfThisThread = nullptr;
@@ -35,6 +36,15 @@
     std::function<void()> task;
 };
 
+// A wait for a time without messages, counted in checks of the loop.
+struct QuietWait
+{
+    std::int64_t quietChecks = 0;
+    std::int64_t checksLeft = 0;
+    std::int64_t quiet = 0;     ///< Checks since the last message.
+    std::uint64_t received = 0; ///< As of the last check.
+};
+
 } // namespace
 
 struct LinkLoop::State final : public kj::TaskSet::ErrorHandler
@@ -58,12 +68,15 @@
     /// Links being connected, not yet in `connections`, with their queued messages.
     std::unordered_map<LinkId, std::vector<core::Message>> opening;
     std::vector<kj::Own<kj::ConnectionReceiver>> listeners;
+    std::uint64_t received = 0; ///< Messages, over all links.
     bool stopping = false;
     std::thread thread;
 
     auto post(Command what) -> void;
     auto runLoop() -> void;
     auto drainConnections(kj::WaitScope &scope) -> void;
+    [[nodiscard]] auto isSending() const -> bool;
+    auto untilQuiet(QuietWait wait) -> kj::Promise<void>;
     auto nextTurn() -> kj::Promise<void>;
     auto runCommands() -> void;
     auto deliver(LinkId link, core::Message message) -> void;
@@ -172,13 +185,34 @@
 // A draining sidecar waits for the router's last acknowledgements, even when both are stopping.
 auto LinkLoop::State::drainConnections(kj::WaitScope &scope) -> void
 {
-    const auto isSending = [](const auto &entry) { return entry.second->isSending(); };
     auto &timer = io->provider->getTimer();
     const auto until = timer.now() + drainTimeout;
-    while (timer.now() < until && std::any_of(connections.begin(), connections.end(), isSending))
+    while (timer.now() < until && isSending())
         timer.afterDelay(drainCheckInterval).wait(scope);
 }
 
+auto LinkLoop::State::isSending() const -> bool
+{
+    return std::any_of(connections.begin(), connections.end(),
+                       [](const auto &entry) { return entry.second->isSending(); });
+}
+
+// Timers fire only after all sockets were polled, so a process that was held up reads what came
+// meanwhile before a check counts.
+auto LinkLoop::State::untilQuiet(QuietWait wait) -> kj::Promise<void>
+{
+    if (wait.quiet == wait.quietChecks || wait.checksLeft == 0)
+        return kj::READY_NOW;
+    const auto interval = quietCheckInterval.count() * kj::MICROSECONDS;
+    return io->provider->getTimer().afterDelay(interval).then([this, wait]() mutable {
+        const auto isQuiet = wait.received == received && !isSending();
+        wait.quiet = isQuiet ? wait.quiet + 1 : 0;
+        wait.received = received;
+        --wait.checksLeft;
+        return untilQuiet(wait);
+    });
+}
+
 auto LinkLoop::State::listenNow(const core::Address &address, core::Address &bound)
     -> std::error_code
 {
@@ -265,6 +299,7 @@
     ConnectionHooks reports;
     reports.onUp = [this, link] { hooks.onUp(link); };
     reports.onMessage = [this, link](core::Message message) {
+        ++received;
         hooks.onMessage(link, std::move(message));
     };
     reports.onResponded = [this, link] {
@@ -345,6 +380,17 @@
     state_->thread.join();
 }
 
+auto LinkLoop::awaitQuiet(core::Duration quiet, core::Duration limit) -> void
+{
+    std::promise<void> done;
+    const auto outcome = done.get_future();
+    const QuietWait wait{quiet / quietCheckInterval, limit / quietCheckInterval};
+    run([state = state_.get(), wait, &done](kj::AsyncIoContext & /*io*/) {
+        state->tasks->add(state->untilQuiet(wait).then([&done] { done.set_value(); }));
+    });
+    outcome.wait();
+}
+
 auto LinkLoop::listen(const core::Address &address, core::Address &bound) -> std::error_code
 {
     std::promise<std::error_code> done;
--- a/test/wire/link-loop-test.cc
+++ b/test/wire/link-loop-test.cc
@@ -359,6 +359,28 @@
     BOOST_TEST(far.messages.size() == count);
 }
 
+// Guards against messages that lie unread as a process that was held up stops.
+BOOST_AUTO_TEST_CASE(what_came_while_the_loop_was_held_up_is_received_before_a_stop)
+{
+    constexpr std::size_t count = 5000;
+    std::mutex pause;
+    Recorder near;
+    Recorder far;
+    LinkLoop server(far.hooksBlockedBy(pause), {});
+    LinkLoop client(near.hooks(), {});
+    const auto link = client.open(listenOn(server));
+    BOOST_REQUIRE(near.waitFor([&] { return !near.up.empty(); }));
+    {
+        const std::unique_lock paused(pause);
+        for (std::uint64_t number = 0; number < count; ++number)
+            client.send(link, core::Acknowledge{"request", number, true});
+        BOOST_REQUIRE(far.waitFor([&] { return far.messages.size() == 1; }));
+    }
+    server.awaitQuiet(std::chrono::milliseconds(100), patience);
+    server.stop();
+    BOOST_TEST(far.messages.size() == count);
+}
+
 // Guards against an engine generating for a router whose process is frozen and forwards nothing.
 // The kernel of that host still accepts bytes, so only a response of the process shows that it
 // runs.
