Routers and sidecars give large blocks back as soon as they are freed

A router kept several times what it held of answers: 60 clients that asked for 4 MB each and read nothing took one to 526 MiB, 200 clients to 605, and it stayed there once they had left.

Cause: the library raises by itself the size from which blocks are mapped, to the largest that was freed; later ones come from the heaps of some sixty threads and stay there. The gateway keeps that size fixed already; `heap.h` moves to `telemetry` for both.

--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -6,7 +6,6 @@
 #include "applehatch/direct/registry-replica.h"
 #include "applehatch/gateway/exchange.h"
 #include "applehatch/gateway/gateway-metrics.h"
-#include "applehatch/gateway/heap.h"
 #include "applehatch/gateway/history-inquiry.h"
 #include "applehatch/gateway/keeper-query.h"
 #include "applehatch/gateway/listener.h"
@@ -14,6 +13,7 @@
 #include "applehatch/gateway/timer.h"
 #include "applehatch/gateway/version-confirmer.h"
 #include "applehatch/gateway/vocabulary.h"
+#include "applehatch/telemetry/heap.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -242,7 +242,7 @@
     ByteBudget answers_;
     MemoryState requestsState_{"requests"};
     MemoryState answersState_{"answers"};
-    HeapTrimmer heap_;
+    telemetry::HeapTrimmer heap_;
     UpstreamPool pool_;
     GatewayMetrics metrics_;
     PeerMesh mesh_;
--- a/include/applehatch/gateway/heap.h
+++ b/include/applehatch/telemetry/heap.h
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <cstddef>
 
-namespace applehatch::gateway {
+namespace applehatch::telemetry {
 
 /// Lets large blocks go back to the system as soon as they are freed, however large the blocks
 /// were that were freed before. To be called once, before threads are started.
@@ -33,4 +33,4 @@
     std::size_t peak_ = 0;
 };
 
-} // namespace applehatch::gateway
+} // namespace applehatch::telemetry
--- a/src/gateway/request-memory.cc
+++ b/src/gateway/request-memory.cc
@@ -1,7 +1,7 @@
 #include "applehatch/gateway/request-memory.h"
 
-#include "applehatch/gateway/heap.h"
 #include "applehatch/telemetry/clock.h"
+#include "applehatch/telemetry/heap.h"
 
 #include <boost/asio/post.hpp>
 
@@ -111,7 +111,7 @@
     // A crowd that comes, is refused and comes again is faster than any regular trim.
     if (freed > budget->limit() / freedShare) {
         freed = 0;
-        trimHeap();
+        telemetry::trimHeap();
     }
     if (waiting > 0 || isOver())
         settleLater();
--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -1,4 +1,5 @@
 #include "applehatch/process/program.h"
+#include "applehatch/telemetry/heap.h"
 
 #include "router-host.h"
 
@@ -39,6 +40,7 @@
                      "see --help\n";
         return process::ExitCode::Usage;
     }
+    telemetry::returnLargeBlocks();
     process::prepareSignals();
     telemetry::startLog();
     constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
--- a/src/sidecar/main.cc
+++ b/src/sidecar/main.cc
@@ -1,4 +1,5 @@
 #include "applehatch/process/program.h"
+#include "applehatch/telemetry/heap.h"
 
 #include "sidecar-host.h"
 
@@ -8,6 +9,7 @@
 
 auto run(const std::shared_ptr<const settings::ProcessFile> &file) -> process::ExitCode
 {
+    telemetry::returnLargeBlocks();
     process::prepareSignals();
     telemetry::startLog();
     sidecar::SidecarHost host(file);
--- a/src/gateway/heap.cc
+++ b/src/telemetry/heap.cc
@@ -1,8 +1,8 @@
-#include "applehatch/gateway/heap.h"
+#include "applehatch/telemetry/heap.h"
 
 #include <malloc.h>
 
-namespace applehatch::gateway {
+namespace applehatch::telemetry {
 
 auto returnLargeBlocks() -> void
 {
@@ -17,4 +17,4 @@
     malloc_trim(0);
 }
 
-} // namespace applehatch::gateway
+} // namespace applehatch::telemetry
