Router: answers that callers have not taken are bounded in sum; those that are not read give way

With answers of the largest size, 512 threads would keep 16 GB. Each such client held a thread for the 30 s of the library.

Cause: each answer has a limit, 16 MB; nothing bounded the sum, and an answer is kept until its last byte is written.

Why this works: what is kept of an answer is counted when it comes from the link (`AnswerMemory`, `--answer_memory_mb`, 256, twice, as bodies are). Where there is no room, the write that stood still longest ends, after half a second at least; if none stands still the largest answer gives way: 502 if nothing of it was sent, or a stream that ends and may be resumed. The same writes give way once fewer than an eighth of the threads are free. The link's thread never waits: sockets are looked up beforehand, by the server's keeper. An answer whose length is known is kept in one block, large ones are not copied once more to be sent, and freed heaps are trimmed.

The default is met by no caller that reads: 16 answers of 8 MB fit, or 512 of 250 KB, at the same moment.

--- a/include/applehatch/experiment/fleet.h
+++ b/include/applehatch/experiment/fleet.h
@@ -29,6 +29,7 @@
     bool relays = false; ///< A relay before each sidecar, upstream and router.
     nlohmann::json pool = nlohmann::json::object();      ///< Merged into each pool's settings.
     std::vector<std::string> engineFlags;                ///< Further ones for each engine.
+    std::vector<std::string> serviceFlags;               ///< Further ones for each service.
     std::string control = "{}";                          ///< Fault orders for each engine.
     std::vector<std::string> routerFlags;                ///< Further ones for each router.
     nlohmann::json customers = nlohmann::json::object(); ///< Added to the two of every fleet.
--- a/include/applehatch/process/awaited-heads.h
+++ b/include/applehatch/process/awaited-heads.h
@@ -35,6 +35,8 @@
     /// Ends the longest waits while fewer than `spare` of `threads` are free; none that was noticed
     /// less than half a second ago. Returns how many.
     auto keepFree(std::size_t spare, std::size_t threads) -> std::size_t;
+    /// How many threads fewer than `spare` of `threads` are free.
+    [[nodiscard]] auto lacking(std::size_t spare, std::size_t threads) -> std::size_t;
 
 private:
     /// Notices the connections that wait, and forgets those that do no longer.
--- a/include/applehatch/process/body-memory.h
+++ b/include/applehatch/process/body-memory.h
@@ -19,6 +19,7 @@
     std::uint64_t bodies = 0;  ///< Stood still while others needed their room or thread.
     std::uint64_t refused = 0; ///< Found no room for their body.
     std::uint64_t heads = 0;   ///< Held a thread, and their head had not come.
+    std::uint64_t answers = 0; ///< Were not read, or the largest when there was no room for all.
 };
 
 /// Bounds the bodies that a server reads and keeps. Thread-safe.
--- a/include/applehatch/process/http-server.h
+++ b/include/applehatch/process/http-server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "applehatch/core/message.h"
+#include "applehatch/process/answer-memory.h"
 #include "applehatch/process/body-memory.h"
 
 #include <cstddef>
@@ -31,8 +32,9 @@
 class HttpExchange
 {
 public:
-    /// `bodies` bounds the bodies of all exchanges, and outlives this one.
-    HttpExchange(mg_connection *connection, BodyMemory &bodies);
+    /// `bodies` bounds the bodies of all exchanges, and outlives this one; `answers` their answers.
+    HttpExchange(mg_connection *connection, BodyMemory &bodies,
+                 std::shared_ptr<AnswerMemory> answers);
 
     [[nodiscard]] auto method() const -> std::string_view;
     [[nodiscard]] auto path() const -> std::string_view;  ///< As sent, not decoded.
@@ -57,7 +59,14 @@
     [[nodiscard]] auto streamPart(std::string_view data) -> bool;
     [[nodiscard]] auto endStream() -> bool;
 
+    /// What is kept of the answer until it is written has to be counted here.
+    [[nodiscard]] auto answer() const -> const std::shared_ptr<AnswerMemory::Answer> &
+    {
+        return answer_;
+    }
+
 private:
+    [[nodiscard]] auto write(std::string_view text) -> bool;
     /// Whether the request's method and the status allow a body.
     [[nodiscard]] auto sendsBody(int status) const -> bool;
 
@@ -69,9 +78,10 @@
     mg_connection *connection_;
     BodyMemory &bodies_;
     std::optional<BodyMemory::Body> body_; ///< Kept until the request is answered.
-    int socket_ = -1;                      ///< Looked up on first use; owned by the library.
-    bool chunked_ = true;                  ///< False for HTTP/1.0, which ends a body by closing.
-    bool sendsBody_ = true;                ///< The stream that was begun has a body.
+    std::shared_ptr<AnswerMemory::Answer> answer_;
+    int socket_ = -1;       ///< Looked up on first use; owned by the library.
+    bool chunked_ = true;   ///< False for HTTP/1.0, which ends a body by closing.
+    bool sendsBody_ = true; ///< The stream that was begun has a body.
 };
 
 struct HttpServerOptions
@@ -82,6 +92,8 @@
     /// Bytes that bodies of requests may take together, each counted twice. Half of the threads
     /// read bodies, at most.
     std::size_t bodyMemory = std::size_t{256} * 1024 * 1024;
+    /// Bytes that answers may take together, as far as they are counted with their exchanges.
+    std::size_t answerMemory = std::size_t{256} * 1024 * 1024;
 };
 
 /// HTTP server that calls a handler on a pool of threads, once per request.
--- a/src/experiment/fleet.cc
+++ b/src/experiment/fleet.cc
@@ -236,6 +236,8 @@
                                                 std::to_string(options_.coldPrefill.count())};
         command.insert(command.end(), flags.begin(), flags.end());
         command.insert(command.end(), options_.engineFlags.begin(), options_.engineFlags.end());
+    } else {
+        command.insert(command.end(), options_.serviceFlags.begin(), options_.serviceFlags.end());
     }
     member.upstream = std::make_unique<Process>(command);
     if (!member.upstream->waitForLine("ready")) {
--- a/src/process/awaited-heads.cc
+++ b/src/process/awaited-heads.cc
@@ -36,6 +36,13 @@
     served_.erase(caller);
 }
 
+auto AwaitedHeads::lacking(std::size_t spare, std::size_t threads) -> std::size_t
+{
+    const std::lock_guard lock(mutex_);
+    const auto wanted = waiting_ + served_.size() + spare;
+    return wanted - std::min(wanted, threads);
+}
+
 auto AwaitedHeads::keepFree(std::size_t spare, std::size_t threads) -> std::size_t
 {
     const std::lock_guard lock(mutex_);
--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -13,7 +13,6 @@
 #include <array>
 #include <atomic>
 #include <charconv>
-#include <limits>
 #include <poll.h>
 #include <sys/socket.h>
 #include <thread>
@@ -26,6 +25,8 @@
 constexpr int handled = 1; // Tells CivetWeb that the answer was sent.
 constexpr int hexBase = 16;
 constexpr std::size_t readBytes = 16384;
+// Whoever takes less than this for a while stands still.
+constexpr std::size_t writeBytes = 16384;
 // A body is kept until its request is answered, and once more while it is passed on.
 constexpr std::size_t bodyCopies = 2;
 // One thread in so many is kept free of connections whose head has not come, and one at least.
@@ -54,24 +55,14 @@
     return text == nullptr ? std::string_view() : std::string_view(text);
 }
 
-auto writeAll(mg_connection *connection, std::string_view text) -> bool
-{
-    constexpr std::size_t maxWriteBytes = std::numeric_limits<int>::max();
-    while (!text.empty()) {
-        const auto count = std::min(text.size(), maxWriteBytes);
-        const auto written = mg_write(connection, text.data(), count);
-        if (written <= 0)
-            return false;
-        text.remove_prefix(static_cast<std::size_t>(written));
-    }
-    return true;
-}
-
 } // namespace
 
-HttpExchange::HttpExchange(mg_connection *connection, BodyMemory &bodies)
+HttpExchange::HttpExchange(mg_connection *connection, BodyMemory &bodies,
+                           std::shared_ptr<AnswerMemory> answers)
     : connection_(connection)
     , bodies_(bodies)
+    , answer_(std::make_shared<AnswerMemory::Answer>(std::move(answers),
+                                                     callerName(*mg_get_request_info(connection))))
 {
     chunked_ = view(mg_get_request_info(connection)->http_version) != "1.0";
 }
@@ -177,9 +168,24 @@
     if (core::allowsBody(status))
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n";
-    if (sendsBody(status))
-        text += body;
-    return writeAll(connection_, text);
+    if (!sendsBody(status))
+        return write(text);
+    if (body.size() > writeBytes)
+        return write(text) && write(body);
+    return write(text.append(body));
+}
+
+auto HttpExchange::write(std::string_view text) -> bool
+{
+    while (!text.empty()) {
+        answer_->beginWrite();
+        const auto written = mg_write(connection_, text.data(), std::min(text.size(), writeBytes));
+        answer_->endWrite();
+        if (written <= 0)
+            return false;
+        text.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
 }
 
 auto HttpExchange::beginStream(int status, const core::Headers &headers) -> bool
@@ -189,7 +195,7 @@
     chunked_ = chunked_ && core::allowsBody(status);
     if (chunked_)
         text += "Transfer-Encoding: chunked\r\n";
-    return writeAll(connection_, text + "\r\n");
+    return write(text + "\r\n");
 }
 
 auto HttpExchange::streamPart(std::string_view data) -> bool
@@ -197,7 +203,7 @@
     if (data.empty() || !sendsBody_)
         return true;
     if (!chunked_)
-        return writeAll(connection_, data);
+        return write(data);
     // CivetWeb's `mg_send_chunk` makes three system calls per chunk, which sends each token in
     // three packets. Here each chunk is written with one call.
     std::array<char, 2 * sizeof(std::size_t)> digits{};
@@ -205,12 +211,12 @@
     auto *const last = std::to_chars(first, first + digits.size(), data.size(), hexBase).ptr;
     std::string chunk(first, last);
     chunk.append("\r\n").append(data).append("\r\n");
-    return writeAll(connection_, chunk);
+    return write(chunk);
 }
 
 auto HttpExchange::endStream() -> bool
 {
-    return !chunked_ || !sendsBody_ || writeAll(connection_, "0\r\n\r\n");
+    return !chunked_ || !sendsBody_ || write("0\r\n\r\n");
 }
 
 struct HttpServer::State
@@ -222,10 +228,13 @@
     /// The wait for the head of this connection is over, if it was not before.
     auto endWait(const mg_connection *connection) -> void;
     auto serve(mg_connection *connection) -> void;
+    /// Lets those who hold a thread and do nothing give way while few threads are left.
+    auto keepThreadsFree(std::uint16_t port) -> void;
 
     Handler handler;
     std::size_t threads = 0;
     std::optional<BodyMemory> bodies;
+    std::shared_ptr<AnswerMemory> answers;
     AwaitedHeads heads;
     std::optional<Periodic> keeper;
     mg_context *context = nullptr;
@@ -248,12 +257,23 @@
     heads.addServed(caller);
     endWait(connection);
     ++begun;
-    HttpExchange exchange(connection, *bodies);
+    HttpExchange exchange(connection, *bodies, answers);
     handler(exchange);
     ++ended;
     heads.removeServed(caller);
 }
 
+auto HttpServer::State::keepThreadsFree(std::uint16_t port) -> void
+{
+    const auto spare = std::max<std::size_t>(1, threads / spareShare);
+    const auto lacking = heads.lacking(spare, threads);
+    const auto closed = heads.keepFree(spare, threads);
+    endedWaits += closed;
+    answers->trim();
+    answers->findSockets(port);
+    answers->dropStill(lacking - std::min(lacking, closed));
+}
+
 HttpServer::HttpServer()
     : state_(std::make_unique<State>())
 { }
@@ -273,6 +293,7 @@
     state_->handler = std::move(handler);
     state_->threads = static_cast<std::size_t>(options.threads);
     state_->bodies.emplace(options.bodyMemory, state_->threads / 2);
+    state_->answers = std::make_shared<AnswerMemory>(options.answerMemory);
     const auto ports = options.address.ip + ':' + std::to_string(options.address.port);
     const auto threads = std::to_string(options.threads);
     const auto timeout = std::to_string(std::chrono::ceil<milliseconds>(options.ioTimeout).count());
@@ -305,9 +326,8 @@
         return std::make_error_code(std::errc::address_not_available);
     bound = {options.address.ip, static_cast<std::uint16_t>(port[0].port)};
     state_->heads.setPort(bound.port);
-    state_->keeper.emplace(keeperInterval, [state = state_.get()] {
-        const auto spare = std::max<std::size_t>(1, state->threads / spareShare);
-        state->endedWaits += state->heads.keepFree(spare, state->threads);
+    state_->keeper.emplace(keeperInterval, [state = state_.get(), port = bound.port] {
+        state->keepThreadsFree(port);
     });
     return {};
 }
@@ -316,6 +336,7 @@
 {
     auto gaveWay = state_->bodies ? state_->bodies->takeGivenWay() : GivenWay{};
     gaveWay.heads = state_->endedWaits.exchange(0);
+    gaveWay.answers = state_->answers ? state_->answers->takeGivenWay() : 0;
     return gaveWay;
 }
 
--- a/src/router/caller-answer.cc
+++ b/src/router/caller-answer.cc
@@ -3,6 +3,7 @@
 #include "problem.h"
 
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <strings.h>
 #include <utility>
@@ -38,6 +39,18 @@
     });
 }
 
+// Returns the length that the headers announce, 0 without one.
+auto lengthOf(const core::Headers &headers) -> std::size_t
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [](const auto &header) {
+        return sameName(header.first, "Content-Length");
+    });
+    std::size_t length = 0;
+    if (found != headers.end())
+        std::from_chars(found->second.data(), found->second.data() + found->second.size(), length);
+    return length;
+}
+
 // Removes the headers for length and framing, which the connection to the caller sets itself.
 auto withoutFraming(core::Headers headers) -> core::Headers
 {
@@ -61,9 +74,12 @@
 {
     while (!outcome_) {
         auto items = queue.take(probeInterval);
+        if (!items && exchange_.answer()->hasGivenWay())
+            return giveWay();
         if (!items || (items->empty() && exchange_.callerDisconnected()))
             return AnswerOutcome::CallerDisconnected;
         for (auto &item : *items) {
+            taken_ += CallerQueue::memoryOf(item);
             const auto reached =
                 std::visit([this](auto &typedItem) { return take(typedItem); }, item);
             if (!reached)
@@ -80,8 +96,11 @@
 auto CallerAnswer::take(core::AnswerHead &head) -> bool
 {
     head_ = std::move(head);
+    const auto length = lengthOf(head_->headers);
     head_->headers = withoutFraming(std::move(head_->headers));
     stream_ = isEventStream(head_->headers);
+    if (!stream_)
+        pending_.reserve(std::min(length, maxBufferedAnswer));
     return !stream_ || exchange_.beginStream(head_->status, head_->headers);
 }
 
@@ -107,6 +126,7 @@
     }
     if (!exchange_.streamPart(std::exchange(pending_, {})))
         return false;
+    exchange_.answer()->release(std::exchange(taken_, 0));
     reportConsumed();
     return true;
 }
@@ -148,6 +168,15 @@
     return exchange_.respond(problem.status, problem.headers, problem.body);
 }
 
+auto CallerAnswer::giveWay() -> AnswerOutcome
+{
+    pending_ = {};
+    if (!stream_)
+        (void)sendProblem({core::ErrorKind::UpstreamFailed, core::Run::Ran,
+                           "answers take all the memory of this router", std::nullopt});
+    return AnswerOutcome::GaveWay;
+}
+
 auto CallerAnswer::take(core::AnswerTicket &ticket) -> bool
 {
     outcome_ = AnswerOutcome::Sent;
--- a/src/router/caller-answer.h
+++ b/src/router/caller-answer.h
@@ -21,6 +21,7 @@
     Sent,               ///< Everything that the node produced was written.
     CallerDisconnected, ///< A write failed, or the caller read too slowly.
     TooLarge, ///< A buffered answer exceeded `maxBufferedAnswer`; the caller got an error.
+    GaveWay,  ///< Other answers needed its memory; the caller got an error, if nothing else before.
 };
 
 /// Sends the answer of one exchange. Used only by the thread that serves the exchange.
@@ -44,13 +45,16 @@
     auto flush() -> bool;
     auto reportConsumed() -> void;
     auto sendProblem(const core::Failure &failure) -> bool;
+    /// Tells the caller that the answer gave way to others, if it has none of it yet.
+    auto giveWay() -> AnswerOutcome;
 
     process::HttpExchange &exchange_;
     core::RequestId request_;
     std::function<void(std::uint64_t)> onConsumed_;
     std::optional<core::AnswerHead> head_;
     bool stream_ = false;
-    std::string pending_; ///< Streams: data not yet written. Otherwise: the answer so far.
+    std::string pending_;   ///< Streams: data not yet written. Otherwise: the answer so far.
+    std::size_t taken_ = 0; ///< Memory of the items that `pending_` was made of.
     std::uint64_t offset_ = 0;
     std::uint64_t reported_ = 0;
     std::optional<AnswerOutcome> outcome_;
--- a/src/router/caller-queue.cc
+++ b/src/router/caller-queue.cc
@@ -4,12 +4,31 @@
 
 namespace applehatch::router {
 
-CallerQueue::CallerQueue(std::size_t maxBytes)
+CallerQueue::CallerQueue(std::size_t maxBytes, Keep keep)
     : maxBytes_(maxBytes)
+    , keep_(std::move(keep))
 { }
 
+auto CallerQueue::memoryOf(const CallerItem &item) -> std::size_t
+{
+    const auto *chunk = std::get_if<core::AnswerChunk>(&item);
+    constexpr std::size_t copies = 2;
+    return chunk == nullptr ? 0 : sizeof(item) + copies * chunk->data.size();
+}
+
+auto CallerQueue::overflow() -> void
+{
+    const std::lock_guard lock(mutex_);
+    overflowed_ = true;
+    items_.clear();
+    changed_.notify_one();
+}
+
 auto CallerQueue::push(CallerItem item) -> void
 {
+    const auto memory = memoryOf(item);
+    if (memory > 0 && keep_ && !keep_(memory))
+        return overflow();
     const std::lock_guard lock(mutex_);
     if (overflowed_)
         return;
--- a/src/router/caller-queue.h
+++ b/src/router/caller-queue.h
@@ -5,6 +5,7 @@
 
 #include <condition_variable>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -21,10 +22,18 @@
 class CallerQueue
 {
 public:
-    explicit CallerQueue(std::size_t maxBytes);
+    /// Asked before so many bytes are kept. False if there is no room for them.
+    using Keep = std::function<bool(std::size_t)>;
+
+    explicit CallerQueue(std::size_t maxBytes, Keep keep = nullptr);
+
+    /// Bytes that an item takes until it is written: it is copied once on its way.
+    [[nodiscard]] static auto memoryOf(const CallerItem &item) -> std::size_t;
 
     /// Queues an item. Beyond the bound the queue overflows and accepts no further items.
     auto push(CallerItem item) -> void;
+    /// Drops all items; the queue accepts no further ones.
+    auto overflow() -> void;
 
     /// Waits up to `timeout` for items and removes all of them. Returns nothing when the queue
     /// overflowed.
@@ -32,6 +41,7 @@
 
 private:
     std::size_t maxBytes_;
+    Keep keep_; ///< Not called with `mutex_` held: it may call `overflow`.
     std::mutex mutex_;
     std::condition_variable changed_;
     std::vector<CallerItem> items_;
--- a/src/router/main.cc
+++ b/src/router/main.cc
@@ -11,9 +11,11 @@
 DEFINE_string(placement, "default", "order of candidates, for experiments");
 DEFINE_int32(caller_threads, 512, "most callers served at once");
 DEFINE_int32(body_memory_mb, 256, "memory for bodies of requests, each counted twice, in MiB");
+DEFINE_int32(answer_memory_mb, 256, "memory for answers not sent yet, counted twice, in MiB");
 
-// A single body of the largest size must find room.
+// A single body, and a single answer, of the largest size must find room.
 constexpr int minBodyMemoryMb = 16;
+constexpr int minAnswerMemoryMb = 48;
 
 namespace {
 
@@ -35,9 +37,9 @@
 {
     const auto placement = placements().find(FLAGS_placement);
     if (placement == placements().end() || FLAGS_caller_threads < 1
-        || FLAGS_body_memory_mb < minBodyMemoryMb) {
-        std::cerr << "applehatch-router: bad --placement, --caller_threads or --body_memory_mb; "
-                     "see --help\n";
+        || FLAGS_body_memory_mb < minBodyMemoryMb || FLAGS_answer_memory_mb < minAnswerMemoryMb) {
+        std::cerr << "applehatch-router: bad --placement, --caller_threads, --body_memory_mb or "
+                     "--answer_memory_mb; see --help\n";
         return process::ExitCode::Usage;
     }
     telemetry::returnLargeBlocks();
@@ -45,7 +47,8 @@
     telemetry::startLog();
     constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
     router::RouterHost host({file, placement->second, FLAGS_caller_threads,
-                             static_cast<std::size_t>(FLAGS_body_memory_mb) * mebibyte});
+                             static_cast<std::size_t>(FLAGS_body_memory_mb) * mebibyte,
+                             static_cast<std::size_t>(FLAGS_answer_memory_mb) * mebibyte});
     return process::runHost(host, *file);
 }
 
--- a/src/router/router-callers.cc
+++ b/src/router/router-callers.cc
@@ -23,11 +23,28 @@
     return {first, std::to_chars(first, first + digits.size(), value, hexBase).ptr};
 }
 
-auto logCaller(const core::RequestId &request, std::string_view outcome) -> void
+auto nameOf(AnswerOutcome outcome) -> std::string_view
 {
-    telemetry::writeLog(
-        telemetry::LogLevel::Info,
-        core::LogLine("caller-lost").add("request", request).add("outcome", outcome).text());
+    switch (outcome) {
+    case AnswerOutcome::Sent:
+        return "sent";
+    case AnswerOutcome::CallerDisconnected:
+        return "left";
+    case AnswerOutcome::TooLarge:
+        return "answer-too-large";
+    case AnswerOutcome::GaveWay:
+        return "gave-way";
+    }
+    return "";
+}
+
+auto logCaller(const core::RequestId &request, AnswerOutcome outcome) -> void
+{
+    telemetry::writeLog(telemetry::LogLevel::Info,
+                        core::LogLine("caller-lost")
+                            .add("request", request)
+                            .add("outcome", nameOf(outcome))
+                            .text());
 }
 
 } // namespace
@@ -59,7 +76,10 @@
         (void)exchange.respond(problem.status, problem.headers, problem.body);
         return;
     }
-    const auto queue = std::make_shared<CallerQueue>(maxBufferedAnswer);
+    const auto kept = exchange.answer();
+    const auto queue = std::make_shared<CallerQueue>(
+        maxBufferedAnswer, [kept](std::size_t bytes) { return kept->keep(bytes); });
+    kept->onGivenWay([queue = queue.get()] { queue->overflow(); });
     {
         const std::lock_guard lock(callersMutex_);
         callers_.emplace(request, queue);
@@ -69,13 +89,14 @@
         node_.handle(core::CallerConsumed{request, offset});
     });
     const auto outcome = answer.serve(*queue);
+    kept->onGivenWay(nullptr);
     {
         const std::lock_guard lock(callersMutex_);
         callers_.erase(request);
         callerRemoved_.notify_all();
     }
     if (outcome != AnswerOutcome::Sent) {
-        logCaller(request, outcome == AnswerOutcome::TooLarge ? "answer-too-large" : "left");
+        logCaller(request, outcome);
         node_.handle(core::CallerDisconnected{request});
     }
 }
--- a/src/router/router-host.cc
+++ b/src/router/router-host.cc
@@ -64,6 +64,7 @@
     callers.address = options_.file->callers;
     callers.threads = options_.callerThreads;
     callers.bodyMemory = options_.bodyMemory;
+    callers.answerMemory = options_.answerMemory;
     const auto serve = [this](process::HttpExchange &exchange) { serveCaller(exchange); };
     if (const auto error = server_.start(callers, serve, bound))
         return error;
@@ -77,7 +78,7 @@
 auto RouterHost::noteGivenWay() -> void
 {
     const auto gaveWay = server_.takeGivenWay();
-    if (gaveWay.heads + gaveWay.bodies + gaveWay.refused == 0)
+    if (gaveWay.heads + gaveWay.bodies + gaveWay.refused + gaveWay.answers == 0)
         return;
     const auto count = [this](const char *kind, std::uint64_t number) {
         metrics_
@@ -88,11 +89,13 @@
     count("head", gaveWay.heads);
     count("body", gaveWay.bodies);
     count("refused", gaveWay.refused);
+    count("answer", gaveWay.answers);
     telemetry::writeLog(telemetry::LogLevel::Warning,
                         core::LogLine("callers-gave-way")
                             .add("heads", static_cast<std::int64_t>(gaveWay.heads))
                             .add("bodies", static_cast<std::int64_t>(gaveWay.bodies))
                             .add("refused", static_cast<std::int64_t>(gaveWay.refused))
+                            .add("answers", static_cast<std::int64_t>(gaveWay.answers))
                             .text());
 }
 
--- a/src/router/router-host.h
+++ b/src/router/router-host.h
@@ -32,7 +32,8 @@
     std::shared_ptr<const settings::ProcessFile> file;
     core::Placement placement; ///< Empty for the default.
     int callerThreads = 512;
-    std::size_t bodyMemory = std::size_t{256} * 1024 * 1024; ///< Bytes for bodies of requests.
+    std::size_t bodyMemory = std::size_t{256} * 1024 * 1024;   ///< Bytes for bodies of requests.
+    std::size_t answerMemory = std::size_t{256} * 1024 * 1024; ///< Bytes for answers.
 };
 
 class RouterHost
