Clients that send much behind a request in flight give way when descriptors run out

What callers saw: gateway-clients/stated_memory/much_behind_a_slow_request was red once here (17:03, four checks), and 6 of 6 beside eight busy loops: an ordinary request was closed unread while the crowd stayed, and just after it had left.

Cause: traced by the gateway's log: `connections-short callers=1570 upstreams=1570 sockets=3900`, `closed-unread connections=1422`. Each of the crowd's requests holds two descriptors until its engine answers; none of their connections could give way, since each carries a complete request. On a faster machine, or an idle one, fewer requests were begun before the crowd was complete, and it fitted.

Why this works: whoever sent more than 4 KB behind a request that is not answered yet, where reading stops, is outside what an ordinary caller does. When descriptors run out, and only then, such connections give way as the last of all kinds; their requests end with them, and free both descriptors. In calm they are answered as before. The four kinds have names now, in their order.

Evidence: the same test, unchanged but for a message that has the end of the log: 6 of 6 red before beside eight loops, 6 of 6 green after beside the same. gateway-tests, gateway-clients/heads and /descriptors green.

--- a/include/applehatch/gateway/caller-connection.h
+++ b/include/applehatch/gateway/caller-connection.h
@@ -88,21 +88,25 @@
         return isReading || state_ == State::Answering || channel_->unsent() > 0;
     }
     auto abort() -> void;
-    /// A connection that carries no complete request, and since when it has stood still. In order:
-    /// those that only wait for the caller to close, idle ones, all others; each the longest first.
+    /// What a connection that may be closed for others waits for. Whoever owes least comes first.
+    enum class Waiting {
+        Close,   ///< Its caller to close it.
+        Request, ///< Its next request.
+        Rest,    ///< The rest of a request, or its caller to take an answer.
+        Answer,  ///< The answer of a request behind which its caller has sent more than is read.
+    };
+    /// A connection that may be closed for others, and since when it has stood still.
     struct Still
     {
-        bool isClosing = false;
-        bool isBusy = false; ///< A request has begun, or an answer is not sent completely.
+        Waiting waiting = Waiting::Close;
         core::Instant since;
 
         auto operator<(const Still &other) const -> bool
         {
-            return std::tuple(!isClosing, isBusy, since)
-                < std::tuple(!other.isClosing, other.isBusy, other.since);
+            return std::tie(waiting, since) < std::tie(other.waiting, other.since);
         }
     };
-    /// None while a request is being served.
+    /// None while a request is being served, unless its caller sent too much behind it.
     [[nodiscard]] auto still() const -> std::optional<Still>;
     /// Closes the connection at once since others need its descriptor. An incomplete request is
     /// refused: it has not run.
@@ -126,6 +130,8 @@
     /// Takes room for what has come of the request, and what that announces. Then takes the request
     /// if it is whole, and waits for more if it is not.
     auto holdRequest() -> void;
+    /// Whether more has come behind the request being answered than is read meanwhile.
+    [[nodiscard]] auto hasSentAhead() const -> bool;
     /// Bytes that the head and what is not parsed yet take in memory.
     [[nodiscard]] auto memoryBesideBody() const -> std::size_t;
     /// Waits for more of a body.
@@ -167,6 +173,7 @@
     std::shared_ptr<Channel> channel_;
     CallerHooks hooks_;
     core::Instant idleSince_; // When it was opened, or its last answer ended.
+    core::Instant takenAt_;   // When the request that is being answered was complete.
     std::function<void()> disconnected_;
     std::function<void()> flushed_;
     State state_ = State::Reading;
--- a/src/gateway/caller-connection.cc
+++ b/src/gateway/caller-connection.cc
@@ -235,16 +235,18 @@
 auto CallerConnection::still() const -> std::optional<Still>
 {
     if (const auto since = unreadSince())
-        return Still{false, true, *since};
+        return Still{Waiting::Rest, *since};
     if (state_ == State::Ended)
-        return Still{true, false, idleSince_};
+        return Still{Waiting::Close, idleSince_};
+    if (hasSentAhead())
+        return Still{Waiting::Answer, takenAt_};
     if (state_ == State::Answering)
         return std::nullopt;
     if (requestBegun_)
-        return Still{false, true, reading_->progressAt()};
+        return Still{Waiting::Rest, reading_->progressAt()};
     if (channel_->hasUnread())
         return std::nullopt; // A request that is just coming.
-    return Still{false, false, idleSince_};
+    return Still{Waiting::Request, idleSince_};
 }
 
 auto CallerConnection::giveWay() -> void
--- a/src/gateway/caller-reading.cc
+++ b/src/gateway/caller-reading.cc
@@ -156,6 +156,7 @@
 {
     timer_.stop();
     state_ = State::Answering;
+    takenAt_ = telemetry::steadyNow();
     auto message = reader_->take();
     message.kept = reading_->take();
     stopReading();
@@ -169,6 +170,11 @@
     hooks_.request(shared_from_this(), std::move(message));
 }
 
+auto CallerConnection::hasSentAhead() const -> bool
+{
+    return state_ == State::Answering && (isPendingDropped_ || input_.size() > maxPendingBytes);
+}
+
 auto CallerConnection::countPending(ByteShare &kept) -> void
 {
     const auto bytes = input_.capacity();
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -120,7 +120,7 @@
     std::vector<std::pair<CallerConnection::Still, CallerPtr>> still;
     for (auto &connection : openConnections()) {
         const auto state = connection->still();
-        if (state && (state->isClosing || state->since <= latest))
+        if (state && (state->waiting == CallerConnection::Waiting::Close || state->since <= latest))
             still.emplace_back(*state, std::move(connection));
     }
     const auto count = std::min(most, still.size());
--- a/test/gateway-clients/crowd.h
+++ b/test/gateway-clients/crowd.h
@@ -215,7 +215,7 @@
         auto &caller = addCaller(bodyBytes, "Connection: close\r\n");
         runUntil(loop, [&] { return caller.ended; });
         if (!caller.received.starts_with("HTTP/1.1 200"))
-            BOOST_TEST_MESSAGE("answer: " << caller.received);
+            BOOST_TEST_MESSAGE("answer: " << caller.received << "; log: " << gateway().logEnd());
         return caller.received.starts_with("HTTP/1.1 200") && caller.received.ends_with("done");
     }
 
