Test: an answer that gave way is told to its caller as run

The cases of caller_answer count their items as a router does. Green with the code as it is; red without `giveWay`, where the caller got nothing (by reading; not played).

--- a/test/router/caller-answer-test.cc
+++ b/test/router/caller-answer-test.cc
@@ -22,19 +22,22 @@
 };
 
 // Serves one exchange over loopback, with `items` as its answer.
-auto serve(const std::vector<CallerItem> &items) -> Served
+auto serve(const std::vector<CallerItem> &items, std::size_t answerMemory = 4 * maxBufferedAnswer)
+    -> Served
 {
     Served served;
-    CallerQueue queue(2 * maxBufferedAnswer);
-    for (const auto &item : items)
-        queue.push(item);
     core::Address bound;
     std::promise<void> answered;
     {
         process::HttpServer server;
         process::HttpServerOptions options;
         options.address = {"127.0.0.1", 0};
+        options.answerMemory = answerMemory;
         const auto handler = [&](process::HttpExchange &exchange) {
+            CallerQueue queue(2 * maxBufferedAnswer,
+                              [&](std::size_t bytes) { return exchange.answer()->keep(bytes); });
+            for (const auto &item : items)
+                queue.push(item);
             CallerAnswer answer(exchange, "r1",
                                 [&](std::uint64_t offset) { served.consumed = offset; });
             served.outcome = answer.serve(queue);
@@ -128,6 +131,17 @@
     BOOST_TEST(!queue.take({}));
 }
 
+// Guards against an answer that is dropped for want of memory and whose caller is told nothing.
+BOOST_AUTO_TEST_CASE(a_buffered_answer_that_gave_way_is_told_as_run)
+{
+    const std::string part(1000, 'x');
+    const auto served =
+        serve({head("text/plain"), AnswerChunk{"r1", 0, part, "p"}, AnswerEnd{"r1"}}, part.size());
+    BOOST_TEST((served.outcome == AnswerOutcome::GaveWay));
+    BOOST_TEST(served.response.status == 502);
+    BOOST_TEST(served.response.body.find(R"("run":"ran")") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace applehatch::router
