Router: an answer that gave way counts until it is freed, and its write ends at once

Cause: what gave way counted as free at that moment.

Why this works: a large answer's thread looks its socket up before it writes, so that the write ends with the answer. What gave way counts until it is freed, with a quarter of the memory beside all others; beyond that newcomers give way.

--- a/include/applehatch/process/answer-memory.h
+++ b/include/applehatch/process/answer-memory.h
@@ -20,6 +20,8 @@
 /// An answer that its caller does not read keeps its memory, and the thread that writes it, until
 /// the write times out. It gives way as soon as other answers need the memory, or other callers the
 /// thread: the one that stands still longest first. Where none stands still the largest gives way.
+/// An answer that gave way counts until its thread has freed it; if many do at a time, newcomers
+/// give way too.
 class AnswerMemory
 {
 public:
@@ -29,8 +31,9 @@
 
     class Answer;
 
-    /// Looks up the sockets, at `port`, of answers that stand still, so that their writes can be
-    /// ended. To be called now and then: it takes too long for the threads that hand answers over.
+    /// Looks up the sockets, at `port`, of answers that stand still and have none, so that their
+    /// writes can be ended. To be called now and then: it takes too long for the threads that hand
+    /// answers over.
     auto findSockets(std::uint16_t port) -> void;
     /// Lets so many answers give way at most that stand still, and returns how many did.
     auto dropStill(std::size_t most) -> std::size_t;
@@ -40,6 +43,8 @@
     [[nodiscard]] auto takeGivenWay() -> std::uint64_t;
 
 private:
+    /// Whether what is kept, and will not be freed soon, is too much.
+    [[nodiscard]] auto isOver() const -> bool { return kept_ - leaving_ > limit_; }
     auto dropStillest() -> bool;
     auto dropLargest() -> void;
     auto drop(Answer &answer) -> void;
@@ -47,6 +52,7 @@
     std::mutex mutex_; ///< Guards what follows and each `Answer`; held when hooks are called.
     std::size_t limit_;
     std::size_t kept_ = 0;
+    std::size_t leaving_ = 0; ///< Of `kept_`, what belongs to answers that gave way.
     std::list<Answer *> answers_;
     std::uint64_t gaveWay_ = 0;
     telemetry::HeapTrimmer heap_; ///< Used by `trim` alone.
@@ -71,6 +77,9 @@
     /// not called any more once another one, or none, was set.
     auto onGivenWay(std::function<void()> hook) -> void;
 
+    /// The socket that the answer is written to; owned by the library, which closes it after the
+    /// answer's end.
+    auto setSocket(int socket) -> void;
     /// A part of the answer is being written from now on, and then no longer.
     auto beginWrite() -> void;
     auto endWrite() -> void;
@@ -80,16 +89,15 @@
 
     /// Whether a write has lasted for `time`.
     [[nodiscard]] auto isStillFor(core::Duration time) const -> bool;
-
     /// Ends the present write, if there is one and its socket is known.
-    auto endStalledWrite() const -> void;
+    auto endWriteNow() const -> void;
 
     std::shared_ptr<AnswerMemory> memory_;
     std::string caller_;
     std::size_t kept_ = 0;
     bool gaveWay_ = false;
     std::function<void()> onGivenWay_;
-    int socket_ = -1; ///< Owned by the library; looked up once a write stands still.
+    int socket_ = -1; ///< Of streams looked up once a write stands still.
     /// When the present write began, 0 if there is none. Not guarded: each part of each stream
     /// would otherwise take the lock twice.
     std::atomic<core::Instant::rep> writingSince_{0};
--- a/include/applehatch/process/http-server.h
+++ b/include/applehatch/process/http-server.h
@@ -67,6 +67,8 @@
 
 private:
     [[nodiscard]] auto write(std::string_view text) -> bool;
+    /// The connection's socket, -1 if it is not found.
+    [[nodiscard]] auto socket() -> int;
     /// Whether the request's method and the status allow a body.
     [[nodiscard]] auto sendsBody(int status) const -> bool;
 
--- a/src/process/answer-memory.cc
+++ b/src/process/answer-memory.cc
@@ -17,6 +17,8 @@
 
 // The heap is trimmed when this share of the memory was freed.
 constexpr std::size_t freedShare = 8;
+// Answers that gave way may take this share of the memory beside all others.
+constexpr std::size_t leavingShare = 4;
 // Sockets are looked up before the answer must give way.
 constexpr core::Duration lookUpTime = telemetry::Progress::stillTime / 2;
 
@@ -30,8 +32,7 @@
 {
     const std::lock_guard lock(mutex_);
     const auto isSought = [](const Answer *answer) {
-        const auto time = answer->gaveWay_ ? core::Duration(0) : lookUpTime;
-        return answer->socket_ < 0 && answer->isStillFor(time);
+        return answer->socket_ < 0 && answer->isStillFor(lookUpTime);
     };
     if (std::none_of(answers_.begin(), answers_.end(), isSought))
         return;
@@ -42,8 +43,9 @@
         const auto found = sockets.find(answer->caller_);
         if (found != sockets.end())
             answer->socket_ = found->second;
-        if (answer->gaveWay_)
-            answer->endStalledWrite();
+        // Not at once: a caller that reads is told that its answer gave way.
+        if (answer->gaveWay_ && answer->isStillFor(lookUpTime))
+            answer->endWriteNow();
     }
 }
 
@@ -88,20 +90,21 @@
 
 auto AnswerMemory::dropLargest() -> void
 {
-    const auto largest = std::max_element(
-        answers_.begin(), answers_.end(),
-        [](const Answer *left, const Answer *right) { return left->kept_ < right->kept_; });
-    if (largest != answers_.end() && (*largest)->kept_ > 0)
-        drop(**largest);
+    Answer *largest = nullptr;
+    for (auto *answer : answers_) {
+        if (!answer->gaveWay_ && (largest == nullptr || answer->kept_ > largest->kept_))
+            largest = answer;
+    }
+    if (largest != nullptr)
+        drop(*largest);
 }
 
-// Its memory counts as free at once: the thread that serves it frees it as soon as it runs.
 auto AnswerMemory::drop(Answer &answer) -> void
 {
     ++gaveWay_;
     answer.gaveWay_ = true;
-    kept_ -= std::exchange(answer.kept_, 0);
-    answer.endStalledWrite();
+    leaving_ += answer.kept_;
+    answer.endWriteNow();
     if (answer.onGivenWay_)
         answer.onGivenWay_();
 }
@@ -116,8 +119,8 @@
 
 AnswerMemory::Answer::~Answer()
 {
+    release(kept_);
     const std::lock_guard lock(memory_->mutex_);
-    memory_->kept_ -= kept_;
     memory_->answers_.remove(this);
 }
 
@@ -128,9 +131,12 @@
         return false;
     kept_ += bytes;
     memory_->kept_ += bytes;
-    while (memory_->kept_ > memory_->limit_ && memory_->dropStillest()) { }
-    if (memory_->kept_ > memory_->limit_)
+    while (memory_->isOver() && memory_->dropStillest()) { }
+    if (memory_->isOver())
         memory_->dropLargest();
+    const auto most = memory_->limit_ + memory_->limit_ / leavingShare;
+    if (!gaveWay_ && memory_->kept_ > most)
+        memory_->drop(*this);
     return !gaveWay_;
 }
 
@@ -140,6 +146,8 @@
     const auto released = std::min(bytes, kept_);
     kept_ -= released;
     memory_->kept_ -= released;
+    if (gaveWay_)
+        memory_->leaving_ -= released;
 }
 
 auto AnswerMemory::Answer::hasGivenWay() const -> bool
@@ -154,6 +162,12 @@
     onGivenWay_ = std::move(hook);
 }
 
+auto AnswerMemory::Answer::setSocket(int socket) -> void
+{
+    const std::lock_guard lock(memory_->mutex_);
+    socket_ = socket;
+}
+
 auto AnswerMemory::Answer::beginWrite() -> void
 {
     writingSince_ = telemetry::steadyNow().time_since_epoch().count();
@@ -164,7 +178,7 @@
     writingSince_ = 0;
 }
 
-auto AnswerMemory::Answer::endStalledWrite() const -> void
+auto AnswerMemory::Answer::endWriteNow() const -> void
 {
     if (socket_ >= 0 && writingSince_ != 0)
         ::shutdown(socket_, SHUT_RDWR);
--- a/src/process/http-server.cc
+++ b/src/process/http-server.cc
@@ -104,12 +104,17 @@
     return view(static_cast<const char *>(mg_get_request_info(connection_)->remote_addr));
 }
 
-auto HttpExchange::callerDisconnected() -> bool
+auto HttpExchange::socket() -> int
 {
     if (socket_ < 0)
         socket_ = findCallerSocket(*mg_get_request_info(connection_));
-    pollfd socket{socket_, POLLRDHUP, 0};
-    return socket_ >= 0 && poll(&socket, 1, 0) > 0;
+    return socket_;
+}
+
+auto HttpExchange::callerDisconnected() -> bool
+{
+    pollfd polled{socket(), POLLRDHUP, 0};
+    return polled.fd >= 0 && poll(&polled, 1, 0) > 0;
 }
 
 auto HttpExchange::readBody(std::size_t limit, std::string &body) -> BodyRead
@@ -170,9 +175,10 @@
     text += "\r\n";
     if (!sendsBody(status))
         return write(text);
-    if (body.size() > writeBytes)
-        return write(text) && write(body);
-    return write(text.append(body));
+    if (body.size() <= writeBytes)
+        return write(text.append(body));
+    answer_->setSocket(socket());
+    return write(text) && write(body);
 }
 
 auto HttpExchange::write(std::string_view text) -> bool
