--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -4,6 +4,8 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <mutex>
+#include <set>
 
 namespace {
 
@@ -27,10 +29,74 @@
     return false;
 }
 
+// The requests that sound engines have run.
+class SoundRuns
+{
+public:
+    auto add(const std::string &id) -> void
+    {
+        const std::lock_guard lock(mutex_);
+        ids_.insert(id);
+    }
+    [[nodiscard]] auto contains(const std::string &id) -> bool
+    {
+        const std::lock_guard lock(mutex_);
+        return ids_.contains(id);
+    }
+
+private:
+    std::mutex mutex_;
+    std::set<std::string> ids_;
+};
+
+struct Totals
+{
+    std::atomic<int> whole = 0;
+    std::atomic<int> cut = 0;
+    std::atomic<int> lost = 0; // Rule LOST.
+};
+
+auto draftOf(int number, int request) -> Call
+{
+    Call call;
+    call.method = "POST";
+    call.path = "/draft/a";
+    call.id = "draft-" + std::to_string(number) + '-' + std::to_string(request);
+    call.headers = "X-Model: m\r\nX-Token-Usage: 830,50\r\nX-Prompt-Prefix: a"
+        + std::to_string(number % 96) + ":700,b" + std::to_string(100000 + number) + ":130\r\n";
+    call.body = call.id;
+    call.deadlineMs = 15000;
+    return call;
+}
+
+auto request(int number, const Endpoint &front, Record &record, SoundRuns &sound, Totals &totals,
+             const std::atomic<bool> &isOver) -> void
+{
+    std::this_thread::sleep_for(Milliseconds(8 * number));
+    Client client(front, record);
+    for (int i = 0; !isOver; ++i) {
+        const auto isKept = client.isConnected();
+        const auto call = draftOf(number, i);
+        const auto until = Clock::now() + patience;
+        const auto answer = client.call(call, patience);
+        const auto isClosed = answer.status == 0 && Clock::now() < until;
+        totals.whole += answer.isWhole && answer.status == 200;
+        totals.cut += !answer.isWhole;
+        totals.lost += isKept && isClosed && sound.contains(call.id);
+        std::this_thread::sleep_for(Milliseconds(300));
+    }
+}
+
 auto play(int sick, Record &record, const std::string &folder) -> int
 {
-    const auto model = [sick](int number) -> Behaviour {
-        return hasTrouble() && number < sick ? serveEndless : serveStream;
+    SoundRuns sound;
+    const auto model = [sick, &sound](int number) -> Behaviour {
+        if (hasTrouble() && number < sick)
+            return serveEndless;
+        return [&sound](Run &run) {
+            sound.add(run.id());
+            return serveStream(run);
+        };
     };
     GatewayOptions options;
     options.ip = loopbackIp(1);
@@ -39,53 +105,32 @@
     if (!fleet.isReady())
         return 2;
     auto &gateway = fleet.gateway();
-    Callers callers(gateway, record);
-    std::this_thread::sleep_for(seconds(2));
+    Totals totals;
     std::atomic<bool> isOver = false;
-    std::atomic<int> whole = 0;
-    std::atomic<int> cut = 0;
     std::vector<std::thread> threads;
     for (int number = 0; number < requesters; ++number)
-        threads.emplace_back([&, number] {
-            std::this_thread::sleep_for(Milliseconds(8 * number));
-            for (int i = 0; !isOver; ++i) {
-                Client client(gateway.front(), record);
-                Call call;
-                call.method = "POST";
-                call.path = "/draft/a";
-                call.id = "draft-" + std::to_string(number) + '-' + std::to_string(i);
-                const auto session = std::to_string(100000 + number);
-                call.headers = "X-Model: m\r\nX-Token-Usage: 830,50\r\nX-Prompt-Prefix: a"
-                    + std::to_string(number % 96) + ":700,b" + session + ":130\r\n";
-                call.body = "draft " + call.id;
-                call.deadlineMs = 15000;
-                const auto answer = client.call(call, patience);
-                whole += answer.isWhole && answer.status == 200;
-                cut += !answer.isWhole;
-                std::this_thread::sleep_for(Milliseconds(300));
-            }
-        });
+        threads.emplace_back(
+            [&, number] { request(number, gateway.front(), record, sound, totals, isOver); });
     double most = 0;
     const auto end = Clock::now() + seconds(20);
     while (Clock::now() < end && most <= memoryMegabytes) {
         most = std::max(most, gateway.memory());
         std::this_thread::sleep_for(Milliseconds(20));
     }
-    const auto isOverLimit = most > memoryMegabytes;
-    if (isOverLimit) {
+    if (most > memoryMegabytes) {
         record.note("over its memory: the platform kills the process");
         gateway.signal(SIGKILL);
     }
     isOver = true;
     for (auto &thread : threads)
         thread.join();
-    callers.stop();
-    char text[200];
-    std::snprintf(text, sizeof(text),
-                  "at most %.0f MB resident of %.0f MB; %d streams whole, %d not; ", most,
-                  memoryMegabytes, whole.load(), cut.load());
-    const auto isBroken = isOverLimit || !gateway.isRunning();
-    return conclude(record, text + callers.text(), isBroken);
+    char text[250];
+    std::snprintf(
+        text, sizeof(text),
+        "at most %.0f MB resident of %.0f MB; %d streams whole, %d not; %d passed on from "
+        "kept channels to sound engines and closed without an answer",
+        most, memoryMegabytes, totals.whole.load(), totals.cut.load(), totals.lost.load());
+    return conclude(record, text, totals.lost > 3);
 }
 
 } // namespace
--- a/review/standins-2/gateway.cc
+++ b/review/standins-2/gateway.cc
@@ -174,6 +174,9 @@
 {
     std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
     std::string line;
+    // Until it runs the program, the child shares the memory of this process.
+    if (!std::getline(status, line) || line.find("applehatch") == std::string::npos)
+        return 0;
     while (std::getline(status, line)) {
         if (line.starts_with("VmRSS:"))
             return std::strtod(line.c_str() + 6, nullptr) / 1024;
--- a/review/standins-2/store.cc
+++ b/review/standins-2/store.cc
@@ -12,6 +12,7 @@
 
 // Items of one page of a range.
 constexpr std::size_t pageItems = 500;
+constexpr std::size_t pageBytes = 1000000;
 constexpr auto tick = std::chrono::milliseconds(100);
 
 auto base64(const std::string &bytes) -> std::string
@@ -157,12 +158,15 @@
     auto entries = Json::array();
     auto at = after.empty() ? items_.lower_bound(prefix) : items_.upper_bound(after);
     const auto isIn = [&] { return at != items_.end() && at->first.starts_with(prefix); };
-    for (; isIn() && entries.size() < pageItems; ++at)
+    std::size_t bytes = 0;
+    for (; isIn() && entries.size() < pageItems && bytes < pageBytes; ++at) {
         entries.push_back({{"key", at->first},
                            {"value", base64(at->second.value)},
                            {"revision", at->second.revision},
                            {"created", at->second.created},
                            {"lease", 0}});
+        bytes += at->second.value.size();
+    }
     return Json{{"entries", entries}, {"has-more", isIn()}, {"current-rev", revision_}}.dump();
 }
 
