--- a/review/standins-2/engine.cc
+++ b/review/standins-2/engine.cc
@@ -102,7 +102,7 @@
         id = id_ = "i-" + options_.service + '-' + std::to_string(address_.port) + '-' + start;
     }
     const nlohmann::json entry{{"service", options_.service}, {"addr", address_.text()},
-                               {"zone", options_.zone},       {"version", "v1"},
+                               {"zone", options_.zone},       {"version", options_.version},
                                {"slots", options_.slots},     {"state", "ready"},
                                {"cold-left-ms", 0},           {"seq", 1}};
     store_.put("servers/" + id, entry.dump());
--- a/review/standins-2/engine.h
+++ b/review/standins-2/engine.h
@@ -44,6 +44,7 @@
     std::string ip;
     std::string zone = "bole-hall";
     int slots = 64;
+    std::string version = "v1";
 };
 
 class Engine
--- a/review/standins-2/gateway.cc
+++ b/review/standins-2/gateway.cc
@@ -42,7 +42,13 @@
                       {"event-delay-ms", 120},
                       {"reuse-window-s", 10},
                       {"cap-factor", 2}};
-    const Endpoint control{options.ip, freePort(options.ip)};
+    constexpr int controlPort = 8229;
+    auto seeds = Json::array();
+    for (const auto &ip : options.seeds)
+        seeds.push_back(Endpoint{ip, controlPort}.text());
+    const Endpoint control{options.ip, controlPort};
+    if (seeds.empty())
+        seeds.push_back(control.text());
     return {
         {"node-name", "edge-" + options.zone + "-1"},
         {"role", "router"},
@@ -54,7 +60,7 @@
         {"zones", zones},
         {"listen", {{"front", front.text()}, {"ready", ready.text()}, {"control", control.text()}}},
         {"port-range", {peerPort, peerPort + 15}},
-        {"seeds", {control.text()}},
+        {"seeds", seeds},
         {"bootstrap", true},
         {"loss-counts", false},
         {"limits",
@@ -83,6 +89,11 @@
           {"min-ttl-ms", 1000}}}};
 }
 
+auto portOr(int given, const std::string &ip) -> int
+{
+    return given != 0 ? given : freePort(ip);
+}
+
 // Texts that the child needs; it must not allocate, since other threads may hold the heap's lock.
 struct Command
 {
@@ -115,11 +126,12 @@
 
 Gateway::Gateway(const GatewayOptions &options, const Store &store, Record &record,
                  const std::string &folder)
-    : front_{options.ip, freePort(options.ip)}
-    , ready_{options.ip, freePort(options.ip)}
+    : front_{options.ip, portOr(options.frontPort, options.ip)}
+    , ready_{options.ip, portOr(options.readyPort, options.ip)}
 {
     const auto path = folder + "/settings-" + options.ip + ".json";
-    std::ofstream(path) << settingsOf(options, store, front_, ready_, freePort(options.ip)).dump(2);
+    std::ofstream(path)
+        << settingsOf(options, store, front_, ready_, portOr(options.peerPort, options.ip)).dump(2);
     const auto command = commandFor(path, folder + "/gateway-" + options.ip + ".log");
     pid_ = fork();
     if (pid_ == 0)
--- a/review/standins-2/gateway.h
+++ b/review/standins-2/gateway.h
@@ -17,9 +17,15 @@
     std::string zone = "bole-hall";
     double memoryMegabytes = 260;
     int sockets = 4100;
+    /// Ports of its own; 0 takes free ones.
+    int frontPort = 0;
+    int readyPort = 0;
+    /// The first of `port-range`, the same on all machines.
+    int peerPort = 0;
+    std::vector<std::string> seeds; ///< Addresses of machines; its own if there are none.
 };
 
-/// Settings as a small deployment's, alw-dash; the first gateway's address is the only seed.
+/// Its settings are those of a small deployment, alw-dash.
 class Gateway
 {
 public:
