--- a/include/applehatch/gateway/event-splitter.h
+++ b/include/applehatch/gateway/event-splitter.h
@@ -12,7 +12,8 @@
 ///
 /// An upstream may stop in the middle of an event. Only complete events are forwarded, so that
 /// another upstream can resume after the last one and the caller never receives an event joined
-/// from two parts.
+/// from two parts. Each byte is searched once, however many reads an event takes: an upstream that
+/// never ends an event must not cost more and more with each read.
 class EventSplitter
 {
 public:
--- a/src/gateway/event-splitter.cc
+++ b/src/gateway/event-splitter.cc
@@ -6,16 +6,11 @@
 
 namespace {
 
-// End of the first event in `text`; npos if the event is incomplete.
-auto eventEnd(std::string_view text) -> std::size_t
+// Whether an event that starts at the front of `text` ends with it: after a blank line, with either
+// line end.
+auto endsEvent(std::string_view text) -> bool
 {
-    constexpr std::string_view plain = "\n\n";
-    constexpr std::string_view withReturns = "\r\n\r\n";
-    const auto first = text.find(plain);
-    const auto second = text.find(withReturns);
-    if (first == std::string_view::npos && second == std::string_view::npos)
-        return std::string_view::npos;
-    return second < first ? second + withReturns.size() : first + plain.size();
+    return text.ends_with("\n\n") || text.ends_with("\r\n\r\n");
 }
 
 auto idOf(std::string_view event) -> std::string_view
@@ -49,13 +44,18 @@
 
 auto EventSplitter::feed(std::string_view bytes) -> std::string
 {
+    auto searched = partial_.size();
     partial_ += bytes;
-    std::string_view rest = partial_;
+    const std::string_view text = partial_;
     std::size_t whole = 0;
-    for (auto end = eventEnd(rest); end != std::string_view::npos; end = eventEnd(rest)) {
-        noteEvent(rest.substr(0, end));
-        rest.remove_prefix(end);
-        whole += end;
+    for (auto lineEnd = text.find('\n', searched); lineEnd != std::string_view::npos;
+         lineEnd = text.find('\n', searched)) {
+        searched = lineEnd + 1;
+        const auto event = text.substr(whole, searched - whole);
+        if (!endsEvent(event))
+            continue;
+        noteEvent(event);
+        whole = searched;
     }
     auto events = partial_.substr(0, whole);
     partial_.erase(0, whole);
