--- a/include/applehatch/direct/registry-replica.h
+++ b/include/applehatch/direct/registry-replica.h
@@ -53,6 +53,7 @@
     std::vector<RegistryChange> changes; ///< Oldest first.
     Duration reach{0};                   ///< No change of this long before is missing.
     std::uint32_t calls = 0;             ///< Made to find it.
+    std::uint64_t since = 0;             ///< No change after this revision is missing.
 };
 
 /// An entry that is currently in force.
--- a/include/applehatch/direct/stream-versions.h
+++ b/include/applehatch/direct/stream-versions.h
@@ -3,6 +3,7 @@
 
 #include "applehatch/core/expiring-map.h"
 #include "applehatch/direct/directory.h"
+#include "applehatch/direct/version-choice.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -14,9 +15,6 @@
 
 namespace applehatch::direct {
 
-/// Identifies a stream by the request whose answer brought its first event; 0 is none.
-using StreamKey = std::uint64_t;
-
 /// Returns the key of the stream that `requestId`, sent by `customer`, began. The customer is part
 /// of it, so that nobody finds the stream of another customer.
 [[nodiscard]] auto streamKey(std::string_view customer, std::string_view requestId) -> StreamKey;
@@ -78,6 +76,7 @@
 /// version that served, from its own list, from the registry's history or from a peer that has run
 /// for longer. A stream that may have begun before that goes on nowhere until its version is found.
 /// That no other version has joined since is confirmed after the stream was taken up, never before.
+/// While several versions serve, `VersionChoice` finds that of most streams that no router knows.
 class StreamVersions
 {
 public:
@@ -142,6 +141,16 @@
     [[nodiscard]] auto decide(StreamKey stream, const std::string &service, bool isConfirmed,
                               Instant now, Duration maxAge) const -> ResumeRule;
 
+    /// The lists of upstreams, from which the version of a stream follows.
+    [[nodiscard]] auto choice() -> VersionChoice & { return choice_; }
+    /// Returns the version at which a stream has to begin; none if any will do.
+    [[nodiscard]] auto versionFor(const std::string &service, StreamKey stream, Instant now) const
+        -> std::optional<std::string>;
+    /// Returns the only version at which a stream that nobody knows can have begun within `maxAge`;
+    /// none if there are several, or if that is not known.
+    [[nodiscard]] auto versionOf(const std::string &service, StreamKey stream, Instant now,
+                                 Duration maxAge) const -> std::optional<std::string>;
+
     /// Drops what is too old, at most some of it in each call.
     auto expire(Instant now) -> void;
 
@@ -152,7 +161,8 @@
     [[nodiscard]] auto isMixedByList(const std::string &service, Instant now) const -> bool;
 
     std::map<std::string, Versions> versions_; // By service.
-    std::optional<Instant> knownSince_;        // None before the first list.
+    VersionChoice choice_;
+    std::optional<Instant> knownSince_; // None before the first list.
     std::optional<Instant> peersKnowSince_;
     core::ExpiringMap<bool> mixedByPeers_{maxServices}; // By `serviceKey`.
     core::ExpiringMap<KnownStream> streams_{capacity};
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -180,7 +180,12 @@
     auto takeUpBy(direct::ResumeRule rule) -> void;
     auto takeUpAtOrigin() -> void;
     auto takeUpAtOnlyVersion() -> void;
-    auto confirmVersions() -> void;
+    /// Takes the stream up at the version at which it must have begun, or refuses it.
+    auto takeUpAtOwner() -> void;
+    /// Finds out whether a version serves of which this router has not heard.
+    auto confirmVersions(std::function<void()> then) -> void;
+    /// Sets the version at which the next attempt may begin the stream.
+    auto chooseVersion() -> void;
     auto askKeepers() -> void;
     [[nodiscard]] auto resumeRule() const -> direct::ResumeRule;
     auto refuseUnknownStream() -> void;
--- a/include/applehatch/gateway/gateway-host.h
+++ b/include/applehatch/gateway/gateway-host.h
@@ -166,14 +166,20 @@
     auto tellNewPeer(const PeerDigest &digest, Instant now) -> void;
     auto askKeepers(direct::StreamKey stream, std::function<void(std::optional<KeptStream>)> done)
         -> void;
-    /// Records the versions in the history. Returns whether it names every version that served.
-    auto noteHistory(const direct::RegistryHistory &history, Instant now) -> bool;
+    /// Returns the name of the upstream of a registry entry.
+    [[nodiscard]] auto instanceOf(const std::string &key) const -> std::string;
     /// Records the versions of entries that were written and changed again within these changes,
     /// and so never are in the list.
     auto noteBriefVersions(const std::vector<direct::RegistryChange> &changes, Instant now) -> void;
-    /// Records the version in an entry as it was written. Returns whether it could be read.
-    auto noteWritten(const direct::RegistryItem &item, RegistryDecoder &decoder, Instant now)
+    /// Records the versions and upstreams in changes. Unless they are a sequel of the list, an
+    /// entry that changes may have been there before. Returns whether every version that served is
+    /// known.
+    auto noteChanges(const std::vector<direct::RegistryChange> &changes, bool isSequel, Instant now)
         -> bool;
+    /// Returns the upstream in an entry as it was written; none if it could not be read.
+    [[nodiscard]] static auto writtenUpstream(const direct::RegistryItem &item,
+                                              RegistryDecoder &decoder)
+        -> std::optional<direct::Upstream>;
     /// What a peer is told that asks for the stream with this key, in hexadecimal.
     [[nodiscard]] auto streamAnswer(std::string_view key) const -> std::string;
     [[nodiscard]] auto confirmerHooks() -> VersionConfirmerHooks;
--- a/include/applehatch/gateway/vocabulary.h
+++ b/include/applehatch/gateway/vocabulary.h
@@ -49,6 +49,8 @@
     /// Whether a registry entry is kept alive by its owner, so that it may lapse without its
     /// owner's doing while the registry is away. Without this function all are.
     std::function<bool(std::string_view key)> isLeased;
+    /// Returns the name of the upstream of a registry entry. Without this function it is the key.
+    std::function<std::string(std::string_view key)> instanceOf;
     std::function<direct::Prompt(std::string_view)> readPrompt;
     std::function<std::optional<LoadReport>(std::string_view)> readLoad;
     std::function<bool(std::string_view)> readLeaving;
--- a/src/direct/stream-versions.cc
+++ b/src/direct/stream-versions.cc
@@ -190,8 +190,23 @@
     return stream == 0 ? ResumeRule::Refuse : ResumeRule::AskKeepers;
 }
 
+auto StreamVersions::versionFor(const std::string &service, StreamKey stream, Instant now) const
+    -> std::optional<std::string>
+{
+    if (stream == 0 || !isMixedByList(service, now))
+        return std::nullopt;
+    return choice_.versionFor(service, stream);
+}
+
+auto StreamVersions::versionOf(const std::string &service, StreamKey stream, Instant now,
+                               Duration maxAge) const -> std::optional<std::string>
+{
+    return choice_.versionOf(service, stream, now - maxAge);
+}
+
 auto StreamVersions::expire(Instant now) -> void
 {
+    choice_.expire(now);
     streams_.expireSome(now, bucketsPerExpiry);
     mixedByPeers_.expire(now);
     for (auto &[service, versions] : versions_)
--- a/src/gateway/exchange-attempts.cc
+++ b/src/gateway/exchange-attempts.cc
@@ -17,6 +17,7 @@
 
 auto Exchange::startAttempt() -> bool
 {
+    chooseVersion();
     auto chosen = environment_.dispatcher->choose(permit_, demand_, telemetry::steadyNow());
     if (auto *refused = std::get_if<Failure>(&chosen)) {
         refusal_ = std::move(*refused);
--- a/src/gateway/exchange-resume.cc
+++ b/src/gateway/exchange-resume.cc
@@ -33,7 +33,11 @@
     case ResumeRule::AnyVersion:
         return takeUpAtOnlyVersion();
     case ResumeRule::ConfirmFirst:
-        return confirmVersions();
+        return confirmVersions([this] {
+            if (isConfirmed_)
+                return takeUpBy(resumeRule());
+            askKeepers();
+        });
     case ResumeRule::AskKeepers:
         return askKeepers();
     case ResumeRule::Refuse:
@@ -76,17 +80,16 @@
     begin();
 }
 
-auto Exchange::confirmVersions() -> void
+auto Exchange::confirmVersions(std::function<void()> then) -> void
 {
     triedToConfirm_ = true;
-    environment_.confirmVersions([self = shared_from_this()](VersionsConfirmedBy confirmedBy) {
-        if (self->phase_ == Phase::Ended)
-            return;
-        self->isConfirmed_ = confirmedBy != VersionsConfirmedBy::Nobody;
-        if (self->isConfirmed_)
-            return self->takeUpBy(self->resumeRule());
-        self->askKeepers();
-    });
+    environment_.confirmVersions(
+        [self = shared_from_this(), then = std::move(then)](VersionsConfirmedBy confirmedBy) {
+            if (self->phase_ == Phase::Ended)
+                return;
+            self->isConfirmed_ = confirmedBy != VersionsConfirmedBy::Nobody;
+            then();
+        });
 }
 
 auto Exchange::askKeepers() -> void
@@ -110,16 +113,43 @@
         return;
     const auto &streams = environment_.dispatcher->streams();
     const auto now = telemetry::steadyNow();
-    const auto mayLearn =
-        !streams.isMixed(permit_.serviceName, now) && streams.knowledge(now) < maxStreamAge();
-    if (!mayLearn)
-        return refuseUnknownStream();
+    // What peers know of the time before this router began are versions, not lists.
+    const auto isMixed = streams.isMixed(permit_.serviceName, now);
+    const auto knowledge = isMixed ? streams.ownKnowledge(now) : streams.knowledge(now);
+    if (knowledge >= maxStreamAge())
+        return takeUpAtOwner();
     environment_.learnHistory([self = shared_from_this()] {
         if (self->phase_ != Phase::Ended && !self->takeUpIfKnown())
-            self->refuseUnknownStream();
+            self->takeUpAtOwner();
     });
 }
 
+auto Exchange::takeUpAtOwner() -> void
+{
+    const auto now = telemetry::steadyNow();
+    auto version = environment_.dispatcher->streams().versionOf(permit_.serviceName, takenUpStream_,
+                                                                now, maxStreamAge());
+    if (!version || (triedToConfirm_ && !isConfirmed_))
+        return refuseUnknownStream();
+    // A list that is older than the take-up may lack the owner.
+    if (!isConfirmed_)
+        return confirmVersions([this] { takeUpAtOwner(); });
+    environment_.note(id_, "stream-taken-up",
+                      report_.takesUp + ": began at version " + *version
+                          + ", which owned it for as long as it may run; "
+                          + environment_.registryAge());
+    demand_.version = std::move(version);
+    begin();
+}
+
+auto Exchange::chooseVersion() -> void
+{
+    const auto isNew = ownStream_ != 0 && takenUpStream_ == 0 && events_.events() == 0;
+    if (isNew)
+        demand_.version = environment_.dispatcher->streams().versionFor(
+            permit_.serviceName, ownStream_, telemetry::steadyNow());
+}
+
 auto Exchange::takeUpIfKnown() -> bool
 {
     const auto rule = resumeRule();
--- a/src/gateway/gateway-streams.cc
+++ b/src/gateway/gateway-streams.cc
@@ -36,6 +36,7 @@
 auto GatewayHost::noteVersions(const direct::UpstreamList &upstreams, Instant now) -> void
 {
     auto &streams = dispatcher_.streams();
+    streams.choice().setUpstreams(upstreams, replica_.revision(), now);
     if (!firstRevision_)
         firstRevision_ = replica_.revision();
     for (const auto &service : streams.setUpstreams(upstreams, now)) {
@@ -111,7 +112,8 @@
 {
     const auto now = steadyNow();
     auto &streams = dispatcher_.streams();
-    const auto isWhole = noteHistory(history, now);
+    const auto isWhole = noteChanges(history.changes, false, now);
+    streams.choice().noteKnownSince(now - history.reach, history.since);
     if (isWhole)
         streams.noteKnownSince(now - history.reach);
     metrics_.noteEvent("versions-history");
@@ -131,52 +133,59 @@
     history_.ended(false);
 }
 
-auto GatewayHost::noteHistory(const direct::RegistryHistory &history, Instant now) -> bool
+auto GatewayHost::noteBriefVersions(const std::vector<direct::RegistryChange> &changes, Instant now)
+    -> void
 {
+    std::set<std::string_view> keys;
+    for (const auto &change : changes)
+        keys.insert(change.item.key);
+    // Entries that changed once are in the list that follows, or were in the one before.
+    if (keys.size() < changes.size())
+        noteChanges(changes, true, now);
+}
+
+auto GatewayHost::noteChanges(const std::vector<direct::RegistryChange> &changes, bool isSequel,
+                              Instant now) -> bool
+{
+    auto &streams = dispatcher_.streams();
     // A copy, so that the cache of the other keeps to what is in force.
     auto decoder = decoder_;
-    std::set<std::string> written;
+    std::map<std::string, std::optional<direct::Upstream>> written; // None if it takes no requests.
     auto isWhole = true;
-    for (const auto &change : history.changes) {
-        const auto &item = change.item;
-        if (change.removed) {
-            isWhole = isWhole && written.contains(item.key);
-            continue;
-        }
-        const auto isReadable = noteWritten(item, decoder, now);
+    for (const auto &[item, removed] : changes) {
+        const auto known = written.find(item.key);
+        const auto upstream = removed ? std::nullopt : writtenUpstream(item, decoder);
+        if (upstream)
+            streams.noteServed({upstream->service, upstream->version}, now);
         // An entry that could never be read named no upstream, so nothing was sent there.
-        const auto wasWrittenBefore = item.created != item.revision;
-        const auto isUnknown = written.insert(item.key).second && wasWrittenBefore;
-        isWhole = isWhole && (isReadable || !isUnknown);
+        const auto wasWrittenBefore = removed || item.created != item.revision;
+        if (known != written.end() && known->second) {
+            const auto &before = *known->second;
+            streams.choice().noteServed(before, {before.entryRevision, item.revision}, now);
+        } else if (known == written.end() && !isSequel && wasWrittenBefore) {
+            isWhole = isWhole && upstream;
+            if (upstream)
+                streams.choice().notePossible(*upstream, {0, item.revision}, now);
+            else
+                streams.choice().noteUnknown(instanceOf(item.key), {0, item.revision}, now);
+        }
+        const auto isReady = upstream && upstream->state == direct::UpstreamState::Ready;
+        written[item.key] = isReady ? upstream : std::nullopt;
     }
     return isWhole;
 }
 
-auto GatewayHost::noteBriefVersions(const std::vector<direct::RegistryChange> &changes, Instant now)
-    -> void
+auto GatewayHost::writtenUpstream(const direct::RegistryItem &item, RegistryDecoder &decoder)
+    -> std::optional<direct::Upstream>
 {
-    std::map<std::string, const direct::RegistryChange *> last; // Of each entry.
-    for (const auto &change : changes)
-        last[change.item.key] = &change;
-    std::vector<const direct::RegistryItem *> brief;
-    for (const auto &change : changes) {
-        if (!change.removed && last.at(change.item.key) != &change)
-            brief.push_back(&change.item);
-    }
-    if (brief.empty())
-        return;
-    auto decoder = decoder_;
-    for (const auto *item : brief)
-        noteWritten(*item, decoder, now);
+    auto decoded = decoder({{item.key, {item.value, item.revision, std::nullopt}}});
+    return decoded.upstreams.empty() ? std::nullopt
+                                     : std::optional(std::move(decoded.upstreams.front()));
 }
 
-auto GatewayHost::noteWritten(const direct::RegistryItem &item, RegistryDecoder &decoder,
-                              Instant now) -> bool
+auto GatewayHost::instanceOf(const std::string &key) const -> std::string
 {
-    const auto decoded = decoder({{item.key, {item.value, item.revision, std::nullopt}}});
-    for (const auto &upstream : decoded.upstreams)
-        dispatcher_.streams().noteServed({upstream.service, upstream.version}, now);
-    return !decoded.upstreams.empty();
+    return vocabulary_.instanceOf ? vocabulary_.instanceOf(key) : key;
 }
 
 auto GatewayHost::streamAnswer(std::string_view key) const -> std::string
--- a/test/gateway-processes/process-fleet.h
+++ b/test/gateway-processes/process-fleet.h
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -240,6 +241,31 @@
         return static_cast<std::size_t>(std::count_if(
             returned.begin(), returned.end(), [](const auto &caller) { return isWhole(*caller); }));
     }
+    /// Ends one gateway and starts it anew; streams that are taken up from now on end whole.
+    auto restart(std::size_t gateway) -> void
+    {
+        gateways[gateway]->kill();
+        gateways[gateway]->start();
+        setEnding(Ending::Whole);
+        awaitServing();
+    }
+    /// Streams that went on at an engine of another version than the one that began them.
+    [[nodiscard]] auto joinedStreams() const -> std::size_t
+    {
+        std::map<std::string, std::string> begunAt;
+        for (const auto &engine : engines) {
+            for (const auto &request : engine.upstream.requests())
+                begunAt[headerOf(request, "X-Attempt-Id")] = engine.version;
+        }
+        std::size_t joined = 0;
+        for (const auto &engine : engines) {
+            for (const auto &request : engine.upstream.requests()) {
+                const auto begun = begunAt.find(headerOf(request, "Resumes"));
+                joined += begun != begunAt.end() && begun->second != engine.version ? 1 : 0;
+            }
+        }
+        return joined;
+    }
     [[nodiscard]] auto resumedAt(const std::string &version) const -> std::size_t
     {
         std::size_t resumed = 0;
