--- a/include/applehatch/direct/dispatcher.h
+++ b/include/applehatch/direct/dispatcher.h
@@ -221,7 +221,7 @@
     /// else their context.
     [[nodiscard]] auto placementKey(const RoutingInput &input, Instant now) const -> std::uint64_t;
     /// Whether the request is refused for crashes that no part of a prompt explains.
-    [[nodiscard]] auto isSuspect(const RoutingInput &input, Instant now) const -> bool;
+    [[nodiscard]] auto isSuspect(const RoutingInput &input, Instant now) -> bool;
     [[nodiscard]] auto usableUpstreams(const Permit &permit, const RoutingInput &input,
                                        Instant now) const -> std::vector<UpstreamView>;
     /// Whether the upstream may run the request, as far as versions go.
--- a/include/applehatch/direct/part-suspects.h
+++ b/include/applehatch/direct/part-suspects.h
@@ -5,6 +5,7 @@
 #include "applehatch/direct/break-refutations.h"
 #include "applehatch/direct/prompt.h"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -30,6 +31,8 @@
     Fingerprint request = 0;
     Instant sentAt;
     Instant at;
+
+    auto operator<=>(const PartBreak &) const = default;
 };
 
 /// Tells peers of one break, or of an answer, or of both.
@@ -122,6 +125,13 @@
     static constexpr std::size_t maxMemoryReports = 1024;
     /// A part that was cleared is reported for this long.
     static constexpr Duration reportWindow = std::chrono::seconds(3);
+    /// Verdicts are renewed after this time even if nothing changed, since breaks grow old.
+    static constexpr Duration maxVerdictAge = std::chrono::milliseconds(250);
+    /// Up to so many suspects are judged anew at each change. With more, changes that come at short
+    /// intervals share a judgement, one in `judgementShare` for each suspect: a caller decides how
+    /// many parts its prompts have, and a process that only judges answers nobody.
+    static constexpr std::size_t judgedAtOnce = 256;
+    static constexpr Duration judgementShare = std::chrono::microseconds(10);
 
     /// Records that an upstream broke off a request with the part; returns what to tell of it.
     auto noteBreak(PartKey part, const PartBreak &added, Instant now) -> PartReport;
@@ -146,7 +156,7 @@
     [[nodiscard]] auto refuses(PartKey part, const std::vector<PartKey> &parts, Instant now)
         -> bool;
     /// Whether a suspected part accounts for a crash of `upstream`, or many crashed with it.
-    [[nodiscard]] auto explains(UpstreamId upstream, Instant now) const -> bool;
+    [[nodiscard]] auto explains(UpstreamId upstream, Instant now) -> bool;
     /// Returns the time until a request with the convicted part may be let through.
     [[nodiscard]] auto timeToLeave(PartKey part, Instant now) const -> Duration;
     /// Records that a request with the convicted part is let through.
@@ -166,11 +176,17 @@
         UpstreamId upstream = 0;
         Instant at;
     };
+    /// A break that counts for the suspicion of a part.
+    struct CountedBreak
+    {
+        PartKey part = 0;
+        PartBreak known;
+    };
     struct Candidate
     {
         PartKey part = 0;
-        std::size_t links = 0;    ///< Length of its chain.
-        bool wasAnswered = false; ///< Whether an engine ever bore it.
+        std::vector<UpstreamId> crashed; ///< The upstreams in its chain, sorted.
+        bool wasAnswered = false;        ///< Whether an engine ever bore it.
     };
 
     [[nodiscard]] auto find(PartKey part, Instant now) const -> const Breaks *;
@@ -195,14 +211,16 @@
     [[nodiscard]] auto reportOf(PartKey part, const PartBreak &known, Instant now) const
         -> PartReport;
     [[nodiscard]] auto reportOfAnswer(PartKey part, Instant now) const -> PartReport;
-    /// Judges all parts anew if anything changed.
+    /// Whether the verdicts are to be renewed.
+    [[nodiscard]] auto isJudgementDue(Instant now) const -> bool;
+    /// Judges all parts anew if that is due.
     auto judge(Instant now) -> void;
     auto noteSuspicions(const std::vector<Candidate> &candidates, Instant now) -> void;
     /// Convicts those of `candidates`, which have most crashes first, that no other explains.
     auto noteConvictions(const std::vector<Candidate> &candidates, Instant now) -> void;
     /// Returns the candidates that nothing tells from this one.
-    [[nodiscard]] auto inseparableFrom(const Candidate &candidate,
-                                       const std::vector<Candidate> &candidates, Instant now) const
+    [[nodiscard]] static auto inseparableFrom(const Candidate &candidate,
+                                              const std::vector<Candidate> &candidates)
         -> std::vector<PartKey>;
     auto noteChange(PartKey part, PartChange::Kind kind, Instant now) -> void;
 
@@ -213,11 +231,15 @@
     core::ExpiringMap<Instant> leaveAt_{capacity};          // When a request was let through.
     BreakRefutations refutations_;
     std::deque<Crash> newestCrashes_; // Of each upstream the first that was noted.
+    std::vector<Instant> crashTimes_; // The times of `newestCrashes_`, sorted.
     std::unordered_set<PartKey> suspicions_;
     /// Of each convicted part those that nothing tells from it.
     std::unordered_map<PartKey, std::vector<PartKey>> convictions_;
     std::vector<PartChange> changes_;
-    std::optional<Instant> judgedAt_; // None if something changed since.
+    std::optional<Instant> judgedAt_;                   // None before the first judgement.
+    bool hasChanged_ = false;                           // Since the last judgement.
+    std::vector<CountedBreak> reportable_;              // As of the last judgement.
+    std::unordered_set<UpstreamId> suspectedUpstreams_; // As of the last judgement.
     std::size_t reportOffset_ = 0;
     std::size_t clearedOffset_ = 0;
 };
--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -95,8 +95,8 @@
     std::function<std::string()> registryAge;
     /// Called when a break counts as a possible crash.
     std::function<void(const direct::CrashReport &)> crashCounted;
-    /// Called with what is to be told of a part of a prompt.
-    std::function<void(const direct::PartReport &)> partNoted;
+    /// Called with what is to be told of the parts of a prompt, once for all of them.
+    std::function<void(const std::vector<direct::PartReport> &)> partsNoted;
     direct::CallerPatience *patience = nullptr;
     direct::AnswerForecast *forecast = nullptr;
     /// None unless the process is stopping.
--- a/src/direct/dispatcher-crashes.cc
+++ b/src/direct/dispatcher-crashes.cc
@@ -19,6 +19,8 @@
         if (wait <= Duration(0) && givesLeave_(part))
             continue;
         const auto chain = parts_.chain(part, now);
+        if (chain.empty())
+            continue; // The crashes grew too old since the verdict.
         auto refused = refusal(ErrorKind::CrashSuspect,
                                "part " + core::hexText(part) + " of the prompt crashed "
                                    + std::to_string(chain.size()) + " upstreams, the last "
@@ -36,7 +38,7 @@
     return confined != input.parts.end() ? *confined : sharedContext(input.prompt).hash;
 }
 
-auto Dispatcher::isSuspect(const RoutingInput &input, Instant now) const -> bool
+auto Dispatcher::isSuspect(const RoutingInput &input, Instant now) -> bool
 {
     return suspects_.isSuspect(input.fingerprint, now, [this, now](UpstreamId upstream) {
         return parts_.explains(upstream, now);
--- a/src/direct/part-suspects.cc
+++ b/src/direct/part-suspects.cc
@@ -24,9 +24,10 @@
 auto partKeys(std::string_view service, const Prompt &prompt) -> std::vector<PartKey>
 {
     std::vector<PartKey> keys;
+    std::unordered_set<PartKey> known;
     for (const auto &part : sharedParts(prompt)) {
         const auto key = core::stableHash(service, part.id);
-        if (std::find(keys.begin(), keys.end(), key) == keys.end())
+        if (known.insert(key).second)
             keys.push_back(key);
     }
     return keys;
@@ -62,7 +63,7 @@
 auto PartSuspects::noteAnswered(UpstreamId upstream, Instant sentAt, Instant now) -> void
 {
     if (refutations_.noteAnswered(upstream, sentAt, now))
-        judgedAt_.reset();
+        hasChanged_ = true;
 }
 
 auto PartSuspects::notePeer(const PartReport &report, Instant now) -> std::optional<PartReport>
@@ -115,7 +116,7 @@
 
 auto PartSuspects::store(PartKey part, Breaks breaks, Instant now) -> void
 {
-    judgedAt_.reset();
+    hasChanged_ = true;
     watched_.erase(part);
     suspected_.erase(part);
     if (breaks.empty())
@@ -152,6 +153,10 @@
     newestCrashes_.push_back({upstream, at});
     if (newestCrashes_.size() > maxCrashes)
         newestCrashes_.pop_front();
+    crashTimes_.clear();
+    for (const auto &known : newestCrashes_)
+        crashTimes_.push_back(known.at);
+    std::sort(crashTimes_.begin(), crashTimes_.end());
 }
 
 auto PartSuspects::answerAge(PartKey part, Instant now) const -> std::optional<Duration>
@@ -197,10 +202,12 @@
         if (clearedAt_.find(part, now) != nullptr)
             reports.push_back(reportOfAnswer(part, now));
     }
-    const auto breaks = memory(now);
-    const auto room = std::min(maxReports - reports.size(), breaks.size());
-    for (std::size_t i = 0; i < room; ++i)
-        reports.push_back(breaks[reportOffset_++ % breaks.size()]);
+    judge(now);
+    const auto room = std::min(maxReports - reports.size(), reportable_.size());
+    for (std::size_t i = 0; i < room; ++i) {
+        const auto &next = reportable_[reportOffset_++ % reportable_.size()];
+        reports.push_back(reportOf(next.part, next.known, now));
+    }
     return reports;
 }
 
--- a/src/direct/part-verdicts.cc
+++ b/src/direct/part-verdicts.cc
@@ -19,15 +19,22 @@
     return upstreams;
 }
 
+auto sortedUpstreamsOf(const std::vector<PartBreak> &breaks) -> std::vector<UpstreamId>
+{
+    std::vector<UpstreamId> upstreams;
+    for (const auto &known : breaks)
+        upstreams.push_back(known.upstream);
+    std::sort(upstreams.begin(), upstreams.end());
+    return upstreams;
+}
+
 } // namespace
 
 auto PartSuspects::wasMassCrash(Instant at) const -> bool
 {
-    const auto together =
-        std::count_if(newestCrashes_.begin(), newestCrashes_.end(), [&](const Crash &known) {
-            return known.at - at < massCrashTime && at - known.at < massCrashTime;
-        });
-    return static_cast<std::size_t>(together) >= massCrashSize;
+    const auto first = std::upper_bound(crashTimes_.begin(), crashTimes_.end(), at - massCrashTime);
+    const auto end = std::lower_bound(first, crashTimes_.end(), at + massCrashTime);
+    return static_cast<std::size_t>(end - first) >= massCrashSize;
 }
 
 auto PartSuspects::counts(const PartBreak &known, Instant now) const -> bool
@@ -103,43 +110,63 @@
 {
     judge(now);
     const auto conviction = convictions_.find(part);
-    return conviction != convictions_.end()
-        && std::all_of(conviction->second.begin(), conviction->second.end(), [&](PartKey other) {
-               return std::find(parts.begin(), parts.end(), other) != parts.end();
-           });
+    if (conviction == convictions_.end())
+        return false;
+    if (conviction->second.empty())
+        return true;
+    const std::unordered_set<PartKey> held(parts.begin(), parts.end());
+    return std::all_of(conviction->second.begin(), conviction->second.end(),
+                       [&](PartKey other) { return held.contains(other); });
 }
 
-auto PartSuspects::explains(UpstreamId upstream, Instant now) const -> bool
+auto PartSuspects::explains(UpstreamId upstream, Instant now) -> bool
 {
+    judge(now);
     const auto crash = std::find_if(newestCrashes_.begin(), newestCrashes_.end(),
                                     [&](const Crash &known) { return known.upstream == upstream; });
     if (crash != newestCrashes_.end() && wasMassCrash(crash->at))
         return true;
-    for (const auto part : suspected_.newest(capacity)) {
-        const auto links = chain(part, now);
-        const auto isThere = [&](const PartBreak &known) { return known.upstream == upstream; };
-        if (links.size() >= suspicionLimit && std::any_of(links.begin(), links.end(), isThere))
-            return true;
-    }
-    return false;
+    return suspectedUpstreams_.contains(upstream);
+}
+
+auto PartSuspects::isJudgementDue(Instant now) const -> bool
+{
+    if (!judgedAt_)
+        return true;
+    const auto age = now - *judgedAt_;
+    if (!hasChanged_)
+        return age >= maxVerdictAge;
+    const auto suspects = suspected_.size();
+    if (suspects <= judgedAtOnce)
+        return true;
+    return age >= judgementShare * static_cast<Duration::rep>(suspects);
 }
 
 auto PartSuspects::judge(Instant now) -> void
 {
-    constexpr Duration maxAge = std::chrono::milliseconds(250);
-    if (judgedAt_ && now - *judgedAt_ < maxAge)
+    if (!isJudgementDue(now))
         return;
     judgedAt_ = now;
+    hasChanged_ = false;
+    reportable_.clear();
+    suspectedUpstreams_.clear();
     std::vector<Candidate> candidates;
     for (const auto part : suspected_.newest(capacity)) {
-        const auto links = crashes(part, now);
-        if (links >= suspicionLimit)
-            candidates.push_back({part, links, answeredAt_.find(part, now) != nullptr});
+        const auto links = chain(part, now);
+        if (links.size() < suspicionLimit)
+            continue;
+        auto crashed = sortedUpstreamsOf(links);
+        suspectedUpstreams_.insert(crashed.begin(), crashed.end());
+        candidates.push_back({part, std::move(crashed), answeredAt_.find(part, now) != nullptr});
+        if (reportable_.size() + links.size() > maxMemoryReports)
+            continue;
+        for (const auto &known : links)
+            reportable_.push_back({part, known});
     }
     // The part with most crashes first; what it explains no longer counts against the others.
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-        return std::tuple(b.links, a.wasAnswered, a.part)
-            < std::tuple(a.links, b.wasAnswered, b.part);
+        return std::tuple(b.crashed.size(), a.wasAnswered, a.part)
+            < std::tuple(a.crashed.size(), b.wasAnswered, b.part);
     });
     noteSuspicions(candidates, now);
     noteConvictions(candidates, now);
@@ -167,7 +194,7 @@
         const auto &breaks = *find(candidate.part, now);
         if (!isProof(candidate.part, chainOf(breaks, explained, now), now))
             continue;
-        convictions_.emplace(candidate.part, inseparableFrom(candidate, candidates, now));
+        convictions_.emplace(candidate.part, inseparableFrom(candidate, candidates));
         explained.merge(upstreamsOf(breaks));
         if (!before.contains(candidate.part))
             noteChange(candidate.part, PartChange::Kind::Convicted, now);
@@ -175,15 +202,12 @@
 }
 
 auto PartSuspects::inseparableFrom(const Candidate &candidate,
-                                   const std::vector<Candidate> &candidates, Instant now) const
-    -> std::vector<PartKey>
+                                   const std::vector<Candidate> &candidates) -> std::vector<PartKey>
 {
-    const auto crashed = upstreamsOf(chain(candidate.part, now));
     std::vector<PartKey> parts;
     for (const auto &other : candidates) {
         const auto isAlike = other.part != candidate.part
-            && other.wasAnswered == candidate.wasAnswered
-            && upstreamsOf(chain(other.part, now)) == crashed;
+            && other.wasAnswered == candidate.wasAnswered && other.crashed == candidate.crashed;
         if (isAlike)
             parts.push_back(other.part);
     }
--- a/src/gateway/exchange-crashes.cc
+++ b/src/gateway/exchange-crashes.cc
@@ -1,29 +1,15 @@
 // What a request tells of upstreams that crash, and of what crashes them.
 #include "applehatch/gateway/exchange.h"
 
+#include "parts-text.h"
+
 #include "applehatch/core/log-line.h"
 #include "applehatch/telemetry/clock.h"
 
-#include <algorithm>
+#include <vector>
 
 namespace applehatch::gateway {
 
-namespace {
-
-// Names at most `maxNamed` parts, since a caller may send any number.
-auto partsText(const std::vector<direct::PartKey> &parts) -> std::string
-{
-    constexpr std::size_t maxNamed = 8;
-    std::string text = parts.empty() ? "none" : "";
-    for (std::size_t i = 0; i < std::min(parts.size(), maxNamed); ++i)
-        text += (i == 0 ? "" : "+") + core::hexText(parts[i]);
-    if (parts.size() > maxNamed)
-        text += "+" + std::to_string(parts.size() - maxNamed) + " more";
-    return text;
-}
-
-} // namespace
-
 auto Exchange::readParts() -> void
 {
     demand_.parts = direct::partKeys(permit_.serviceName, demand_.prompt);
@@ -49,9 +35,11 @@
     environment_.note(id_, counts ? "crash-counted" : "crash-not-counted", crashText());
     if (counts)
         environment_.crashCounted({demand_.fingerprint, upstream, Duration(0), 1});
+    const direct::PartBreak known{upstream, demand_.fingerprint, attempt_.sentAt, now};
+    std::vector<direct::PartReport> reports;
     for (const auto part : demand_.parts)
-        environment_.partNoted(dispatcher.parts().noteBreak(
-            part, {upstream, demand_.fingerprint, attempt_.sentAt, now}, now));
+        reports.push_back(dispatcher.parts().noteBreak(part, known, now));
+    environment_.partsNoted(reports);
 }
 
 auto Exchange::noteSoundAnswer() -> void
@@ -60,11 +48,13 @@
         return;
     attempt_.isSound = true;
     const auto now = telemetry::steadyNow();
+    std::vector<direct::PartReport> reports;
     for (const auto part : demand_.parts) {
         if (const auto report =
                 environment_.dispatcher->parts().noteAnswer(part, *attempt_.beganAt, now))
-            environment_.partNoted(*report);
+            reports.push_back(*report);
     }
+    environment_.partsNoted(reports);
 }
 
 auto Exchange::noteAnswered() -> void
--- a/src/gateway/gateway-crashes.cc
+++ b/src/gateway/gateway-crashes.cc
@@ -2,10 +2,16 @@
 #include "applehatch/gateway/gateway-host.h"
 
 #include "gateway-log.h"
+#include "parts-text.h"
 
 #include "applehatch/direct/keepers.h"
 #include "applehatch/telemetry/clock.h"
 
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
 namespace applehatch::gateway {
 
 using core::LogLine;
@@ -32,6 +38,27 @@
     return "part-unknown";
 }
 
+// What led to a change of the belief in a part.
+struct ChangeReason
+{
+    direct::PartChange::Kind kind;
+    std::vector<direct::PartBreak> breaks;
+    std::optional<Duration> answerAge;
+
+    auto operator<=>(const ChangeReason &) const = default;
+};
+
+// Joins what changed for the same reason: a prompt may have thousands of parts, which share one
+// line of the log.
+auto partsByReason(std::vector<direct::PartChange> changes)
+    -> std::map<ChangeReason, std::vector<direct::PartKey>>
+{
+    std::map<ChangeReason, std::vector<direct::PartKey>> parts;
+    for (auto &change : changes)
+        parts[{change.kind, std::move(change.breaks), change.answerAge}].push_back(change.part);
+    return parts;
+}
+
 } // namespace
 
 auto GatewayHost::notePeerCrashes(const PeerDigest &digest, Instant now) -> void
@@ -66,11 +93,11 @@
 auto GatewayHost::logPartChanges(const std::string &source) -> void
 {
     const auto now = steadyNow();
-    for (const auto &change : dispatcher_.parts().takeChanges(now)) {
-        const auto event = eventOf(change.kind);
-        metrics_.noteEvent(event);
+    for (const auto &[why, parts] : partsByReason(dispatcher_.parts().takeChanges(now))) {
+        const auto event = eventOf(why.kind);
+        metrics_.noteEvent(event, parts.size());
         std::string breaks;
-        for (const auto &known : change.breaks) {
+        for (const auto &known : why.breaks) {
             const auto *upstream = dispatcher_.findUpstream(known.upstream);
             breaks += (breaks.empty() ? "" : ", ")
                 + (upstream == nullptr ? core::hexText(known.upstream) : upstream->instance) + " "
@@ -78,10 +105,10 @@
                 + core::hexText(known.request);
         }
         log(LogLine(event)
-                .add("part", core::hexText(change.part))
-                .add("crashes", static_cast<std::int64_t>(change.breaks.size()))
+                .add("part", partsText(parts))
+                .add("crashes", static_cast<std::int64_t>(why.breaks.size()))
                 .add("breaks", breaks)
-                .add("answeredMs", change.answerAge ? core::millisecondsOf(*change.answerAge) : -1)
+                .add("answeredMs", why.answerAge ? core::millisecondsOf(*why.answerAge) : -1)
                 .add("from", source));
     }
 }
--- a/src/gateway/gateway-host.cc
+++ b/src/gateway/gateway-host.cc
@@ -118,9 +118,11 @@
     exchangeEnvironment_.crashCounted = [this](const direct::CrashReport &report) {
         tellKeepers(report);
     };
-    exchangeEnvironment_.partNoted = [this](const direct::PartReport &report) {
-        tellKeepers(report);
-        logPartChanges("this gateway");
+    exchangeEnvironment_.partsNoted = [this](const std::vector<direct::PartReport> &reports) {
+        for (const auto &report : reports)
+            tellKeepers(report);
+        if (!reports.empty())
+            logPartChanges("this gateway");
     };
     dispatcher_.setGivesLeave([this](direct::PartKey part) { return isFirstKeeper(part); });
     exchangeEnvironment_.answers = &answers_;
--- a/src/gateway/gateway-streams.cc
+++ b/src/gateway/gateway-streams.cc
@@ -73,7 +73,7 @@
     auto &incarnation = peerIncarnations_[PeerTable::rankOf(digest.sender)];
     if (std::exchange(incarnation, digest.incarnation) == digest.incarnation)
         return;
-    const auto routers = lastingPeers(now);
+    const direct::KeeperChoice choice(lastingPeers(now));
     AddressedNotes notes;
     notes.to = digest.sender;
     const auto send = [&] {
@@ -83,7 +83,7 @@
     };
     for (const auto &service : dispatcher_.streams().mixedServices(now)) {
         for (auto &report : dispatcher_.streams().ownReports(service, now)) {
-            const auto keepers = direct::keepersOf(report.stream, routers);
+            const auto keepers = choice.keepersOf(report.stream);
             if (std::find(keepers.begin(), keepers.end(), digest.sender) == keepers.end())
                 continue;
             notes.streams.push_back(std::move(report));
--- a/src/gateway/keeper-outbox.cc
+++ b/src/gateway/keeper-outbox.cc
@@ -14,14 +14,14 @@
 {
 public:
     explicit Sorter(const std::vector<Address> &routers)
-        : routers_(routers)
+        : choice_(routers)
     { }
 
     // Calls `add` with a datagram for each keeper of `key`.
     template <typename Add>
     auto addFor(std::uint64_t key, Add add) -> void
     {
-        for (const auto &keeper : direct::keepersOf(key, routers_)) {
+        for (const auto &keeper : choice_.keepersOf(key)) {
             auto &[notes, count] = open_[keeper.ip + ':' + std::to_string(keeper.port)];
             notes.to = keeper;
             add(notes);
@@ -43,7 +43,7 @@
     }
 
 private:
-    const std::vector<Address> &routers_;
+    direct::KeeperChoice choice_;
     std::map<std::string, std::pair<AddressedNotes, std::size_t>> open_; // With the notes' number.
     std::vector<AddressedNotes> full_;
 };
--- a/test/gateway-crashing-parts/part-fleet.h
+++ b/test/gateway-crashing-parts/part-fleet.h
@@ -243,7 +243,7 @@
 
     auto isSuspect(const Request &request) -> bool
     {
-        const auto &parts = parts_[request.router];
+        auto &parts = parts_[request.router];
         return crashes_[request.router].isSuspect(
             request.fingerprint, peers_.now,
             [&](direct::UpstreamId engine) { return parts.explains(engine, peers_.now); });
