--- a/include/applehatch/gateway/channel.h
+++ b/include/applehatch/gateway/channel.h
@@ -69,6 +69,8 @@
     [[nodiscard]] auto isClosedByPeer() -> bool;
     /// Bytes written but not yet handed to the kernel.
     [[nodiscard]] auto unsent() const -> std::size_t { return out_.size() - sent_; }
+    /// Whether the connection ended while bytes were written that the peer had not received.
+    [[nodiscard]] auto endedUnsent() const -> bool { return endedUnsent_; }
     /// Counts what is unsent in `share` from now on.
     auto countUnsent(ByteShare share) -> void { unsentShare_ = std::move(share); }
     /// When the peer last took bytes, or when those that are unsent were first written.
@@ -107,6 +109,8 @@
     auto dropUnsent() -> void;
     /// Drops from `out_` what was sent, once that is most of it: each time would move the rest.
     auto dropSent() -> void;
+    /// Whether the peer has not received all that was written.
+    [[nodiscard]] auto hasUndelivered() -> bool;
     auto fail(boost::system::error_code error) -> void;
     auto failLater(boost::system::error_code error) -> void;
     [[nodiscard]] auto hasEnded() const -> bool
@@ -129,6 +133,7 @@
     bool reading_ = false;
     bool writing_ = false;
     bool paused_ = false;
+    bool endedUnsent_ = false;
 };
 
 /// Applies the limits to a socket, which may still be connecting.
--- a/src/gateway/channel.cc
+++ b/src/gateway/channel.cc
@@ -3,8 +3,10 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -241,11 +243,20 @@
     release();
 }
 
+auto Channel::hasUndelivered() -> bool
+{
+    int queued = 0; // By the kernel, until the peer acknowledges it.
+    const auto isKnown =
+        socket_.is_open() && ioctl(socket_.native_handle(), SIOCOUTQ, &queued) == 0;
+    return unsent() > 0 || (isKnown && queued > 0);
+}
+
 auto Channel::fail(error_code error) -> void
 {
     if (state_ == State::Closed)
         return;
     const auto ended = std::move(hooks_.ended);
+    endedUnsent_ = hasUndelivered();
     release();
     if (ended)
         ended(error);
--- a/src/gateway/upstream-connection.cc
+++ b/src/gateway/upstream-connection.cc
@@ -161,6 +161,9 @@
         return; // The pool detects that the connection is closed.
     if (error)
         return failWith("connection broke: " + error.message());
+    // Nobody answers what has not been read, and only this end would tell that the answer is whole.
+    if (channel_->endedUnsent())
+        return failWith("connection closed before the request was read");
     const auto result = reader_->feedEnd();
     if (result == ReadState::Done && !isStaleAnswer_ && !informational_ && busy_) {
         keepAlive_ = false;
--- a/test/clients/upstream-runs-test.cc
+++ b/test/clients/upstream-runs-test.cc
@@ -137,4 +137,23 @@
     BOOST_TEST(std::holds_alternative<core::RunEnd>(*outcome));
 }
 
+// Guards against a part of an answer that looks whole since its upstream closed in order while it
+// was still being sent the request.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_length_is_cut_if_its_request_was_not_read)
+{
+    constexpr std::size_t uploadBytes = 4000000; // Far more than sockets hold.
+    const experiment::RawServer upstream(ip, [&](experiment::Socket &socket) {
+        (void)socket.receive();
+        (void)socket.sendAll("HTTP/1.1 200 OK\r\n\r\npart");
+    });
+    clients::CallHooks hooks;
+    hooks.onHead = [](int, const core::Headers &, bool) {};
+    hooks.onData = [](const std::string &) {};
+    const std::atomic<bool> never{false};
+    auto start = startRun(1);
+    start.call.stream = false;
+    start.call.body = std::make_shared<const std::string>(uploadBytes, 'x');
+    BOOST_TEST(!clients::runOne(upstream.address(), silence, start, hooks, never).whole);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
