--- a/include/applehatch/core/message.h
+++ b/include/applehatch/core/message.h
@@ -94,6 +94,10 @@
     Instant clock;               ///< The sidecar's clock at sending; meaningless from a router.
 };
 
+/// The status codes that a message carries.
+inline constexpr int smallestStatus = 100;
+inline constexpr int largestStatus = 599;
+
 /// Sidecar to router: the upstream began to answer.
 struct Head
 {
--- a/src/clients/upstream-client-exchange.cc
+++ b/src/clients/upstream-client-exchange.cc
@@ -62,6 +62,10 @@
 {
     ExchangeHead head;
     head.status = static_cast<int>(response.statusCode);
+    // A router drops a message with any other status, and its caller would get no head.
+    if (head.status < core::smallestStatus || head.status > core::largestStatus) {
+        return std::nullopt;
+    }
     std::size_t bytes = 0;
     response.headers->forEach([&](kj::StringPtr name, kj::StringPtr value) {
         bytes += name.size() + value.size();
--- a/src/gateway/http-message.cc
+++ b/src/gateway/http-message.cc
@@ -337,9 +337,13 @@
                                      int /*version*/, ErrorCode & /*error*/) -> void
 { }
 
-auto ResponseReader::on_response_impl(int code, Text reason, int /*version*/, ErrorCode & /*error*/)
+auto ResponseReader::on_response_impl(int code, Text reason, int /*version*/, ErrorCode &error)
     -> void
 {
+    // The parser takes any three digits. What is less than the first interim status is no answer.
+    constexpr int firstStatus = 100;
+    if (code < firstStatus)
+        error = http::error::bad_status;
     head_ = ResponseHead();
     head_.status = code;
     head_.reason = text(reason);
--- a/src/wire/schema-read.cc
+++ b/src/wire/schema-read.cc
@@ -9,8 +9,6 @@
 using std::chrono::milliseconds;
 
 constexpr int largestPriority = 9;
-constexpr int smallestStatus = 100;
-constexpr int largestStatus = 599;
 
 // Records whether every value of a message was in range, so that each reader fits on one line.
 struct Check
@@ -162,7 +160,7 @@
     head.request = text(from.getRequest());
     head.attempt = from.getAttempt();
     head.status = from.getStatus();
-    check.require(head.status >= smallestStatus && head.status <= largestStatus);
+    check.require(head.status >= core::smallestStatus && head.status <= core::largestStatus);
     head.headers = readAll<core::Headers::value_type>(from.getHeaders(), check);
     head.replayed = from.getReplayed();
     head.warm = from.getWarm();
--- a/test/clients/upstream-runs-test.cc
+++ b/test/clients/upstream-runs-test.cc
@@ -3,6 +3,8 @@
 #include "applehatch/experiment/socket.h"
 #include "clients/one-run.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
@@ -137,6 +139,25 @@
     BOOST_TEST(std::holds_alternative<core::RunEnd>(*outcome));
 }
 
+// Guards against a status that no message carries: its router drops the head of such an answer.
+BOOST_DATA_TEST_CASE(an_invalid_status_is_no_answer,
+                     boost::unit_test::data::make({"000", "099", "600", "999"}), status)
+{
+    const experiment::RawServer upstream(ip, [&](experiment::Socket &socket) {
+        (void)socket.receive();
+        (void)socket.sendAll(std::string("HTTP/1.1 ") + status
+                             + " Odd\r\nContent-Length: 4\r\n\r\nbody");
+        (void)socket.receive();
+    });
+    auto heads = 0;
+    clients::CallHooks hooks;
+    hooks.onHead = [&](int, const core::Headers &, bool) { ++heads; };
+    hooks.onData = [](const std::string &) {};
+    const std::atomic<bool> never{false};
+    BOOST_TEST(!clients::runOne(upstream.address(), silence, startRun(1), hooks, never).whole);
+    BOOST_TEST(heads == 0);
+}
+
 // Guards against a part of an answer that looks whole since its upstream closed in order while it
 // was still being sent the request.
 BOOST_AUTO_TEST_CASE(an_answer_without_a_length_is_cut_if_its_request_was_not_read)
--- a/test/gateway/early-answer-test.cc
+++ b/test/gateway/early-answer-test.cc
@@ -1,7 +1,8 @@
-// Upstreams that answer before they have read their request.
+// Upstreams that answer before they have read their request, and answers without a valid status.
 #include "gateway-fixture.h"
 
 #include <boost/asio/read_until.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <list>
@@ -13,6 +14,7 @@
 using namespace applehatch;
 using namespace applehatch::gateway;
 using namespace applehatch::gateway::testing;
+namespace data = boost::unit_test::data;
 
 /// Far more than sockets hold.
 constexpr std::size_t uploadBytes = 4000000;
@@ -120,6 +122,18 @@
 
 const std::vector<Call> calls = {{"/once/a", "part"}, {"/safe/a", "part"}, {"/stream/a", event}};
 
+/// An upstream whose answer has this status, and the rest as it should be.
+auto withStatus(const std::string &status) -> ScriptedConnection::Script
+{
+    return [status](auto &connection, const std::string &request) {
+        connection.send("HTTP/1.1 " + status
+                        + " Odd\r\nRequest-Id: " + headerOf(request, "Request-Id")
+                        + "\r\nRan-By: proof\r\nContent-Length: 4\r\n\r\nbody");
+    };
+}
+
+const std::vector<std::string> invalidStatuses = {"000", "001", "099"};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(gateway_early_answer)
@@ -159,4 +173,40 @@
     BOOST_TEST(answer.ends_with("part"), answer);
 }
 
+// Guards against a caller that waits for its whole time since bytes that are no answer were taken
+// for an interim one.
+BOOST_DATA_TEST_CASE(an_invalid_status_is_no_answer, data::make(invalidStatuses), status)
+{
+    asio::io_context loop{1};
+    ScriptedUpstream upstream(loop, "odd", withStatus(status));
+    Gateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {upstream.entry("pool")});
+    auto caller = gateway.caller();
+    caller.send(testing::requestText("/once/a", "r1", "Connection: close\r\n"));
+    BOOST_TEST(runUntil(
+        loop, [&] { return caller.ended; }, 2s));
+    BOOST_TEST(caller.received.starts_with("HTTP/1.1 502"), caller.received);
+}
+
+// Guards against a request that may be repeated and is not, after such an answer.
+BOOST_DATA_TEST_CASE(a_request_goes_elsewhere_after_an_invalid_status, data::make(invalidStatuses),
+                     status)
+{
+    asio::io_context loop{1};
+    ScriptedUpstream odd(loop, "odd", withStatus(status));
+    ScriptedUpstream sound(loop, "sound", answersWith("sound"));
+    Gateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {odd.entry("pool"), sound.entry("pool")});
+    runFor(loop, 200ms); // A process that has just begun may not send anything twice.
+    for (int i = 0; i < 20 && odd.requests().empty(); ++i) {
+        auto caller = gateway.caller();
+        // Different bodies, since a request that seems to crash upstreams is not sent again.
+        caller.send(testing::requestText("/safe/a", "r" + std::to_string(i),
+                                         "Connection: close\r\n", "body " + std::to_string(i)));
+        BOOST_TEST(caller.seesClose());
+        BOOST_TEST(caller.received.ends_with("sound"), caller.received);
+    }
+    BOOST_TEST(!odd.requests().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
