The largest answer gives way though it stands still

What callers saw: with the memory for answers taken by three answers that stood still before their last byte, a fourth was read no further and got no answer. Cause: only answers that waited for room looked whether they were the largest.

--- a/include/applehatch/gateway/exchange.h
+++ b/include/applehatch/gateway/exchange.h
@@ -164,7 +164,10 @@
         bool isSound = false; ///< The answer went so far that no part of the prompt crashes.
         std::optional<ResponseHead> head;
         std::string bufferedBody; ///< Body of an answer that is not streamed.
-        ByteShare kept;           ///< What `bufferedBody` takes of the memory for answers.
+        /// What `bufferedBody`, or an event that is not complete, takes of the memory for answers.
+        ByteShare kept;
+        bool awaitsRoom = false;  ///< Its connection is paused until there is room.
+        bool watchesRoom = false; ///< It gives way as soon as it is the largest without room.
     };
 
     auto readRequestOptions() -> void;
@@ -236,8 +239,10 @@
 
     auto relayHead(const ResponseHead &head) -> void;
     auto relayEvents(std::string_view bytes) -> void;
-    /// Stops reading the answer until there is room for it among those that are buffered.
-    auto awaitRoom() -> void;
+    /// Counts `bytes` as kept of the answer; stops reading it while there is no room for them.
+    auto countKept(std::size_t bytes) -> void;
+    /// Goes on reading the answer once there is room, and gives it up if it is the largest.
+    auto watchRoom() -> void;
     /// Ends the attempt since its answer is the largest of those that leave no room.
     auto giveUpAnswer() -> void;
     /// Ends the attempt at an upstream that violates the protocol.
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -6,6 +6,7 @@
 
 #include "applehatch/telemetry/clock.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdio>
@@ -21,7 +22,7 @@
 
 namespace {
 
-// A buffered answer that finds no room goes on when there is this much.
+// An answer that finds no room goes on when there is this much.
 constexpr std::size_t minRoom = 32768;
 
 // Returns the time of day in UTC after `wait`.
@@ -127,23 +128,39 @@
     if (attempt_.isStream)
         return relayEvents(bytes);
     attempt_.bufferedBody += bytes;
-    attempt_.kept.add(bytes.size());
     if (attempt_.bufferedBody.size() > maxPlainAnswerBytes)
         return breakOffUpstream("answer without end");
-    if (!attempt_.kept.mayAdd(bytes.size()))
-        awaitRoom();
+    countKept(attempt_.bufferedBody.size());
 }
 
-auto Exchange::awaitRoom() -> void
+auto Exchange::countKept(std::size_t bytes) -> void
+{
+    const auto added = bytes - std::min(bytes, attempt_.kept.bytes());
+    attempt_.kept.resize(bytes);
+    if (bytes <= ByteBudget::smallBytes)
+        return;
+    if (!attempt_.kept.mayAdd(added)) {
+        attempt_.awaitsRoom = true;
+        attempt_.connection->setPaused(true);
+    }
+    if (!std::exchange(attempt_.watchesRoom, true))
+        watchRoom();
+}
+
+auto Exchange::watchRoom() -> void
 {
-    attempt_.connection->setPaused(true);
     roomTimer_.start(ByteBudget::checkInterval, [self = shared_from_this()] {
-        const auto &kept = self->attempt_.kept;
-        if (kept.mayAdd(minRoom))
-            return self->attempt_.connection->setPaused(false);
-        if (kept.isLargest())
+        auto &attempt = self->attempt_;
+        const auto isLarge = attempt.kept.bytes() > ByteBudget::smallBytes;
+        const auto hasRoom = !isLarge || attempt.kept.mayAdd(minRoom);
+        // Whoever waits for nothing may be the largest too, for whose room others wait.
+        if (!hasRoom && attempt.kept.isLargest())
             return self->giveUpAnswer();
-        self->awaitRoom();
+        if (hasRoom && std::exchange(attempt.awaitsRoom, false))
+            attempt.connection->setPaused(false);
+        attempt.watchesRoom = isLarge;
+        if (isLarge)
+            self->watchRoom();
     });
 }
 
--- a/test/gateway/memory-test.cc
+++ b/test/gateway/memory-test.cc
@@ -129,6 +129,43 @@
     BOOST_TEST(gateway.kept() == 0U);
 }
 
+// Guards against answers that wait until their time is over for the room of a larger one that stands
+// still.
+BOOST_AUTO_TEST_CASE(an_answer_that_stands_still_gives_way_as_the_largest)
+{
+    constexpr std::size_t askers = 3;
+    constexpr std::size_t bodyBytes = 1200 * kibibyte;
+    asio::io_context loop{1};
+    const auto headOf = [](const std::string &request) {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + headerOf(request, "Request-Id")
+            + "\r\nRan-By: proof\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+    };
+    ScriptedUpstream still(loop, "still", [&](auto &connection, const std::string &request) {
+        connection.send(headOf(request) + std::string(bodyBytes - 1, 'x'));
+    });
+    SmallGateway gateway(loop);
+    gateway.applyRegistry(testConfiguration(), {still.entry("pool")});
+    std::list<Caller> callers;
+    for (std::size_t number = 0; number < askers; ++number) {
+        callers.emplace_back(loop, gateway.settings.callers);
+        callers.back().send(
+            testing::requestText("/once/a", "r" + std::to_string(number), "Connection: close\r\n"));
+    }
+    gateway.mostKeptUntil([&] { return gateway.kept() >= askers * (bodyBytes - 1); });
+    ScriptedUpstream sound(loop, "sound", [&](auto &connection, const std::string &request) {
+        connection.send(headOf(request) + std::string(bodyBytes - 1, 'y'));
+        connection.send("z");
+    });
+    gateway.applyRegistry(testConfiguration(2), {sound.entry("pool")});
+    auto caller = gateway.caller();
+    caller.send(testing::requestText("/once/b", "sound", "Connection: close\r\n"));
+    BOOST_TEST(caller.seesClose());
+    BOOST_TEST(caller.received.starts_with("HTTP/1.1 200"), caller.received.substr(0, 100));
+    BOOST_TEST(std::count_if(callers.begin(), callers.end(),
+                             [](const auto &each) { return each.ended; })
+               == 1);
+}
+
 // Guards against large requests that take the process over its memory when they come together.
 BOOST_AUTO_TEST_CASE(large_requests_wait_for_room_and_all_are_answered)
 {
