Events that are not complete count in the memory for answers

Cause: up to 1 MB of an unfinished event was kept for each stream and counted in no sum; what its buffer had once held stayed as well. Mend: such an event is counted like a buffered answer; without room the largest is given up, without blame for a crash, and its stream goes on elsewhere if it may.

--- a/include/applehatch/gateway/event-splitter.h
+++ b/include/applehatch/gateway/event-splitter.h
@@ -19,8 +19,8 @@
 public:
     /// Appends bytes and returns all events that are now complete.
     [[nodiscard]] auto feed(std::string_view bytes) -> std::string;
-    /// Discards an incomplete event.
-    auto dropPartial() -> void { partial_.clear(); }
+    /// Discards an incomplete event, with its memory.
+    auto dropPartial() -> void { partial_ = {}; }
     /// Bytes after the last complete event.
     [[nodiscard]] auto partial() const -> const std::string & { return partial_; }
     /// Last event id seen in a complete event; empty before the first.
--- a/src/gateway/event-splitter.cc
+++ b/src/gateway/event-splitter.cc
@@ -1,6 +1,7 @@
 #include "applehatch/gateway/event-splitter.h"
 
 #include <charconv>
+#include <utility>
 
 namespace applehatch::gateway {
 
@@ -57,9 +58,11 @@
         noteEvent(event);
         whole = searched;
     }
-    auto events = partial_.substr(0, whole);
-    partial_.erase(0, whole);
-    return events;
+    if (whole == 0)
+        return {};
+    auto rest = partial_.substr(whole); // Takes no more memory than it needs.
+    partial_.resize(whole);
+    return std::exchange(partial_, std::move(rest));
 }
 
 auto EventSplitter::noteEvent(std::string_view event) -> void
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -169,11 +169,18 @@
     const auto size = std::to_string(attempt_.kept.bytes());
     environment_.note(id_, "answer-given-up",
                       attempt_.choice.upstream.instance + ": largest with " + size + " bytes");
+    const Failure failure{ErrorKind::UpstreamFailed, Run::Unknown, "no memory for the answer", {}};
+    if (attempt_.isStream) {
+        noteOutcome(Outcome::Failed);
+        closeAttempt(false);
+        attempt_.kept.release();
+        return retryOrAnswer(failure);
+    }
     closeAttempt(false);
     attempt_.bufferedBody = {};
     attempt_.kept.release();
     mayHaveRun_ = true;
-    refusal_ = {ErrorKind::UpstreamFailed, Run::Unknown, "no memory for the answer", {}};
+    refusal_ = failure;
     answerAfterLastAttempt();
 }
 
@@ -185,6 +192,7 @@
         return breakOffUpstream("event ids are not increasing");
     if (events_.partial().size() > maxEventBytes)
         return breakOffUpstream("event without end");
+    countKept(events_.partial().size());
     if (whole.empty())
         return;
     const auto now = telemetry::steadyNow();
--- a/test/gateway/memory-test.cc
+++ b/test/gateway/memory-test.cc
@@ -166,6 +166,46 @@
                == 1);
 }
 
+// Guards against events that never end and are counted nowhere, so that the process is ended for its
+// memory, and against streams of small events that suffer from that.
+BOOST_AUTO_TEST_CASE(events_without_end_stay_within_the_memory_for_answers)
+{
+    constexpr std::size_t askers = 16;
+    asio::io_context loop{1};
+    ScriptedUpstream bad(loop, "bad", [&](auto &connection, const std::string &request) {
+        connection.send(streamHead(request) + "FFFFFFF\r\nid: 1\ndata: ");
+        // Less than an event may have, so that no stream ends for its own length alone.
+        connection.send(std::string(Exchange::maxEventBytes - 64 * kibibyte, 'x'));
+    });
+    SmallGateway gateway(loop);
+    auto entry = bad.entry("pool");
+    entry.slots = askers;
+    gateway.applyRegistry(testConfiguration(), {entry});
+    std::list<Caller> callers;
+    for (std::size_t number = 0; number < askers; ++number) {
+        callers.emplace_back(loop, gateway.settings.callers);
+        callers.back().send(testing::requestText("/stream/a", "r" + std::to_string(number),
+                                                 "Connection: close\r\n"));
+    }
+    constexpr auto mostKept = maxKept / Exchange::maxEventBytes + 1;
+    const auto ended = [&] {
+        return std::count_if(callers.begin(), callers.end(),
+                             [](const auto &caller) { return caller.ended; });
+    };
+    const auto most = gateway.mostKeptUntil(
+        [&] { return static_cast<std::size_t>(ended()) >= askers - mostKept; });
+    BOOST_TEST(most > maxKept / 2);
+    BOOST_TEST(most < maxKept + tolerance);
+    ScriptedUpstream sound(loop, "sound", [](auto &connection, const std::string &request) {
+        connection.send(streamHead(request) + eventChunk(1) + std::string(lastChunk));
+    });
+    gateway.applyRegistry(testConfiguration(2), {sound.entry("pool")});
+    auto small = gateway.caller();
+    small.send(testing::requestText("/stream/b", "small", "Connection: close\r\n"));
+    BOOST_TEST(small.seesClose());
+    BOOST_TEST(small.received.ends_with(lastChunk), small.received);
+}
+
 // Guards against large requests that take the process over its memory when they come together.
 BOOST_AUTO_TEST_CASE(large_requests_wait_for_room_and_all_are_answered)
 {
