A time left that is no number is ignored

What callers saw: a request with the time left `nan` was answered 504 at once. Cause: `nan` is read as a number and compares with no bound. Evidence: a_time_left_that_is_no_number_is_ignored, which failed for nan and -nan before (504, deadline-exceeded). Mend: only a value between the bounds is used.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -29,7 +29,8 @@
     const auto *end = text->data() + text->size();
     const auto [at, error] = std::from_chars(text->data(), end, value);
     constexpr double maxMilliseconds = 1e9; // 12 days; a longer value is ignored.
-    if (error != std::errc() || at != end || value < 0 || value > maxMilliseconds)
+    const auto isUsable = value >= 0 && value <= maxMilliseconds; // Not `nan`, which is a number.
+    if (error != std::errc() || at != end || !isUsable)
         return std::nullopt;
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
 }
--- a/test/gateway/answers-test.cc
+++ b/test/gateway/answers-test.cc
@@ -188,6 +188,17 @@
     BOOST_TEST(std::stoi(headerOf(world.upstream.requests().at(0), "Time-Left-Ms")) <= 300);
 }
 
+// Guards against a request that is refused since its time left is a number that is none.
+BOOST_AUTO_TEST_CASE(a_time_left_that_is_no_number_is_ignored)
+{
+    for (const std::string value : {"nan", "-nan", "inf", "1e400", "-1", "soon"}) {
+        OneUpstream world(answersWith("taken"));
+        auto caller = world.gateway.caller();
+        caller.send(testing::requestText("/once/a", "r1", "Time-Left-Ms: " + value + "\r\n"));
+        BOOST_TEST(caller.receives("taken"), value << ' ' << caller.received);
+    }
+}
+
 // A caller disconnects in the middle of a stream. Without the cancellation the engine would
 // continue to generate tokens that nobody reads.
 BOOST_AUTO_TEST_CASE(a_caller_that_disconnects_ends_the_upstream_request)
