--- a/include/applehatch/direct/part-suspects.h
+++ b/include/applehatch/direct/part-suspects.h
@@ -5,7 +5,6 @@
 #include "applehatch/direct/break-refutations.h"
 #include "applehatch/direct/prompt.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -31,8 +30,6 @@
     Fingerprint request = 0;
     Instant sentAt;
     Instant at;
-
-    auto operator<=>(const PartBreak &) const = default;
 };
 
 /// Tells peers of one break, or of an answer, or of both.
--- a/src/direct/part-verdicts.cc
+++ b/src/direct/part-verdicts.cc
@@ -22,6 +22,7 @@
 auto sortedUpstreamsOf(const std::vector<PartBreak> &breaks) -> std::vector<UpstreamId>
 {
     std::vector<UpstreamId> upstreams;
+    upstreams.reserve(breaks.size());
     for (const auto &known : breaks)
         upstreams.push_back(known.upstream);
     std::sort(upstreams.begin(), upstreams.end());
--- a/src/gateway/gateway-crashes.cc
+++ b/src/gateway/gateway-crashes.cc
@@ -7,8 +7,10 @@
 #include "applehatch/direct/keepers.h"
 #include "applehatch/telemetry/clock.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -44,16 +46,34 @@
     direct::PartChange::Kind kind;
     std::vector<direct::PartBreak> breaks;
     std::optional<Duration> answerAge;
+};
+
+auto isBefore(const direct::PartBreak &left, const direct::PartBreak &right) -> bool
+{
+    return std::tie(left.upstream, left.request, left.sentAt, left.at)
+        < std::tie(right.upstream, right.request, right.sentAt, right.at);
+}
 
-    auto operator<=>(const ChangeReason &) const = default;
+struct ReasonOrder
+{
+    auto operator()(const ChangeReason &left, const ChangeReason &right) const -> bool
+    {
+        const auto leftRest = std::tie(left.kind, left.answerAge);
+        const auto rightRest = std::tie(right.kind, right.answerAge);
+        if (leftRest != rightRest)
+            return leftRest < rightRest;
+        return std::lexicographical_compare(left.breaks.begin(), left.breaks.end(),
+                                            right.breaks.begin(), right.breaks.end(), isBefore);
+    }
 };
 
+using PartsByReason = std::map<ChangeReason, std::vector<direct::PartKey>, ReasonOrder>;
+
 // Joins what changed for the same reason: a prompt may have thousands of parts, which share one
 // line of the log.
-auto partsByReason(std::vector<direct::PartChange> changes)
-    -> std::map<ChangeReason, std::vector<direct::PartKey>>
+auto partsByReason(std::vector<direct::PartChange> changes) -> PartsByReason
 {
-    std::map<ChangeReason, std::vector<direct::PartKey>> parts;
+    PartsByReason parts;
     for (auto &change : changes)
         parts[{change.kind, std::move(change.breaks), change.answerAge}].push_back(change.part);
     return parts;
--- a/test/gateway-processes/memory-test.cc
+++ b/test/gateway-processes/memory-test.cc
@@ -67,9 +67,8 @@
     BOOST_TEST(runUntil(
         fleet.loop,
         [&] {
-            const auto ended =
-                std::count_if(fleet.callers.begin(), fleet.callers.end(),
-                              [](const auto &caller) { return caller.ended; });
+            const auto ended = std::count_if(fleet.callers.begin(), fleet.callers.end(),
+                                             [](const auto &caller) { return caller.ended; });
             return static_cast<std::size_t>(ended) >= streams - mostKept;
         },
         std::chrono::seconds(10)));
--- a/test/gateway/memory-test.cc
+++ b/test/gateway/memory-test.cc
@@ -56,6 +56,18 @@
         return most;
     }
 
+    /// Asks so many times at once; each caller leaves after its answer.
+    [[nodiscard]] auto askTimes(std::size_t times, const std::string &path) -> std::list<Caller>
+    {
+        std::list<Caller> callers;
+        for (std::size_t number = 0; number < times; ++number) {
+            callers.emplace_back(loop_, settings.callers);
+            callers.back().send(
+                testing::requestText(path, "r" + std::to_string(number), "Connection: close\r\n"));
+        }
+        return callers;
+    }
+
 private:
     asio::io_context &loop_;
 };
@@ -104,12 +116,7 @@
     auto entry = bad.entry("pool");
     entry.slots = askers;
     gateway.applyRegistry(testConfiguration(), {entry});
-    std::list<Caller> callers;
-    for (std::size_t number = 0; number < askers; ++number) {
-        callers.emplace_back(loop, gateway.settings.callers);
-        callers.back().send(
-            testing::requestText("/once/a", "r" + std::to_string(number), "Connection: close\r\n"));
-    }
+    auto callers = gateway.askTimes(askers, "/once/a");
     BOOST_TEST(runUntil(loop, [&] { return senders.size() == askers; }));
     ScriptedUpstream sound(loop, "sound", answersWith("small"));
     gateway.applyRegistry(testConfiguration(2), {sound.entry("pool")});
@@ -129,8 +136,8 @@
     BOOST_TEST(gateway.kept() == 0U);
 }
 
-// Guards against answers that wait until their time is over for the room of a larger one that stands
-// still.
+// Guards against answers that wait until their time is over for the room of a larger one that
+// stands still.
 BOOST_AUTO_TEST_CASE(an_answer_that_stands_still_gives_way_as_the_largest)
 {
     constexpr std::size_t askers = 3;
@@ -145,12 +152,7 @@
     });
     SmallGateway gateway(loop);
     gateway.applyRegistry(testConfiguration(), {still.entry("pool")});
-    std::list<Caller> callers;
-    for (std::size_t number = 0; number < askers; ++number) {
-        callers.emplace_back(loop, gateway.settings.callers);
-        callers.back().send(
-            testing::requestText("/once/a", "r" + std::to_string(number), "Connection: close\r\n"));
-    }
+    auto callers = gateway.askTimes(askers, "/once/a");
     gateway.mostKeptUntil([&] { return gateway.kept() >= askers * (bodyBytes - 1); });
     ScriptedUpstream sound(loop, "sound", [&](auto &connection, const std::string &request) {
         connection.send(headOf(request) + std::string(bodyBytes - 1, 'y'));
@@ -161,13 +163,13 @@
     caller.send(testing::requestText("/once/b", "sound", "Connection: close\r\n"));
     BOOST_TEST(caller.seesClose());
     BOOST_TEST(caller.received.starts_with("HTTP/1.1 200"), caller.received.substr(0, 100));
-    BOOST_TEST(std::count_if(callers.begin(), callers.end(),
-                             [](const auto &each) { return each.ended; })
-               == 1);
+    BOOST_TEST(
+        std::count_if(callers.begin(), callers.end(), [](const auto &each) { return each.ended; })
+        == 1);
 }
 
-// Guards against events that never end and are counted nowhere, so that the process is ended for its
-// memory, and against streams of small events that suffer from that.
+// Guards against events that never end and are counted nowhere, so that the process is ended for
+// its memory, and against streams of small events that suffer from that.
 BOOST_AUTO_TEST_CASE(events_without_end_stay_within_the_memory_for_answers)
 {
     constexpr std::size_t askers = 16;
@@ -181,12 +183,7 @@
     auto entry = bad.entry("pool");
     entry.slots = askers;
     gateway.applyRegistry(testConfiguration(), {entry});
-    std::list<Caller> callers;
-    for (std::size_t number = 0; number < askers; ++number) {
-        callers.emplace_back(loop, gateway.settings.callers);
-        callers.back().send(testing::requestText("/stream/a", "r" + std::to_string(number),
-                                                 "Connection: close\r\n"));
-    }
+    auto callers = gateway.askTimes(askers, "/stream/a");
     constexpr auto mostKept = maxKept / Exchange::maxEventBytes + 1;
     const auto ended = [&] {
         return std::count_if(callers.begin(), callers.end(),
